Add the protocol between processes: protobuf, frames, signatures, client

Cause: gateway and sidecar need one typed protocol. Start and its frames share one HTTP exchange, so that a request costs one round trip before its first frame; a separate submit call would cost two.

--- /dev/null
+++ b/comfreyrpc/auth_test.go
@@ -0,0 +1,40 @@
+package comfreyrpc
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestVerifierRefuses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	k := Key("0123456789abcdef")
+	v := NewVerifier(k, clock)
+	request := func(sign Key, at time.Time, body string) *http.Request {
+		r := httptest.NewRequest(http.MethodPost, "/stream/start", strings.NewReader(body))
+		sign.Sign(r, []byte(body), at)
+		return r
+	}
+	good := request(k, now, "body")
+	if err := v.Verify(good, []byte("body")); err != nil {
+		t.Fatalf("a signed request: %v", err)
+	}
+	if v.Verify(good, []byte("body")) == nil {
+		t.Error("a repeated signature was accepted")
+	}
+	if v.Verify(request(k, now, "body"), []byte("other")) == nil {
+		t.Error("another body was accepted")
+	}
+	if v.Verify(request(Key("fedcba9876543210"), now, "body"), []byte("body")) == nil {
+		t.Error("another key was accepted")
+	}
+	if v.Verify(request(k, now.Add(-2*time.Minute), "body"), []byte("body")) == nil {
+		t.Error("an old request was accepted")
+	}
+	if v.Verify(httptest.NewRequest(http.MethodGet, "/", nil), nil) == nil {
+		t.Error("an unsigned request was accepted")
+	}
+}
--- /dev/null
+++ b/comfreyrpc/client.go
@@ -0,0 +1,155 @@
+package comfreyrpc
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// Paths of the streams that a sidecar serves beside its twirp calls.
+const (
+	PathStart  = "/stream/start"
+	PathResume = "/stream/resume"
+)
+
+// dialTimeout bounds the time to open a connection to another process.
+const dialTimeout = 2 * time.Second
+
+// idleConnTimeout bounds how long a pooled connection stays unused.
+const idleConnTimeout = 90 * time.Second
+
+// Client calls the other processes of the fleet. It is safe for concurrent
+// use.
+type Client struct {
+	key    Key
+	now    func() time.Time
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// NewClient returns a client that signs with k; a nil clock selects time.Now.
+func NewClient(k Key, now func() time.Time) *Client {
+	if now == nil {
+		now = time.Now
+	}
+	return &Client{key: k, now: now, pooled: newTransport(false), fresh: newTransport(true)}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Do sends a signed request; it makes Client usable as twirp's HTTP client.
+func (c *Client) Do(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	_ = r.Body.Close()
+	return c.send(c.pooled, r, body)
+}
+
+func (c *Client) send(t *http.Transport, r *http.Request, body []byte) (*http.Response, error) {
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.ContentLength = int64(len(body))
+	r.GetBody = func() (io.ReadCloser, error) {
+		return io.NopCloser(bytes.NewReader(body)), nil
+	}
+	c.key.Sign(r, body, c.now())
+	return t.RoundTrip(r)
+}
+
+// Sidecar returns the twirp client of the sidecar at an address "host:port".
+func (c *Client) Sidecar(address string) comfreyproto.Sidecar {
+	return comfreyproto.NewSidecarProtobufClient("http://"+address, c)
+}
+
+// Peer returns the twirp client of any process at an address "host:port".
+func (c *Client) Peer(address string) comfreyproto.Peer {
+	return comfreyproto.NewPeerProtobufClient("http://"+address, c)
+}
+
+// Stream is an open stream of frames. It is not safe for concurrent use,
+// except for Close.
+type Stream struct {
+	*FrameReader
+	body   io.Closer
+	cancel context.CancelFunc
+}
+
+// Close drops the connection.
+func (s *Stream) Close() {
+	s.cancel()
+	_ = s.body.Close()
+}
+
+// Start asks the sidecar at address to run a generation. Its error is a
+// comfreyverdict.Error: not-run only if no byte of the request can have left.
+func (c *Client) Start(ctx context.Context, address string, r *comfreyproto.StartRequest) (*Stream, error) {
+	return c.open(ctx, c.pooled, address, PathStart, r)
+}
+
+// Resume opens a stream again. It always dials a new connection, because the
+// pooled ones to the same address may be dead as well.
+func (c *Client) Resume(ctx context.Context, address string, r *comfreyproto.ResumeRequest) (*Stream, error) {
+	return c.open(ctx, c.fresh, address, PathResume, r)
+}
+
+func (c *Client) open(ctx context.Context, t *http.Transport, address, path string, m proto.Message) (*Stream, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonInternal, err.Error())
+	}
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, http.NoBody)
+	if err != nil {
+		cancel()
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonInternal, err.Error())
+	}
+	resp, err := c.send(t, r, body)
+	if err != nil {
+		cancel()
+		return nil, openError(wrote.Load(), err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		cancel()
+		_ = resp.Body.Close()
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonInternal, fmt.Sprintf("the sidecar answered with status %d", resp.StatusCode))
+	}
+	return &Stream{FrameReader: NewFrameReader(resp.Body), body: resp.Body, cancel: cancel}, nil
+}
+
+// openError tells a failed dial, which proves that nothing ran, from a failure
+// after a connection was there.
+func openError(connected bool, err error) error {
+	if !connected {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonDialFailed, err.Error())
+	}
+	return comfreyverdict.MayHaveRun(comfreyverdict.ReasonConnectionLost, err.Error())
+}
--- /dev/null
+++ b/comfreyrpc/frame.go
@@ -0,0 +1,99 @@
+package comfreyrpc
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyridge.example/comfreyridge/comfreyproto"
+)
+
+// MaxFrameBytes is the largest frame that a reader accepts. A larger one is an
+// error, so that a corrupt length cannot make a process allocate without bound.
+const MaxFrameBytes = 1 << 20
+
+// ErrFrameTooLarge is returned for a frame of more than MaxFrameBytes.
+var ErrFrameTooLarge = errors.New("comfreyrpc: frame is too large")
+
+// FrameWriter writes length-delimited frames. It reuses one buffer and is not
+// safe for concurrent use.
+type FrameWriter struct {
+	w      io.Writer
+	buffer []byte
+}
+
+// NewFrameWriter returns a writer of frames to w.
+func NewFrameWriter(w io.Writer) *FrameWriter {
+	return &FrameWriter{w: w}
+}
+
+// Write appends frames to the stream with a single write to the underlying
+// writer.
+func (w *FrameWriter) Write(frames ...*comfreyproto.Frame) error {
+	w.buffer = w.buffer[:0]
+	for _, f := range frames {
+		w.buffer = protowire.AppendVarint(w.buffer, uint64(proto.Size(f)))
+		b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(w.buffer, f)
+		if err != nil {
+			return fmt.Errorf("comfreyrpc: encode frame: %w", err)
+		}
+		w.buffer = b
+	}
+	_, err := w.w.Write(w.buffer)
+	return err
+}
+
+// FrameReader reads length-delimited frames. It is not safe for concurrent
+// use.
+type FrameReader struct {
+	r      *bufio.Reader
+	buffer []byte
+}
+
+// frameReaderBytes is the size of a stream's read buffer.
+const frameReaderBytes = 4096
+
+// NewFrameReader returns a reader of frames from r.
+func NewFrameReader(r io.Reader) *FrameReader {
+	return &FrameReader{r: bufio.NewReaderSize(r, frameReaderBytes)}
+}
+
+// Read decodes the next frame into f. It returns io.EOF only between frames; a
+// stream that ends within a frame yields io.ErrUnexpectedEOF.
+func (r *FrameReader) Read(f *comfreyproto.Frame) error {
+	n, err := binary.ReadUvarint(r.r)
+	if err != nil {
+		return err
+	}
+	if n > MaxFrameBytes {
+		return ErrFrameTooLarge
+	}
+	if uint64(cap(r.buffer)) < n {
+		r.buffer = make([]byte, n)
+	}
+	b := r.buffer[:n]
+	if _, err := io.ReadFull(r.r, b); err != nil {
+		return noEOF(err)
+	}
+	if err := proto.Unmarshal(b, f); err != nil {
+		return fmt.Errorf("comfreyrpc: decode frame: %w", err)
+	}
+	return nil
+}
+
+// Buffered reports whether bytes of a further frame have already arrived.
+func (r *FrameReader) Buffered() bool {
+	return r.r.Buffered() > 0
+}
+
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
