--- /dev/null
+++ b/comfreyconfig/merge.go
@@ -0,0 +1,88 @@
+package comfreyconfig
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Merged is a folder merged in the order of the names of its files. It is
+// immutable.
+type Merged struct {
+	document document
+}
+
+// Merge merges the files of a folder in the order of their names: a later file
+// may add entries, set keys of an entry anew and remove entries. It returns
+// all faults that can be told without knowing what the values mean.
+func Merge(f Folder) (Merged, []Fault) {
+	d := document{}
+	var faults []Fault
+	for _, i := range NewFolder(f...) {
+		p, s := parseFile(i)
+		faults = append(faults, s...)
+		d.merge(p)
+	}
+	sortFaults(faults)
+	return Merged{document: d}, faults
+}
+
+// WriteTo writes the merged configuration as YAML, each value with the file
+// and line that set it.
+func (m Merged) WriteTo(w io.Writer) (int64, error) {
+	var b strings.Builder
+	for _, n := range slices.Sorted(maps.Keys(m.document)) {
+		writeSection(&b, n, m.document[n], true)
+	}
+	k, err := io.WriteString(w, b.String())
+	return int64(k), err
+}
+
+// writeSection writes one section; the file and line of each value are
+// comments behind it.
+func writeSection(b *strings.Builder, name string, s section, sources bool) {
+	if len(s) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "%s:\n", name)
+	for _, n := range s.names() {
+		e := s[n]
+		indent := "  "
+		if n != "" {
+			fmt.Fprintf(b, "  %s:\n", n)
+			indent = "    "
+		}
+		for _, k := range slices.Sorted(maps.Keys(e.fields)) {
+			v := e.fields[k]
+			fmt.Fprintf(b, "%s%s: %s", indent, k, v)
+			if sources {
+				fmt.Fprintf(b, " # %s:%d", v.file, v.line)
+			}
+			b.WriteByte('\n')
+		}
+	}
+}
+
+// String returns v as YAML.
+func (v value) String() string {
+	if !v.isList {
+		return quote(v.scalar)
+	}
+	var s []string
+	for _, i := range v.list {
+		s = append(s, quote(i))
+	}
+	return "[" + strings.Join(s, ", ") + "]"
+}
+
+// quote returns s as a YAML scalar, in quotes if it is not a plain word.
+func quote(s string) string {
+	plain := s != "" && strings.Trim(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-./_") == ""
+	if plain && s[0] != '-' && s[0] != '.' {
+		return s
+	}
+	return strconv.Quote(s)
+}
--- /dev/null
+++ b/comfreyconfig/schema.go
@@ -0,0 +1,70 @@
+package comfreyconfig
+
+import (
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// The sections of a folder.
+const (
+	sectionCustomers   = "customers"
+	sectionDataCentres = "data-centres"
+	sectionLimits      = "limits"
+	sectionRouting     = "routing"
+	sectionServices    = "services"
+	sectionUpstreams   = "upstreams"
+)
+
+// removedKey drops an entry that an earlier file defined.
+const removedKey = "removed"
+
+// entryName is the form of the name of an entry.
+var entryName = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// sectionSchema says which keys a section knows.
+type sectionSchema struct {
+	// named says that the section holds named entries.
+	named bool
+	// lists maps each key to whether its value is a list.
+	lists map[string]bool
+}
+
+// schema holds the sections by name.
+var schema = map[string]sectionSchema{
+	sectionCustomers:   newSchema(true, customerFields),
+	sectionDataCentres: newSchema(true, dataCentreFields),
+	sectionLimits:      newSchema(false, limitsFields),
+	sectionRouting:     newSchema(true, ruleFields),
+	sectionServices:    newSchema(true, serviceFields),
+	sectionUpstreams:   newSchema(true, upstreamFields),
+}
+
+// newSchema returns the schema of a section with the given fields.
+func newSchema[T any](named bool, fields []field[T]) sectionSchema {
+	c := sectionSchema{named: named, lists: map[string]bool{}}
+	for _, f := range fields {
+		c.lists[f.key] = f.isList
+	}
+	if named {
+		c.lists[removedKey] = false
+	}
+	return c
+}
+
+// keys returns the known keys in order.
+func (c sectionSchema) keys() []string {
+	return slices.Sorted(maps.Keys(c.lists))
+}
+
+// isList reports whether the value of a key is a list, and whether the key is
+// known.
+func (c sectionSchema) isList(key string) (isList, known bool) {
+	isList, known = c.lists[key]
+	return isList, known
+}
+
+func sectionList() string {
+	return strings.Join(slices.Sorted(maps.Keys(schema)), ", ")
+}
