--- /dev/null
+++ b/comfreyadmission/config.go
@@ -0,0 +1,57 @@
+package comfreyadmission
+
+// The defaults of Config.
+const (
+	defaultCapacityTokens  = 65536
+	defaultMaxRunning      = 256
+	defaultQueueLimit      = 256
+	defaultMaxLengthTokens = 4096
+	defaultWatermark       = 0.9
+)
+
+// Config holds the settings of a Controller. The zero value of each field
+// selects its default; so does a value below zero.
+type Config struct {
+	// Policy selects how requests are admitted.
+	Policy Policy
+	// Preset selects what the operator weighs most.
+	Preset Preset
+	// CapacityTokens is the engine's memory for prompts and answers.
+	CapacityTokens int
+	// MaxRunning bounds the generations that the engine holds.
+	MaxRunning int
+	// QueueLimit bounds the requests that wait in the controller.
+	QueueLimit int
+	// MaxLengthTokens is the answer length that PolicyReservation assumes for a
+	// request whose MaxTokens is unknown.
+	MaxLengthTokens int
+	// Watermark is the share of CapacityTokens that PolicyGreedy fills, above 0
+	// and at most 1.
+	Watermark float64
+	// Weights returns the weight of a customer's share of the tokens. A result
+	// of zero or below counts as 1. The default weighs all customers equally.
+	Weights func(customer string) float64
+}
+
+// withDefaults returns a copy of c with every field set.
+func (c Config) withDefaults() Config {
+	c.CapacityTokens = positive(c.CapacityTokens, defaultCapacityTokens)
+	c.MaxRunning = positive(c.MaxRunning, defaultMaxRunning)
+	c.QueueLimit = positive(c.QueueLimit, defaultQueueLimit)
+	c.MaxLengthTokens = positive(c.MaxLengthTokens, defaultMaxLengthTokens)
+	if c.Watermark <= 0 || c.Watermark > 1 {
+		c.Watermark = defaultWatermark
+	}
+	if c.Weights == nil {
+		c.Weights = func(string) float64 { return 1 }
+	}
+	return c
+}
+
+// positive returns v, or fallback if v is zero or below.
+func positive(v, fallback int) int {
+	if v <= 0 {
+		return fallback
+	}
+	return v
+}
