Add first fleet, router and stream packages

The gateway and the sidecar need the types before their policies are weighed.

The defaults of the router are guesses until the measurement of the policies.

--- /dev/null
+++ b/comfreyfleet/lifecycle.go
@@ -0,0 +1,82 @@
+package comfreyfleet
+
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// Lifecycle decides in a sidecar whether new work may begin. It has the last
+// word: whatever a gateway believes, work begins only if Begin returns nil. A
+// Lifecycle is not safe for concurrent use.
+type Lifecycle struct {
+	host    string
+	word    Word
+	lease   *Lease
+	version uint64
+	since   time.Time
+}
+
+// NewLifecycle returns the lifecycle of a process that accepts work as soon
+// as its lease is renewed.
+func NewLifecycle(host string, i Incarnation, c LeaseConfig) *Lifecycle {
+	return &Lifecycle{host: host, word: Word{Incarnation: i, Accepting: true}, lease: NewLease(c)}
+}
+
+// Word returns what the process says about itself.
+func (l *Lifecycle) Word() Word {
+	return l.word
+}
+
+// LeavingSince returns when the process began to leave; zero if it has not.
+func (l *Lifecycle) LeavingSince() time.Time {
+	return l.since
+}
+
+// Leave makes the process refuse all new work from now on.
+func (l *Lifecycle) Leave(now time.Time) {
+	if !l.word.Accepting {
+		return
+	}
+	l.word.Accepting = false
+	l.since = now
+}
+
+// Observe takes a host list, from the platform or shown by a gateway. A list
+// newer than all before it that names this host as leaving makes the process
+// leave, unless the list is older than the process. It reports whether the
+// process is leaving.
+func (l *Lifecycle) Observe(now time.Time, v View) bool {
+	if v.Version() <= l.version {
+		return !l.word.Accepting
+	}
+	l.version = v.Version()
+	m, ok := v.Find(l.host)
+	if ok && m.State != StateLive && v.At().After(l.word.Incarnation.Start()) {
+		l.Leave(now)
+	}
+	return !l.word.Accepting
+}
+
+// Renew records that at now the process has looked for orders to stop.
+func (l *Lifecycle) Renew(now time.Time) {
+	l.lease.Renew(now)
+}
+
+// Wake records a look at the clock and returns how long the process was
+// paused. After a pause nothing begins until Renew.
+func (l *Lifecycle) Wake(now time.Time) time.Duration {
+	return l.lease.Wake(now)
+}
+
+// Begin returns nil if work may be handed to the upstream at now. Otherwise
+// it returns a comfreyverdict.Error that proves that the work was not begun.
+func (l *Lifecycle) Begin(now time.Time) error {
+	if !l.word.Accepting {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar is leaving")
+	}
+	if !l.lease.Valid(now) {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar was paused and has to look again")
+	}
+	return nil
+}
--- /dev/null
+++ b/comfreyrouter/retry.go
@@ -0,0 +1,108 @@
+package comfreyrouter
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyinvariant"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// invariantRetryBudget says that retries stay within their share of requests.
+const invariantRetryBudget comfreyinvariant.Name = "retry-budget"
+
+// Defaults of a RetryConfig.
+const (
+	defaultRetryRatio = 0.1
+	defaultRetryBurst = 10
+	// retryUnit is one retry in the integer units of the bucket, which add up
+	// without rounding.
+	retryUnit = 1_000_000
+)
+
+// RetryConfig holds the bounds of a RetryBudget. The zero value of each field
+// selects its default.
+type RetryConfig struct {
+	// Ratio is how many retries each request earns, from 0 to 1; the default
+	// is 0.1. A negative value allows none.
+	Ratio float64
+	// Burst is how many retries may be saved up; the default is 10.
+	Burst float64
+}
+
+// RetryCounts are the totals of a RetryBudget.
+type RetryCounts struct {
+	// Requests is how many requests earned a share of a retry.
+	Requests uint64
+	// Retries is how many retries were allowed.
+	Retries uint64
+	// Refused is how many retries the budget refused.
+	Refused uint64
+}
+
+// RetryBudget is the token bucket that bounds the retries of one gateway for
+// one service, so that a fault multiplies the load by no more than one plus
+// the ratio. It is safe for concurrent use.
+type RetryBudget struct {
+	mu      sync.Mutex
+	earned  int64
+	limit   int64
+	tokens  int64
+	counts  RetryCounts
+	reasons map[comfreyverdict.Reason]uint64
+}
+
+// NewRetryBudget returns a budget from which the first requests have to earn.
+func NewRetryBudget(c RetryConfig) *RetryBudget {
+	if c.Ratio == 0 {
+		c.Ratio = defaultRetryRatio
+	}
+	if c.Burst <= 0 {
+		c.Burst = defaultRetryBurst
+	}
+	return &RetryBudget{
+		earned:  int64(math.Round(max(c.Ratio, 0) * retryUnit)),
+		limit:   int64(c.Burst * retryUnit),
+		reasons: map[comfreyverdict.Reason]uint64{},
+	}
+}
+
+// Request records one first attempt at now.
+func (b *RetryBudget) Request(_ time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Requests++
+	b.tokens = min(b.tokens+b.earned, b.limit)
+}
+
+// TryRetry reports whether one retry for the given reason may be sent at now,
+// and counts it.
+func (b *RetryBudget) TryRetry(_ time.Time, reason comfreyverdict.Reason) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < retryUnit {
+		b.counts.Refused++
+		return false
+	}
+	b.tokens -= retryUnit
+	b.counts.Retries++
+	b.reasons[reason]++
+	earned := b.counts.Requests * uint64(b.earned)
+	comfreyinvariant.Check(b.counts.Retries*retryUnit <= earned, invariantRetryBudget, "retries exceed the share of requests")
+	return true
+}
+
+// Counts returns the totals so far.
+func (b *RetryBudget) Counts() RetryCounts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
+}
+
+// Reason returns how many retries were allowed for one reason.
+func (b *RetryBudget) Reason(reason comfreyverdict.Reason) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reasons[reason]
+}
--- /dev/null
+++ b/comfreystream/conservation.go
@@ -0,0 +1,140 @@
+package comfreystream
+
+import (
+	"sync"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyinvariant"
+)
+
+// invariantConservation says that every accepted request ends exactly once.
+const invariantConservation comfreyinvariant.Name = "request-conservation"
+
+// Outcome is how an accepted request ended. The zero value is OutcomeFailed,
+// which claims least.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// OutcomeFailed means that the caller got a typed error.
+	OutcomeFailed Outcome = iota
+	// OutcomeEnded means that the caller got the whole answer.
+	OutcomeEnded
+	// OutcomeCancelled means that the caller cancelled or went away.
+	OutcomeCancelled
+)
+
+// String returns the kebab-case name of o. An out-of-range value is reported
+// as "failed".
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeEnded:
+		return "ended"
+	case OutcomeCancelled:
+		return "cancelled"
+	default:
+		return "failed"
+	}
+}
+
+// Totals counts requests by outcome.
+type Totals struct {
+	// Accepted is how many requests were accepted.
+	Accepted uint64
+	// Ended is how many requests got their whole answer.
+	Ended uint64
+	// Failed is how many requests got a typed error.
+	Failed uint64
+	// Cancelled is how many requests were cancelled by their caller.
+	Cancelled uint64
+	// Open is how many requests have no outcome yet.
+	Open uint64
+}
+
+// Conservation asserts that every accepted request ends exactly once. It is
+// safe for concurrent use. The zero value is ready to use.
+type Conservation struct {
+	mu     sync.Mutex
+	open   map[string]time.Time
+	totals Totals
+}
+
+// Accept records that a request was accepted and is due to end by deadline.
+// A request that is open already violates the invariant.
+func (c *Conservation) Accept(request string, deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil {
+		c.open = map[string]time.Time{}
+	}
+	_, ok := c.open[request]
+	comfreyinvariant.Check(!ok, invariantConservation, "request %s is accepted twice", request)
+	if ok {
+		return
+	}
+	c.open[request] = deadline
+	c.totals.Accepted++
+	c.totals.Open++
+}
+
+// End records the outcome of an accepted request. A request that is not open
+// violates the invariant.
+func (c *Conservation) End(request string, o Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.open[request]
+	comfreyinvariant.Check(ok, invariantConservation, "request %s ends (%s) and is not open", request, o)
+	if !ok {
+		return
+	}
+	delete(c.open, request)
+	c.totals.Open--
+	switch o {
+	case OutcomeEnded:
+		c.totals.Ended++
+	case OutcomeCancelled:
+		c.totals.Cancelled++
+	default:
+		c.totals.Failed++
+	}
+	c.check()
+}
+
+// Totals returns the counts so far.
+func (c *Conservation) Totals() Totals {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.totals
+}
+
+// Overdue asserts that no open request is past its deadline by more than
+// grace, and returns how many are.
+func (c *Conservation) Overdue(now time.Time, grace time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for r, d := range c.open {
+		late := now.Sub(d) > grace
+		comfreyinvariant.Check(!late, invariantConservation, "request %s has no outcome %s after its deadline", r, now.Sub(d))
+		if late {
+			n++
+		}
+	}
+	return n
+}
+
+// Drained asserts that no request is open, as when a process exits.
+func (c *Conservation) Drained() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for r := range c.open {
+		comfreyinvariant.Check(false, invariantConservation, "request %s has no outcome at exit", r)
+	}
+	c.check()
+}
+
+func (c *Conservation) check() {
+	t := c.totals
+	sum := t.Ended + t.Failed + t.Cancelled + t.Open
+	comfreyinvariant.Check(sum == t.Accepted && uint64(len(c.open)) == t.Open, invariantConservation, "%d accepted and %d accounted for", t.Accepted, sum)
+}
--- /dev/null
+++ b/comfreystream/replay.go
@@ -0,0 +1,176 @@
+package comfreystream
+
+import (
+	"fmt"
+
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// Frame is one numbered part of a generation.
+type Frame struct {
+	// Seq is the sequence number, from 1, without gaps.
+	Seq uint64
+	// Payload is opaque. Its owner must not change it.
+	Payload []byte
+	// End says that this is the last frame of the generation.
+	End bool
+}
+
+// Defaults and costs of a Replay.
+const (
+	defaultWindowBytes = 256 << 10
+	defaultRetainBytes = 64 << 10
+	frameOverheadBytes = 40
+)
+
+// ReplayConfig holds the bounds of a Replay. The zero value of each field
+// selects its default.
+type ReplayConfig struct {
+	// WindowBytes bounds all kept frames, with their overhead; the default is
+	// 256 KiB.
+	WindowBytes int
+	// RetainBytes bounds the kept frames that were acknowledged. They are kept
+	// at all because a gateway may acknowledge and die before its caller has
+	// them; the default is 64 KiB.
+	RetainBytes int
+}
+
+// Replay keeps the latest frames of one generation so that a receiver whose
+// connection was lost can resume. The newest frame is always kept, so the end
+// of a generation is never lost. A Replay is not safe for concurrent use.
+type Replay struct {
+	config       ReplayConfig
+	frames       []Frame
+	start        int
+	next         uint64
+	acknowledged uint64
+	keptBytes    int
+	ackedBytes   int
+	ended        bool
+}
+
+// NewReplay returns an empty window whose first frame will have number 1.
+func NewReplay(c ReplayConfig) *Replay {
+	if c.WindowBytes <= 0 {
+		c.WindowBytes = defaultWindowBytes
+	}
+	if c.RetainBytes <= 0 {
+		c.RetainBytes = defaultRetainBytes
+	}
+	return &Replay{config: c, next: 1}
+}
+
+// Append numbers, copies and keeps one frame and returns it. It returns an
+// error after the end.
+func (r *Replay) Append(payload []byte) (Frame, error) {
+	return r.append(payload, false)
+}
+
+// End appends the last frame of the generation.
+func (r *Replay) End(payload []byte) (Frame, error) {
+	return r.append(payload, true)
+}
+
+func (r *Replay) append(payload []byte, end bool) (Frame, error) {
+	if r.ended {
+		return Frame{}, fmt.Errorf("comfreystream: frame after the end, which was frame %d", r.next-1)
+	}
+	p := make([]byte, len(payload))
+	copy(p, payload)
+	f := Frame{Seq: r.next, Payload: p, End: end}
+	r.next++
+	r.ended = end
+	r.compact()
+	r.frames = append(r.frames, f)
+	r.keptBytes += cost(f)
+	r.evict()
+	return f, nil
+}
+
+// Acknowledge records that the receiver has every frame up to seq. A number
+// beyond the last frame is taken as the last frame.
+func (r *Replay) Acknowledge(seq uint64) {
+	seq = min(seq, r.next-1)
+	if seq <= r.acknowledged {
+		return
+	}
+	for _, f := range r.frames[r.start:] {
+		if f.Seq > r.acknowledged && f.Seq <= seq {
+			r.ackedBytes += cost(f)
+		}
+	}
+	r.acknowledged = seq
+	r.evict()
+}
+
+// From returns the frames from seq on, which may be none. A comfreyverdict
+// error with reason replay-window-passed says that frame seq is not kept any
+// more, and one with reason sequence-gap that it lies beyond the next frame.
+func (r *Replay) From(seq uint64) ([]Frame, error) {
+	return r.AppendFrom(nil, seq)
+}
+
+// AppendFrom appends the result of From to s.
+func (r *Replay) AppendFrom(s []Frame, seq uint64) ([]Frame, error) {
+	seq = max(seq, 1)
+	if seq > r.next {
+		return s, comfreyverdict.Ran(comfreyverdict.ReasonSequenceGap, fmt.Sprintf("frame %d is asked for and %d is the next", seq, r.next))
+	}
+	if seq < r.oldest() {
+		return s, comfreyverdict.Ran(comfreyverdict.ReasonReplayWindowPassed, fmt.Sprintf("frame %d is asked for and %d is the oldest kept", seq, r.oldest()))
+	}
+	return append(s, r.frames[r.start+int(seq-r.oldest()):]...), nil
+}
+
+// Next returns the number of the next frame.
+func (r *Replay) Next() uint64 {
+	return r.next
+}
+
+// Ended reports whether the last frame was appended.
+func (r *Replay) Ended() bool {
+	return r.ended
+}
+
+// SizeBytes returns the size of the kept frames, with their overhead.
+func (r *Replay) SizeBytes() int {
+	return r.keptBytes
+}
+
+// oldest returns the number of the oldest kept frame.
+func (r *Replay) oldest() uint64 {
+	return r.next - uint64(len(r.frames)-r.start)
+}
+
+// evict drops the oldest frames until the bounds hold, but never the newest.
+func (r *Replay) evict() {
+	for r.start < len(r.frames)-1 {
+		f := r.frames[r.start]
+		acked := f.Seq <= r.acknowledged
+		if r.keptBytes <= r.config.WindowBytes && !(acked && r.ackedBytes > r.config.RetainBytes) {
+			return
+		}
+		r.keptBytes -= cost(f)
+		if acked {
+			r.ackedBytes -= cost(f)
+		}
+		r.frames[r.start] = Frame{}
+		r.start++
+	}
+}
+
+// compact moves the kept frames to the front when the free part is the larger
+// one, so that appending reuses the memory.
+func (r *Replay) compact() {
+	if r.start == 0 || len(r.frames) < cap(r.frames) || r.start < len(r.frames)/2 {
+		return
+	}
+	n := copy(r.frames, r.frames[r.start:])
+	clear(r.frames[n:])
+	r.frames = r.frames[:n]
+	r.start = 0
+}
+
+func cost(f Frame) int {
+	return len(f.Payload) + frameOverheadBytes
+}
