--- a/comfreyrpc/frame.go
+++ b/comfreyrpc/frame.go
@@ -97,3 +97,24 @@
 	}
 	return err
 }
+
+// WriteEncoded appends frames that AppendFrame encoded, with a single write to
+// the underlying writer.
+func (w *FrameWriter) WriteEncoded(frames ...[]byte) error {
+	w.buffer = w.buffer[:0]
+	for _, f := range frames {
+		w.buffer = protowire.AppendVarint(w.buffer, uint64(len(f)))
+		w.buffer = append(w.buffer, f...)
+	}
+	_, err := w.w.Write(w.buffer)
+	return err
+}
+
+// AppendFrame appends the encoding of f, without its length, to b.
+func AppendFrame(b []byte, f *comfreyproto.Frame) []byte {
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, f)
+	if err != nil {
+		panic("comfreyrpc: a frame cannot be encoded: " + err.Error())
+	}
+	return b
+}
--- /dev/null
+++ b/comfreysidecar/admission.go
@@ -0,0 +1,111 @@
+package comfreysidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyadmission"
+)
+
+const (
+	// admissionEvents bounds the events that wait for the admission duty.
+	admissionEvents = 4096
+	// admissionTick is how often deadlines and ageing are looked at.
+	admissionTick = 50 * time.Millisecond
+)
+
+// admissionEventKind tells the events of the admission duty apart.
+type admissionEventKind int
+
+const (
+	admissionSubmit admissionEventKind = iota
+	admissionProgress
+	admissionFinish
+	admissionCancel
+)
+
+// admissionEvent is one thing that happened to a request.
+type admissionEvent struct {
+	kind    admissionEventKind
+	id      string
+	tokens  int
+	request comfreyadmission.Request
+	outcome comfreyadmission.Outcome
+}
+
+// admission is the duty that owns the admission controller. Other goroutines
+// reach it through a bounded channel.
+type admission struct {
+	controller *comfreyadmission.Controller
+	events     chan admissionEvent
+	load       atomic.Pointer[comfreyadmission.Load]
+	now        func() time.Time
+	act        func(a comfreyadmission.Action)
+}
+
+func newAdmission(c comfreyadmission.Config, now func() time.Time, act func(a comfreyadmission.Action)) *admission {
+	a := &admission{
+		controller: comfreyadmission.New(c),
+		events:     make(chan admissionEvent, admissionEvents),
+		now:        now,
+		act:        act,
+	}
+	a.publish()
+	return a
+}
+
+// send hands one event to the duty. It blocks while the channel is full and
+// returns early if ctx ends.
+func (a *admission) send(ctx context.Context, e admissionEvent) {
+	select {
+	case a.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// run owns the controller until ctx ends.
+func (a *admission) run(ctx context.Context) error {
+	t := time.NewTicker(admissionTick)
+	defer t.Stop()
+	for {
+		select {
+		case e := <-a.events:
+			a.handle(e)
+		case <-t.C:
+			a.apply(a.controller.Tick(a.now()))
+			a.publish()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (a *admission) handle(e admissionEvent) {
+	now := a.now()
+	switch e.kind {
+	case admissionSubmit:
+		a.apply(a.controller.Submit(now, e.request))
+		a.publish()
+	case admissionProgress:
+		a.apply(a.controller.Progress(now, e.id, e.tokens))
+	case admissionFinish:
+		a.apply(a.controller.Finish(now, e.id, e.outcome))
+		a.publish()
+	case admissionCancel:
+		a.apply(a.controller.Cancel(now, e.id))
+		a.publish()
+	}
+}
+
+func (a *admission) apply(actions []comfreyadmission.Action) {
+	for _, x := range actions {
+		a.act(x)
+	}
+}
+
+// publish makes the current load visible to other goroutines.
+func (a *admission) publish() {
+	l := a.controller.Load()
+	a.load.Store(&l)
+}
--- /dev/null
+++ b/comfreysidecar/generation.go
@@ -0,0 +1,220 @@
+package comfreysidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreystream"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// generation is one accepted request, from its acceptance until its frames are
+// no longer kept. It is safe for concurrent use.
+type generation struct {
+	id       comfreystream.GenerationID
+	key      string
+	request  *comfreyproto.StartRequest
+	accepted time.Time
+	deadline time.Time
+	// changed signals the attached reader that frames were appended.
+	changed chan struct{}
+
+	mu        sync.Mutex
+	replay    *comfreystream.Replay
+	scratch   []byte
+	frame     comfreyproto.Frame
+	running   bool
+	ended     bool
+	endedAt   time.Time
+	tokens    int
+	reader    *attachment
+	lastSeen  time.Time
+	cancel    context.CancelFunc
+	cancelled comfreyverdict.Reason
+}
+
+// attachment is one connection that reads a generation's frames.
+type attachment struct {
+	superseded chan struct{}
+}
+
+func newGeneration(id comfreystream.GenerationID, r *comfreyproto.StartRequest, now time.Time, deadline time.Time) *generation {
+	return &generation{
+		id:       id,
+		key:      fenceKey(r.RequestId, r.Attempt),
+		request:  r,
+		accepted: now,
+		deadline: deadline,
+		changed:  make(chan struct{}, 1),
+		replay:   comfreystream.NewReplay(comfreystream.ReplayConfig{}),
+		lastSeen: now,
+	}
+}
+
+// attach makes a the only reader of g.
+func (g *generation) attach() *attachment {
+	a := &attachment{superseded: make(chan struct{})}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reader != nil {
+		close(g.reader.superseded)
+	}
+	g.reader = a
+	return a
+}
+
+// detach records that the connection of a ended at now.
+func (g *generation) detach(a *attachment, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reader != a {
+		return
+	}
+	g.reader = nil
+	g.lastSeen = now
+}
+
+// acknowledge records that the gateway has passed on all frames up to seq.
+func (g *generation) acknowledge(seq uint64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replay.Acknowledge(seq)
+	g.lastSeen = now
+}
+
+// orphanedSince returns since when nobody reads g; it reports false while
+// somebody does or after the end.
+func (g *generation) orphanedSince() (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastSeen, g.reader == nil && !g.ended
+}
+
+// appendTokens adds one chunk of the engine's answer.
+func (g *generation) appendTokens(data []byte, tokens int) {
+	g.mu.Lock()
+	if !g.ended {
+		g.tokens += tokens
+		g.frame.Kind = comfreyproto.FrameKind_FRAME_KIND_TOKENS
+		g.frame.Data = data
+		g.frame.Tokens = uint32(tokens)
+		g.appendFrame(false)
+		g.frame.Data = nil
+	}
+	g.mu.Unlock()
+	g.signal()
+}
+
+// end appends the last frame. It reports false if g had ended before.
+func (g *generation) end(f *comfreyproto.Frame, now time.Time) bool {
+	g.mu.Lock()
+	if g.ended {
+		g.mu.Unlock()
+		return false
+	}
+	g.ended = true
+	g.endedAt = now
+	g.frame.Kind = f.Kind
+	g.frame.Tokens = uint32(g.tokens)
+	g.frame.Outcome = f.Outcome
+	g.frame.Load = f.Load
+	g.appendFrame(true)
+	g.request.Body = nil
+	g.mu.Unlock()
+	g.signal()
+	return true
+}
+
+// appendFrame numbers and keeps the prepared frame.
+func (g *generation) appendFrame(last bool) {
+	g.frame.Incarnation = g.id.Incarnation
+	g.frame.Counter = g.id.Counter
+	g.frame.Seq = g.replay.Next()
+	g.scratch = comfreyrpc.AppendFrame(g.scratch[:0], &g.frame)
+	if last {
+		_, _ = g.replay.End(g.scratch)
+		return
+	}
+	_, _ = g.replay.Append(g.scratch)
+}
+
+func (g *generation) signal() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
+// frames appends the kept frames from seq on to s and reports whether the last
+// one ends the generation.
+func (g *generation) frames(s []comfreystream.Frame, seq uint64) ([]comfreystream.Frame, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replay.AppendFrom(s, seq)
+}
+
+// start records the function that ends the engine's run. It reports false if
+// the generation ended or was cancelled before.
+func (g *generation) start(cancel context.CancelFunc) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended || g.cancelled != "" {
+		return false
+	}
+	g.running = true
+	g.cancel = cancel
+	return true
+}
+
+// requestCancel makes the run end for the given reason. It reports whether the
+// generation was running; a queued one has to be cancelled in the admission.
+func (g *generation) requestCancel(r comfreyverdict.Reason) (running bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended || g.cancelled != "" {
+		return g.running
+	}
+	g.cancelled = r
+	if g.cancel != nil {
+		g.cancel()
+	}
+	return g.running
+}
+
+// cancelReason returns why the run was cancelled, empty if it was not.
+func (g *generation) cancelReason() comfreyverdict.Reason {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cancelled
+}
+
+// isEnded reports whether the last frame was appended.
+func (g *generation) isEnded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ended
+}
+
+// isRunning reports whether the engine may hold the generation.
+func (g *generation) isRunning() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running && !g.ended
+}
+
+// isExpired reports whether the frames need not be kept any longer.
+func (g *generation) isExpired(now time.Time, keep time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ended && g.reader == nil && now.Sub(g.endedAt) > keep && now.Sub(g.lastSeen) > keep
+}
+
+// generated returns the count of tokens so far.
+func (g *generation) generated() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tokens
+}
--- /dev/null
+++ b/comfreysidecar/table.go
@@ -0,0 +1,114 @@
+package comfreysidecar
+
+import (
+	"strconv"
+	"sync"
+	"time"
+)
+
+// fenceRetention is how long a request id stays known after its generation is
+// forgotten. It exceeds the time for which a signed request is accepted, so
+// that no late copy of a request can run a second time.
+const fenceRetention = 5 * time.Minute
+
+// fenceKey identifies one attempt of one request.
+func fenceKey(requestID string, attempt uint32) string {
+	return requestID + "#" + strconv.FormatUint(uint64(attempt), 10)
+}
+
+// table holds the generations of one incarnation and the request ids that may
+// not begin again. It is safe for concurrent use.
+type table struct {
+	mu        sync.Mutex
+	counter   uint64
+	byCounter map[uint64]*generation
+	byKey     map[string]*generation
+	fences    map[string]time.Time
+}
+
+func newTable() *table {
+	return &table{
+		byCounter: map[uint64]*generation{},
+		byKey:     map[string]*generation{},
+		fences:    map[string]time.Time{},
+	}
+}
+
+// fence makes sure that the attempt cannot begin any more. It reports false if
+// the attempt is already known.
+func (t *table) fence(key string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, fenced := t.fences[key]
+	if fenced {
+		return false
+	}
+	t.fences[key] = now
+	return true
+}
+
+// add stores g under its counter and its key.
+func (t *table) add(g *generation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byCounter[g.id.Counter] = g
+	t.byKey[g.key] = g
+}
+
+// nextCounter returns the number of a new generation.
+func (t *table) nextCounter() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counter++
+	return t.counter
+}
+
+// find returns the generation with the given counter, or nil.
+func (t *table) find(counter uint64) *generation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byCounter[counter]
+}
+
+// findKey returns the generation of the given attempt, or nil.
+func (t *table) findKey(key string) *generation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byKey[key]
+}
+
+// all returns the kept generations.
+func (t *table) all() []*generation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := make([]*generation, 0, len(t.byCounter))
+	for _, g := range t.byCounter {
+		s = append(s, g)
+	}
+	return s
+}
+
+// expire forgets the generations whose frames need not be kept, and the fences
+// that no late copy can reach.
+func (t *table) expire(now time.Time, keep time.Duration) {
+	for _, g := range t.all() {
+		if g.isExpired(now, keep) {
+			t.remove(g, now)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, at := range t.fences {
+		if t.byKey[k] == nil && now.Sub(at) > fenceRetention {
+			delete(t.fences, k)
+		}
+	}
+}
+
+func (t *table) remove(g *generation, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byCounter, g.id.Counter)
+	delete(t.byKey, g.key)
+	t.fences[g.key] = now
+}
