--- /dev/null
+++ b/comfreysidecar/accept.go
@@ -0,0 +1,82 @@
+package comfreysidecar
+
+import (
+	"fmt"
+
+	"comfreyridge.example/comfreyridge/comfreyadmission"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreystream"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// bytesPerToken estimates the length of a prompt before the engine has counted
+// it.
+const bytesPerToken = 4
+
+// accept checks a request and hands it to the admission. Its error is a
+// comfreyverdict.Error; not-run means that the attempt is fenced and a late
+// copy of it cannot run either.
+func (s *Sidecar) accept(m *comfreyproto.StartRequest) (*generation, error) {
+	now := s.config.Now()
+	key := fenceKey(m.RequestId, m.Attempt)
+	if !s.table.fence(key, now) {
+		return nil, comfreyverdict.MayHaveRun(comfreyverdict.ReasonDuplicateRequest, "the sidecar has seen this attempt before")
+	}
+	if err := s.begin(); err != nil {
+		return nil, err
+	}
+	v, ok := s.config.service()
+	if !ok {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "the sidecar has no configuration of its service")
+	}
+	if m.Service != v.Name {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonUnknownService, fmt.Sprintf("this upstream serves %s", v.Name))
+	}
+	if len(m.Body) > v.MaxBodyBytes {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBodyTooLarge, fmt.Sprintf("the body has %d bytes, the limit is %d", len(m.Body), v.MaxBodyBytes))
+	}
+	timeout := comfreyrpc.Duration(m.TimeoutMillis)
+	if timeout <= 0 || timeout > v.Deadline {
+		timeout = v.Deadline
+	}
+	id := comfreystream.GenerationID{Host: s.config.Host, Incarnation: uint64(s.config.Incarnation), Counter: s.table.nextCounter()}
+	g := newGeneration(id, m, now, now.Add(timeout))
+	s.table.add(g)
+	s.conservation.Accept(g.key, g.deadline)
+	s.admission.send(s.group.Context(), admissionEvent{kind: admissionSubmit, request: comfreyadmission.Request{
+		ID:           g.key,
+		Customer:     m.Customer,
+		Service:      m.Service,
+		PromptTokens: len(m.Body) / bytesPerToken,
+		MaxTokens:    int(m.MaxTokens),
+		Deadline:     g.deadline,
+	}})
+	return g, nil
+}
+
+// finish ends a generation with its last frame, once.
+func (s *Sidecar) finish(g *generation, f *comfreyproto.Frame, o comfreystream.Outcome) {
+	f.Load = s.Load()
+	if !g.end(f, s.config.Now()) {
+		return
+	}
+	s.conservation.End(g.key, o)
+	s.recordFinish(g, f, o)
+}
+
+// refuseQueued ends a generation that has not begun.
+func (s *Sidecar) refuseQueued(g *generation, e comfreyverdict.Error) {
+	s.admission.send(s.group.Context(), admissionEvent{kind: admissionCancel, id: g.key})
+	s.finish(g, refusedFrame(e), comfreystream.OutcomeFailed)
+}
+
+// cancel ends a generation for the given reason, wherever it is, and frees its
+// memory in the engine.
+func (s *Sidecar) cancel(g *generation, r comfreyverdict.Reason) {
+	if g.requestCancel(r) {
+		return
+	}
+	s.admission.send(s.group.Context(), admissionEvent{kind: admissionCancel, id: g.key})
+	s.finish(g, refusedFrame(comfreyverdict.NotRun(r, "cancelled before it began")), comfreystream.OutcomeCancelled)
+}
--- a/comfreysidecar/generation.go
+++ b/comfreysidecar/generation.go
@@ -32,6 +32,7 @@
 	tokens    int
 	reader    *attachment
 	lastSeen  time.Time
+	read      uint64
 	cancel    context.CancelFunc
 	cancelled comfreyverdict.Reason
 }
@@ -66,10 +67,12 @@
 	return a
 }
 
-// detach records that the connection of a ended at now.
-func (g *generation) detach(a *attachment, now time.Time) {
+// detach records that the connection of a ended at now, after it had taken all
+// frames up to seq.
+func (g *generation) detach(a *attachment, seq uint64, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.read = max(g.read, seq)
 	if g.reader != a {
 		return
 	}
--- /dev/null
+++ b/comfreysidecar/metrics.go
@@ -0,0 +1,41 @@
+package comfreysidecar
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"comfreyridge.example/comfreyridge/comfreyinvariant"
+)
+
+// metrics holds the collectors of a sidecar beside the decision counters.
+type metrics struct {
+	tokens prometheus.Counter
+}
+
+func newMetrics(r *prometheus.Registry, s *Sidecar) *metrics {
+	m := &metrics{
+		tokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "comfrey_sidecar_tokens_total",
+			Help: "Tokens received from the upstream.",
+		}),
+	}
+	gauge := func(name, help string, f func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f)
+	}
+	r.MustRegister(
+		m.tokens,
+		s.recorder.Counter(),
+		comfreyinvariant.Violations,
+		gauge("comfrey_sidecar_running", "Generations that the upstream runs.", func() float64 { return float64(s.admission.load.Load().Running) }),
+		gauge("comfrey_sidecar_queued", "Requests that wait for the upstream.", func() float64 { return float64(s.admission.load.Load().Queued) }),
+		gauge("comfrey_sidecar_used_tokens", "Tokens of engine memory in use.", func() float64 { return float64(s.admission.load.Load().UsedTokens) }),
+		gauge("comfrey_sidecar_capacity_tokens", "Tokens of engine memory.", func() float64 { return float64(s.admission.load.Load().CapacityTokens) }),
+		gauge("comfrey_sidecar_accepting", "1 while new work is accepted, 0 otherwise.", func() float64 {
+			if s.Ready() == nil {
+				return 1
+			}
+			return 0
+		}),
+		gauge("comfrey_sidecar_open_requests", "Accepted requests without an outcome.", func() float64 { return float64(s.conservation.Totals().Open) }),
+	)
+	return m
+}
--- /dev/null
+++ b/comfreysidecar/orders.go
@@ -0,0 +1,252 @@
+package comfreysidecar
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyorder"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// orders guards the owner of this incarnation's tickets and wakes those who
+// wait for an outcome. It is safe for concurrent use.
+type orders struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	owner   *comfreyorder.Owner
+	changed chan struct{}
+}
+
+func newOrders(c comfreyorder.Config, now func() time.Time) *orders {
+	return &orders{now: now, owner: comfreyorder.NewOwner(c), changed: make(chan struct{})}
+}
+
+// with runs f on the owner with the present time.
+func (o *orders) with(f func(w *comfreyorder.Owner, now time.Time)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f(o.owner, o.now())
+}
+
+// update is with, followed by waking all that wait.
+func (o *orders) update(f func(w *comfreyorder.Owner, now time.Time)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f(o.owner, o.now())
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// begin asks the owner to run an order, and returns the channel that closes at
+// the next change.
+func (o *orders) begin(c comfreyorder.Claim, h comfreyorder.BodyHash) (comfreyorder.Answer, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owner.Begin(o.now(), c, h), o.changed
+}
+
+func (o *orders) leave() int {
+	n := 0
+	o.update(func(w *comfreyorder.Owner, now time.Time) { n = w.Leave(now) })
+	return n
+}
+
+// MintTicket implements the twirp service.
+func (s *Sidecar) MintTicket(_ context.Context, r *comfreyproto.MintTicketRequest) (*comfreyproto.OrderReply, error) {
+	s.observe(r.Listed)
+	t, err := s.mint(r)
+	if err != nil {
+		return s.refuseOrder(r.RequestId, comfreyverdict.From(err)), nil
+	}
+	s.recorder.Record(r.RequestId, comfreydecision.KindOrder, comfreyverdict.ReasonAccepted, map[string]any{"state": comfreyorder.StateMinted, "customer": r.Customer, "order": orderName(t)})
+	return &comfreyproto.OrderReply{
+		Ticket:        t.Format(s.config.Key),
+		State:         comfreyorder.StateMinted.String(),
+		ExpiresMillis: comfreyrpc.Millis(t.Expiry.Sub(s.config.Now())),
+	}, nil
+}
+
+func (s *Sidecar) mint(r *comfreyproto.MintTicketRequest) (t comfreyorder.Ticket, err error) {
+	if err := s.checkPlain(r.Service, 0); err != nil {
+		return t, err
+	}
+	if err := s.begin(); err != nil {
+		return t, err
+	}
+	s.orders.with(func(w *comfreyorder.Owner, now time.Time) {
+		t, err = w.Mint(now, r.Customer, r.Service)
+	})
+	return t, err
+}
+
+// PutOrder implements the twirp service: it runs the order of a ticket at most
+// once and answers with the outcome.
+func (s *Sidecar) PutOrder(ctx context.Context, r *comfreyproto.PutOrderRequest) (*comfreyproto.OrderReply, error) {
+	c, err := s.claim(r.Ticket, r.Customer, r.Service)
+	if err != nil {
+		return s.refuseOrder(r.RequestId, comfreyverdict.From(err)), nil
+	}
+	h := comfreyorder.HashBody(contentType(r.Headers), r.Body)
+	for {
+		a, changed := s.orders.begin(c, h)
+		switch a.Decision {
+		case comfreyorder.DecisionRun:
+			s.runOrder(ctx, c.Ticket, r)
+		case comfreyorder.DecisionWait:
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return s.refuseOrder(r.RequestId, comfreyverdict.MayHaveRun(comfreyverdict.ReasonDeadline, "the order is still running")), nil
+			}
+		case comfreyorder.DecisionRecorded:
+			return s.recordedOrder(r, c.Ticket, a.Outcome), nil
+		default:
+			return s.refuseOrder(r.RequestId, a.Err), nil
+		}
+	}
+}
+
+// claim parses a ticket. A forged one is refused without saying whether an
+// order of another ticket ran.
+func (s *Sidecar) claim(ticket, customer, service string) (comfreyorder.Claim, error) {
+	t, err := comfreyorder.ParseTicket(ticket, s.config.Key)
+	if err != nil {
+		return comfreyorder.Claim{}, comfreyverdict.MayHaveRun(comfreyverdict.ReasonBadRequest, err.Error())
+	}
+	return comfreyorder.Claim{Ticket: t, Customer: customer, Service: service}, nil
+}
+
+// runOrder hands an order over and records its outcome. It goes on when the
+// caller leaves, because the order has begun.
+func (s *Sidecar) runOrder(ctx context.Context, t comfreyorder.Ticket, r *comfreyproto.PutOrderRequest) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.plainTimeout(r.TimeoutMillis))
+	defer cancel()
+	if err := s.checkPlain(r.Service, len(r.Body)); err != nil {
+		s.abandon(t, comfreyverdict.From(err).Reason)
+		return
+	}
+	var err error
+	s.orders.update(func(w *comfreyorder.Owner, now time.Time) { err = w.Confirm(now, t) })
+	if err != nil {
+		return
+	}
+	s.recorder.Record(r.RequestId, comfreydecision.KindOrder, comfreyverdict.ReasonAccepted, map[string]any{"state": comfreyorder.StateHandedOver, "customer": r.Customer, "order": orderName(t)})
+	u := s.callOrder(ctx, t, r)
+	s.orders.update(func(w *comfreyorder.Owner, now time.Time) { w.Complete(now, t, u) })
+}
+
+func (s *Sidecar) abandon(t comfreyorder.Ticket, reason comfreyverdict.Reason) {
+	s.orders.update(func(w *comfreyorder.Owner, now time.Time) { w.Abandon(now, t, reason) })
+}
+
+// callOrder sends the order to the upstream once.
+func (s *Sidecar) callOrder(ctx context.Context, t comfreyorder.Ticket, r *comfreyproto.PutOrderRequest) comfreyorder.Outcome {
+	a, err := s.upstream.do(ctx, upstreamCall{
+		requestID: orderName(t),
+		method:    "POST",
+		path:      r.Path,
+		headers:   append(r.Headers, &comfreyproto.Header{Name: "X-Order-Id", Value: orderName(t)}),
+		body:      r.Body,
+	})
+	if err != nil {
+		e := comfreyverdict.From(err)
+		return comfreyorder.Outcome{Verdict: e.Verdict, Reason: e.Reason}
+	}
+	return comfreyorder.Outcome{
+		Verdict:     comfreyverdict.VerdictRan,
+		Status:      a.status,
+		ContentType: a.headers.Get("Content-Type"),
+		Body:        a.body,
+	}
+}
+
+// GetOrder implements the twirp service.
+func (s *Sidecar) GetOrder(_ context.Context, r *comfreyproto.OrderRequest) (*comfreyproto.OrderReply, error) {
+	return s.reportOrder(r, func(w *comfreyorder.Owner, now time.Time, c comfreyorder.Claim) (comfreyorder.Report, error) {
+		return w.State(now, c)
+	}), nil
+}
+
+// VoidOrder implements the twirp service.
+func (s *Sidecar) VoidOrder(_ context.Context, r *comfreyproto.OrderRequest) (*comfreyproto.OrderReply, error) {
+	return s.reportOrder(r, func(w *comfreyorder.Owner, now time.Time, c comfreyorder.Claim) (comfreyorder.Report, error) {
+		return w.Void(now, c)
+	}), nil
+}
+
+func (s *Sidecar) reportOrder(r *comfreyproto.OrderRequest, f func(*comfreyorder.Owner, time.Time, comfreyorder.Claim) (comfreyorder.Report, error)) *comfreyproto.OrderReply {
+	c, err := s.claim(r.Ticket, r.Customer, r.Service)
+	var p comfreyorder.Report
+	if err == nil {
+		s.orders.update(func(w *comfreyorder.Owner, now time.Time) { p, err = f(w, now, c) })
+	}
+	if err != nil {
+		return s.refuseOrder(r.RequestId, comfreyverdict.From(err))
+	}
+	reply := s.outcomeReply(r.Ticket, p.Outcome)
+	reply.State = p.State.String()
+	if p.State != comfreyorder.StateCompleted {
+		reply.Outcome = comfreyrpc.OutcomeOf(comfreyverdict.Error{Verdict: p.Verdict, Reason: p.Reason})
+	}
+	return reply
+}
+
+// recordedOrder answers a PUT with the recorded outcome.
+func (s *Sidecar) recordedOrder(r *comfreyproto.PutOrderRequest, t comfreyorder.Ticket, u comfreyorder.Outcome) *comfreyproto.OrderReply {
+	s.recorder.Record(r.RequestId, comfreydecision.KindOrder, comfreyverdict.ReasonAccepted, map[string]any{"state": comfreyorder.StateCompleted, "verdict": u.Verdict, "status": u.Status, "order": orderName(t)})
+	return s.outcomeReply(r.Ticket, u)
+}
+
+func (s *Sidecar) outcomeReply(ticket string, u comfreyorder.Outcome) *comfreyproto.OrderReply {
+	reply := &comfreyproto.OrderReply{
+		Ticket: ticket,
+		State:  comfreyorder.StateCompleted.String(),
+		Status: uint32(u.Status),
+		Body:   u.Body,
+		Outcome: comfreyrpc.OutcomeOf(comfreyverdict.Error{
+			Verdict: u.Verdict,
+			Reason:  u.Reason,
+		}),
+	}
+	if u.ContentType != "" {
+		reply.Headers = []*comfreyproto.Header{{Name: "Content-Type", Value: u.ContentType}}
+	}
+	return reply
+}
+
+func (s *Sidecar) refuseOrder(requestID string, e comfreyverdict.Error) *comfreyproto.OrderReply {
+	s.recorder.Record(requestID, comfreydecision.KindOrder, e.Reason, map[string]any{"verdict": e.Verdict, "detail": e.Detail})
+	return &comfreyproto.OrderReply{State: comfreyorder.StateUnknown.String(), Outcome: comfreyrpc.OutcomeOf(e)}
+}
+
+// orderName is the id of an order in logs and at the upstream. It does not let
+// anybody act on the order, as the ticket does.
+func orderName(t comfreyorder.Ticket) string {
+	return fmt.Sprintf("%s-%d-%x", t.OwnerHost, t.OwnerIncarnation, t.Nonce)
+}
+
+func contentType(headers []*comfreyproto.Header) string {
+	for _, h := range headers {
+		if h.Name == "Content-Type" {
+			return h.Value
+		}
+	}
+	return ""
+}
+
+// plainTimeout bounds a call to the upstream by the caller's time and the
+// service's deadline.
+func (s *Sidecar) plainTimeout(millis uint64) time.Duration {
+	d := comfreyrpc.Duration(millis)
+	v, _ := s.config.service()
+	if d <= 0 || d > v.Deadline {
+		return v.Deadline
+	}
+	return d
+}
--- /dev/null
+++ b/comfreysidecar/run_generation.go
@@ -0,0 +1,162 @@
+package comfreysidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyadmission"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyengine"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreystream"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+const (
+	// engineResumes bounds how often a broken stream from the engine is
+	// resumed without a token in between.
+	engineResumes = 3
+	// engineResumeDelay is the time before a broken stream is resumed.
+	engineResumeDelay = 50 * time.Millisecond
+	// cancelTimeout bounds a cancel call to the engine.
+	cancelTimeout = 5 * time.Second
+)
+
+// runGeneration runs an admitted generation on the engine until it ends.
+func (s *Sidecar) runGeneration(ctx context.Context, g *generation) {
+	ctx, cancel := context.WithDeadline(ctx, g.deadline)
+	defer cancel()
+	if !g.start(cancel) {
+		s.release(g, comfreyadmission.OutcomeCancelled)
+		s.finish(g, refusedFrame(comfreyverdict.NotRun(comfreyverdict.ReasonCancelled, "cancelled before it began")), comfreystream.OutcomeCancelled)
+		return
+	}
+	if err := s.begin(); err != nil {
+		s.release(g, comfreyadmission.OutcomeFailed)
+		s.finish(g, refusedFrame(comfreyverdict.From(err)), comfreystream.OutcomeFailed)
+		return
+	}
+	err := s.relay(ctx, g)
+	if err == nil {
+		s.release(g, comfreyadmission.OutcomeCompleted)
+		s.finish(g, &comfreyproto.Frame{Kind: comfreyproto.FrameKind_FRAME_KIND_END}, comfreystream.OutcomeEnded)
+		return
+	}
+	s.fail(ctx, g, err)
+}
+
+// relay copies the engine's stream into the generation. A nil error means that
+// the answer is complete.
+func (s *Sidecar) relay(ctx context.Context, g *generation) error {
+	r := comfreyengine.Request{ID: g.key, Path: g.request.Path, Body: g.request.Body}
+	stream, err := s.engine.Start(ctx, r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	id := stream.GenerationID()
+	defer func() {
+		if err != nil {
+			s.cancelInEngine(id)
+		}
+	}()
+	resumes := 0
+	for {
+		var c comfreyengine.Chunk
+		c, err = stream.Next()
+		if errors.Is(err, io.EOF) {
+			err = nil
+			return nil
+		}
+		if err == nil {
+			resumes = 0
+			s.take(g, c)
+			continue
+		}
+		resumes++
+		if resumes > engineResumes || ctx.Err() != nil || id == "" {
+			return err
+		}
+		resumed, resumeErr := s.resumeEngine(ctx, g, id, stream.Tokens(), err)
+		if resumeErr != nil {
+			return err
+		}
+		stream = resumed
+	}
+}
+
+// take adds one chunk to the generation and reports its tokens.
+func (s *Sidecar) take(g *generation, c comfreyengine.Chunk) {
+	g.appendTokens(c.Data, c.Tokens)
+	s.metrics.tokens.Add(float64(c.Tokens))
+	if c.Tokens > 0 {
+		s.admission.send(s.group.Context(), admissionEvent{kind: admissionProgress, id: g.key, tokens: g.generated()})
+	}
+}
+
+// resumeEngine opens the stream of a generation again after its connection
+// broke.
+func (s *Sidecar) resumeEngine(ctx context.Context, g *generation, id string, after int, cause error) (*comfreyengine.Stream, error) {
+	s.recorder.Record(g.request.RequestId, comfreydecision.KindResume, comfreyverdict.ReasonEngineFailed, map[string]any{"after": after, "detail": cause.Error()})
+	t := time.NewTimer(engineResumeDelay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return s.engine.Resume(ctx, id, after)
+}
+
+// fail ends a generation whose run did not complete.
+func (s *Sidecar) fail(ctx context.Context, g *generation, err error) {
+	e := comfreyverdict.From(err)
+	if g.generated() > 0 {
+		e.Verdict = comfreyverdict.VerdictRan
+	}
+	if r := g.cancelReason(); r != "" {
+		e.Reason = r
+		e.Detail = "the generation was cancelled"
+		s.release(g, comfreyadmission.OutcomeCancelled)
+		s.finish(g, failedFrame(e), cancelOutcome(r))
+		return
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e.Reason = comfreyverdict.ReasonDeadline
+		e.Detail = "the deadline passed"
+	}
+	s.release(g, comfreyadmission.OutcomeFailed)
+	if e.Verdict == comfreyverdict.VerdictNotRun {
+		s.finish(g, refusedFrame(e), comfreystream.OutcomeFailed)
+		return
+	}
+	s.finish(g, failedFrame(e), comfreystream.OutcomeFailed)
+}
+
+// cancelOutcome tells a caller's own cancel from one that the system decided.
+func cancelOutcome(r comfreyverdict.Reason) comfreystream.Outcome {
+	if r == comfreyverdict.ReasonCancelled || r == comfreyverdict.ReasonCallerGone {
+		return comfreystream.OutcomeCancelled
+	}
+	return comfreystream.OutcomeFailed
+}
+
+// release frees the admission's share of a generation.
+func (s *Sidecar) release(g *generation, o comfreyadmission.Outcome) {
+	s.admission.send(s.group.Context(), admissionEvent{kind: admissionFinish, id: g.key, outcome: o})
+}
+
+// cancelInEngine frees the engine's memory of a generation that is not read
+// any more.
+func (s *Sidecar) cancelInEngine(id string) {
+	if id == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.group.Context()), cancelTimeout)
+	defer cancel()
+	if err := s.engine.Cancel(ctx, id); err != nil {
+		s.recorder.Record("", comfreydecision.KindFinish, comfreyverdict.ReasonEngineFailed, map[string]any{"detail": "cancel in the engine: " + err.Error()})
+	}
+}
--- /dev/null
+++ b/comfreysidecar/service.go
@@ -0,0 +1,93 @@
+package comfreysidecar
+
+import (
+	"context"
+	"fmt"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// Report implements the twirp service: it renews the leases of a gateway's
+// generations and exchanges load and membership.
+func (s *Sidecar) Report(_ context.Context, r *comfreyproto.ReportRequest) (*comfreyproto.ReportReply, error) {
+	s.config.LearnDigest(r.Digest)
+	s.observe(r.Listed)
+	if r.Incarnation == uint64(s.config.Incarnation) {
+		for _, n := range r.Renewals {
+			if g := s.table.find(n.Counter); g != nil {
+				g.acknowledge(n.Seq, s.config.Now())
+			}
+		}
+	}
+	return &comfreyproto.ReportReply{Load: s.Load(), Digest: s.config.Digest()}, nil
+}
+
+// Cancel implements the twirp service: it ends a generation of the customer.
+func (s *Sidecar) Cancel(_ context.Context, r *comfreyproto.CancelRequest) (*comfreyproto.CancelReply, error) {
+	if r.Incarnation != uint64(s.config.Incarnation) {
+		return &comfreyproto.CancelReply{}, nil
+	}
+	g := s.table.find(r.Counter)
+	if g == nil || g.request.Customer != r.Customer {
+		return &comfreyproto.CancelReply{}, nil
+	}
+	s.cancel(g, cancelReasonOf(r.Reason))
+	return &comfreyproto.CancelReply{Found: true}, nil
+}
+
+// cancelReasonOf keeps the set of reasons closed against the wire.
+func cancelReasonOf(r string) comfreyverdict.Reason {
+	if r == string(comfreyverdict.ReasonCallerGone) || r == string(comfreyverdict.ReasonSlowReader) {
+		return comfreyverdict.Reason(r)
+	}
+	return comfreyverdict.ReasonCancelled
+}
+
+// Forward implements the twirp service: it sends one call to a plain service,
+// once.
+func (s *Sidecar) Forward(ctx context.Context, r *comfreyproto.ForwardRequest) (*comfreyproto.ForwardReply, error) {
+	s.config.LearnDigest(r.Digest)
+	s.observe(r.Listed)
+	a, err := s.forward(ctx, r)
+	if err != nil {
+		e := comfreyverdict.From(err)
+		s.recorder.Record(r.RequestId, comfreydecision.KindRefuse, e.Reason, map[string]any{"verdict": e.Verdict, "detail": e.Detail})
+		return &comfreyproto.ForwardReply{Outcome: comfreyrpc.OutcomeOf(e), Load: s.Load()}, nil
+	}
+	s.recorder.Record(r.RequestId, comfreydecision.KindFinish, comfreyverdict.ReasonAccepted, map[string]any{"status": a.status, "customer": r.Customer})
+	return &comfreyproto.ForwardReply{Status: uint32(a.status), Headers: headersOf(a.headers), Body: a.body, Load: s.Load()}, nil
+}
+
+func (s *Sidecar) forward(ctx context.Context, r *comfreyproto.ForwardRequest) (upstreamAnswer, error) {
+	if !s.table.fence(fenceKey(r.RequestId, 0), s.config.Now()) {
+		return upstreamAnswer{}, comfreyverdict.MayHaveRun(comfreyverdict.ReasonDuplicateRequest, "the sidecar has seen this request before")
+	}
+	if err := s.checkPlain(r.Service, len(r.Body)); err != nil {
+		return upstreamAnswer{}, err
+	}
+	if err := s.begin(); err != nil {
+		return upstreamAnswer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.plainTimeout(r.TimeoutMillis))
+	defer cancel()
+	return s.upstream.do(ctx, upstreamCall{requestID: r.RequestId, method: r.Method, path: r.Path, headers: r.Headers, body: r.Body})
+}
+
+// checkPlain returns nil if this sidecar takes calls of the service with a body
+// of that size.
+func (s *Sidecar) checkPlain(service string, bodyBytes int) error {
+	v, ok := s.config.service()
+	if !ok {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "the sidecar has no configuration of its service")
+	}
+	if v.Name != service {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonUnknownService, fmt.Sprintf("this upstream serves %s", v.Name))
+	}
+	if bodyBytes > v.MaxBodyBytes {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonBodyTooLarge, fmt.Sprintf("the body has %d bytes, the limit is %d", bodyBytes, v.MaxBodyBytes))
+	}
+	return nil
+}
--- /dev/null
+++ b/comfreysidecar/stream.go
@@ -0,0 +1,171 @@
+package comfreysidecar
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreystream"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// writeTimeout bounds one write to a gateway. A gateway that takes longer has
+// lost this connection and opens another one.
+const writeTimeout = 20 * time.Second
+
+func (s *Sidecar) serveStart(w http.ResponseWriter, r *http.Request) {
+	var m comfreyproto.StartRequest
+	if !readMessage(w, r, &m) {
+		return
+	}
+	s.config.LearnDigest(m.Digest)
+	s.observe(m.Listed)
+	g, err := s.accept(&m)
+	if err != nil {
+		e := comfreyverdict.From(err)
+		s.recorder.Record(m.RequestId, comfreydecision.KindRefuse, e.Reason, map[string]any{"verdict": e.Verdict, "detail": e.Detail})
+		f := refusedFrame(e)
+		f.Load = s.Load()
+		_ = comfreyrpc.NewFrameWriter(w).Write(f)
+		return
+	}
+	s.serveFrames(w, r, g, 0)
+}
+
+func (s *Sidecar) serveResume(w http.ResponseWriter, r *http.Request) {
+	var m comfreyproto.ResumeRequest
+	if !readMessage(w, r, &m) {
+		return
+	}
+	g, err := s.findForResume(&m)
+	if err != nil {
+		e := comfreyverdict.From(err)
+		s.recorder.Record(m.RequestId, comfreydecision.KindResume, e.Reason, map[string]any{"after": m.After})
+		_ = comfreyrpc.NewFrameWriter(w).Write(failedFrame(e))
+		return
+	}
+	s.recorder.Record(g.request.RequestId, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, map[string]any{"after": m.After, "generation": g.id.String()})
+	s.serveFrames(w, r, g, m.After)
+}
+
+// findForResume returns the generation that a gateway may read on.
+func (s *Sidecar) findForResume(m *comfreyproto.ResumeRequest) (*generation, error) {
+	if m.Incarnation != uint64(s.config.Incarnation) {
+		return nil, comfreyverdict.MayHaveRun(comfreyverdict.ReasonUnknownGeneration, "the sidecar was replaced since the generation started")
+	}
+	g := s.table.find(m.Counter)
+	if g == nil {
+		return nil, comfreyverdict.MayHaveRun(comfreyverdict.ReasonUnknownGeneration, "the frames of the generation are not kept any more")
+	}
+	if g.request.Customer != m.Customer {
+		return nil, comfreyverdict.MayHaveRun(comfreyverdict.ReasonForeignGeneration, "the generation belongs to another customer")
+	}
+	return g, nil
+}
+
+func readMessage(w http.ResponseWriter, r *http.Request, m proto.Message) bool {
+	b, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = proto.Unmarshal(b, m)
+	}
+	if err != nil {
+		http.Error(w, "comfreysidecar: malformed message", http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// serveFrames writes the frames after a sequence number until the generation
+// ends or the connection does.
+func (s *Sidecar) serveFrames(w http.ResponseWriter, r *http.Request, g *generation, after uint64) {
+	a := g.attach()
+	defer func() { g.detach(a, after, s.config.Now()) }()
+	c := &frameConnection{writer: comfreyrpc.NewFrameWriter(w), control: http.NewResponseController(w), now: s.config.Now}
+	accepted := &comfreyproto.Frame{Kind: comfreyproto.FrameKind_FRAME_KIND_ACCEPTED, Incarnation: g.id.Incarnation, Counter: g.id.Counter, Load: s.Load()}
+	if c.write(accepted) != nil {
+		return
+	}
+	t := time.NewTicker(s.config.Heartbeat)
+	defer t.Stop()
+	var frames []comfreystream.Frame
+	for {
+		var err error
+		frames, err = g.frames(frames[:0], after+1)
+		if err != nil {
+			s.failReader(c, g, err)
+			return
+		}
+		if len(frames) > 0 {
+			if c.writeFrames(frames) != nil {
+				return
+			}
+			last := frames[len(frames)-1]
+			after = last.Seq
+			if last.End {
+				return
+			}
+			continue
+		}
+		select {
+		case <-g.changed:
+		case <-t.C:
+			if c.write(&comfreyproto.Frame{Incarnation: g.id.Incarnation, Counter: g.id.Counter}) != nil {
+				return
+			}
+		case <-a.superseded:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// failReader ends a stream whose reader asked for frames that are not kept. A
+// generation that nobody can read completely any more is cancelled.
+func (s *Sidecar) failReader(c *frameConnection, g *generation, err error) {
+	e := comfreyverdict.From(err)
+	s.recorder.Record(g.request.RequestId, comfreydecision.KindResume, e.Reason, map[string]any{"detail": e.Detail})
+	s.cancel(g, comfreyverdict.ReasonSlowReader)
+	_ = c.write(failedFrame(e))
+}
+
+// frameConnection writes frames to one gateway.
+type frameConnection struct {
+	writer  *comfreyrpc.FrameWriter
+	control *http.ResponseController
+	now     func() time.Time
+	encoded [][]byte
+}
+
+func (c *frameConnection) write(f *comfreyproto.Frame) error {
+	_ = c.control.SetWriteDeadline(c.now().Add(writeTimeout))
+	if err := c.writer.Write(f); err != nil {
+		return err
+	}
+	return c.control.Flush()
+}
+
+func (c *frameConnection) writeFrames(s []comfreystream.Frame) error {
+	c.encoded = c.encoded[:0]
+	for _, f := range s {
+		c.encoded = append(c.encoded, f.Payload)
+	}
+	_ = c.control.SetWriteDeadline(c.now().Add(writeTimeout))
+	if err := c.writer.WriteEncoded(c.encoded...); err != nil {
+		return err
+	}
+	return c.control.Flush()
+}
+
+func refusedFrame(e comfreyverdict.Error) *comfreyproto.Frame {
+	return &comfreyproto.Frame{Kind: comfreyproto.FrameKind_FRAME_KIND_REFUSED, Outcome: comfreyrpc.OutcomeOf(e)}
+}
+
+func failedFrame(e comfreyverdict.Error) *comfreyproto.Frame {
+	return &comfreyproto.Frame{Kind: comfreyproto.FrameKind_FRAME_KIND_FAILED, Outcome: comfreyrpc.OutcomeOf(e)}
+}
