Add the engine stand-in and the engine client

Cause: the sidecar and the demo need an engine to speak to and a client that tells of every failure whether the request may have run.

The client proves not-run by a per-request proof that the connection's Write passes through; fencing the proof forbids any later write, so that a request given up between dial and write cannot leave afterwards. httptrace's WroteHeaders was ruled out: it tells of a buffered write, not of a byte left, and gives no way to forbid one.

--- /dev/null
+++ b/comfreyengine/body.go
@@ -0,0 +1,52 @@
+package comfreyengine
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// streamOptions holds the fields of "stream_options" as the caller sent them.
+type streamOptions map[string]json.RawMessage
+
+// streamingBody returns the JSON object b, changed to ask for a stream that
+// states its usage. Every other field keeps its value.
+func streamingBody(b []byte) ([]byte, error) {
+	var m map[string]json.RawMessage
+	err := json.Unmarshal(b, &m)
+	if err != nil || m == nil {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, "the body is not a JSON object")
+	}
+	var o streamOptions
+	if len(m["stream_options"]) > 0 && json.Unmarshal(m["stream_options"], &o) != nil {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, "stream_options is not a JSON object")
+	}
+	if isTrue(m["stream"]) && isTrue(o["include_usage"]) {
+		return b, nil
+	}
+	if o == nil {
+		o = make(streamOptions, 1)
+	}
+	o["include_usage"] = json.RawMessage("true")
+	m["stream"] = json.RawMessage("true")
+	m["stream_options"], err = encode(o)
+	if err != nil {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, err.Error())
+	}
+	return encode(m)
+}
+
+func isTrue(m json.RawMessage) bool {
+	return string(bytes.TrimSpace(m)) == "true"
+}
+
+// encode returns the JSON of v and leaves the characters <, > and & as they
+// are.
+func encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	err := e.Encode(v)
+	return b.Bytes(), err
+}
--- /dev/null
+++ b/comfreyengine/control.go
@@ -0,0 +1,73 @@
+package comfreyengine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// maxReportBytes bounds the reports that a client reads.
+const maxReportBytes = 4 << 20
+
+// Load returns the engine's latest load report.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	return fetch[Load](ctx, c, call{method: http.MethodGet, path: "/v1/load"})
+}
+
+// State returns what the engine has loaded.
+func (c *Client) State(ctx context.Context) (State, error) {
+	return fetch[State](ctx, c, call{method: http.MethodGet, path: "/v1/state"})
+}
+
+// CacheEvents returns the published cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	p := "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
+	e, err := fetch[CacheEvents](ctx, c, call{method: http.MethodGet, path: p})
+	return e.Events, err
+}
+
+// Order gives an order and returns the state just after the engine took it;
+// State tells when it is carried out. An engine that enforces fencing refuses
+// an old number with the reason stale-fencing-number.
+func (c *Client) Order(ctx context.Context, o Order) (State, error) {
+	b, err := json.Marshal(o)
+	if err != nil {
+		return State{}, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, err.Error())
+	}
+	h := http.Header{"Content-Type": {"application/json"}}
+	return fetch[State](ctx, c, call{method: http.MethodPost, path: "/v1/orders", header: h, body: b})
+}
+
+// Healthy returns nil if the engine answers its health check.
+func (c *Client) Healthy(ctx context.Context) error {
+	res, cancel, err := c.do(ctx, call{method: http.MethodGet, path: "/healthz"})
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return res.Body.Close()
+}
+
+// fetch sends a call whose answer is one JSON value.
+func fetch[T any](ctx context.Context, c *Client, l call) (T, error) {
+	var v T
+	res, cancel, err := c.do(ctx, l)
+	if err != nil {
+		return v, err
+	}
+	defer cancel()
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxReportBytes))
+	if err != nil {
+		return v, comfreyverdict.MayHaveRun(lossReason(ctx), err.Error())
+	}
+	err = json.Unmarshal(b, &v)
+	if err != nil {
+		return v, comfreyverdict.MayHaveRun(comfreyverdict.ReasonEngineFailed, err.Error())
+	}
+	return v, nil
+}
--- /dev/null
+++ b/comfreyengine/exchange.go
@@ -0,0 +1,146 @@
+package comfreyengine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// maxDetailBytes bounds what is read of a refusal's body.
+const maxDetailBytes = 4096
+
+// do sends a call and returns an answer with a 2xx status. The caller closes
+// the body and then calls cancel.
+func (c *Client) do(ctx context.Context, l call) (*http.Response, context.CancelFunc, error) {
+	p := &proof{}
+	x, cancel := context.WithCancel(withProof(ctx, p))
+	r, err := c.request(x, l)
+	if err != nil {
+		cancel()
+		return nil, nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, err.Error())
+	}
+	res, err := c.transport.RoundTrip(r)
+	if err != nil {
+		cancel()
+		return nil, nil, sendError(ctx, p, err)
+	}
+	if res.StatusCode/100 != 2 {
+		defer cancel()
+		defer res.Body.Close()
+		return nil, nil, refusal(res)
+	}
+	return res, cancel, nil
+}
+
+// open sends a call whose answer is a stream.
+func (c *Client) open(ctx context.Context, l call) (*Stream, error) {
+	res, cancel, err := c.do(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	s := &Stream{
+		ctx:    ctx,
+		cancel: cancel,
+		body:   res.Body,
+		reader: newLineReader(res.Body, c.config.MaxLineBytes),
+	}
+	s.generation = res.Header.Get("X-Generation-Id")
+	n, err := strconv.Atoi(res.Header.Get("X-Prompt-Tokens"))
+	if err == nil && n >= 0 {
+		s.promptTokens = n
+	}
+	return s, nil
+}
+
+// sendError returns the verdict on a call that got no answer.
+func sendError(ctx context.Context, p *proof, err error) comfreyverdict.Error {
+	unsent := p.fence()
+	r := lossReason(ctx)
+	if !unsent {
+		return comfreyverdict.MayHaveRun(r, err.Error())
+	}
+	if r == comfreyverdict.ReasonConnectionLost {
+		r = comfreyverdict.ReasonDialFailed
+	}
+	return comfreyverdict.NotRun(r, err.Error())
+}
+
+// lossReason returns why a call under ctx lost its connection.
+func lossReason(ctx context.Context) comfreyverdict.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return comfreyverdict.ReasonDeadline
+	case ctx.Err() != nil:
+		return comfreyverdict.ReasonCancelled
+	default:
+		return comfreyverdict.ReasonConnectionLost
+	}
+}
+
+// refusal returns the verdict that an answer's status gives. The protocol lets
+// an engine answer 4xx and 503 only before it begins a request.
+func refusal(res *http.Response) comfreyverdict.Error {
+	b, _ := io.ReadAll(io.LimitReader(res.Body, maxDetailBytes))
+	e := comfreyverdict.Error{
+		Verdict:    statusVerdict(res.StatusCode),
+		Reason:     statusReason(res.StatusCode),
+		RetryAfter: retryAfter(res.Header),
+		Detail:     fmt.Sprintf("status %d, %d bytes", res.StatusCode, len(b)),
+	}
+	return e
+}
+
+func statusVerdict(status int) comfreyverdict.Verdict {
+	if status/100 == 4 && status != http.StatusRequestTimeout || status == http.StatusServiceUnavailable {
+		return comfreyverdict.VerdictNotRun
+	}
+	return comfreyverdict.VerdictMayHaveRun
+}
+
+func statusReason(status int) comfreyverdict.Reason {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnprocessableEntity:
+		return comfreyverdict.ReasonBadRequest
+	case http.StatusRequestEntityTooLarge:
+		return comfreyverdict.ReasonBodyTooLarge
+	case http.StatusNotFound, http.StatusGone:
+		return comfreyverdict.ReasonUnknownGeneration
+	case http.StatusConflict:
+		return comfreyverdict.ReasonStaleFencingNumber
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return comfreyverdict.ReasonEngineRefused
+	default:
+		return comfreyverdict.ReasonEngineFailed
+	}
+}
+
+// retryAfter returns the seconds that the header names, or zero.
+func retryAfter(h http.Header) time.Duration {
+	n, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+// mayHaveRun returns err with the verdict may-have-run.
+func mayHaveRun(err error) error {
+	e := comfreyverdict.From(err)
+	e.Verdict = comfreyverdict.VerdictMayHaveRun
+	return e
+}
+
+func isUnknown(err error) bool {
+	return comfreyverdict.From(err).Reason == comfreyverdict.ReasonUnknownGeneration
+}
+
+func escape(s string) string {
+	return url.PathEscape(s)
+}
--- /dev/null
+++ b/comfreyfakeengine/failure.go
@@ -0,0 +1,108 @@
+package comfreyfakeengine
+
+import (
+	"bytes"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// PoisonText crashes the engine that begins to compute a prompt with it.
+const PoisonText = "poison-pill"
+
+// failures holds the switches that are read without the engine's mutex.
+type failures struct {
+	loadMissing atomic.Bool
+}
+
+func isPoison(prompt []byte) bool {
+	return bytes.Contains(prompt, []byte(PoisonText))
+}
+
+// Crash drops every connection and every generation. For the given time the
+// engine answers nothing; then it serves under a new identity.
+func (e *Engine) Crash(down time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash(down)
+}
+
+// crash is Crash for a caller that holds e.mu.
+func (e *Engine) crash(down time.Duration) {
+	for _, g := range e.generations {
+		e.drop(g, phaseLost)
+	}
+	e.downUntil = e.config.Now().Add(down)
+	e.incarnation++
+	e.crashes++
+	e.reset()
+}
+
+// Crashes returns how often the engine has crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Stall stops the engine's steps until Resume, while its connections stay open.
+func (e *Engine) Stall() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stalled = true
+}
+
+// Resume ends a stall.
+func (e *Engine) Resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stalled = false
+	e.poke()
+}
+
+// PushAside preempts the running generation that is last in serving order. It
+// reports false if none runs.
+func (e *Engine) PushAside() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.batch.running) == 0 {
+		return false
+	}
+	e.batch.pushAside(e.batch.last())
+	e.poke()
+	return true
+}
+
+// Reclaim announces in the state that the platform takes the engine back, and
+// crashes it for good after Config.ReclaimNotice.
+func (e *Engine) Reclaim() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reclaimed = true
+	e.reclaim = time.AfterFunc(e.config.ReclaimNotice, func() { e.Crash(forever) })
+}
+
+// forever is longer than any test or demonstration runs.
+const forever = 100 * 365 * 24 * time.Hour
+
+// SetLoadMissing makes the engine publish no load reports while b is true.
+func (e *Engine) SetLoadMissing(b bool) {
+	e.failures.loadMissing.Store(b)
+}
+
+// isDown reports whether a crash keeps the engine from answering.
+func (e *Engine) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.config.Now().Before(e.downUntil)
+}
+
+// dropWhenDown cuts the connection of each request to a crashed engine.
+func (e *Engine) dropWhenDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.isDown() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/comfreyfakeengine/order.go
@@ -0,0 +1,98 @@
+package comfreyfakeengine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyengine"
+)
+
+// loader carries out the orders of an engine, one at a time.
+type loader struct {
+	state   comfreyengine.State
+	readyAt time.Time
+	taken   []comfreyengine.Order
+}
+
+// settle completes the pending order if its time has come.
+func (l *loader) settle(now time.Time) {
+	p := l.state.Pending
+	if p == nil || now.Before(l.readyAt) {
+		return
+	}
+	l.state.Pending = nil
+	switch p.Kind {
+	case comfreyengine.OrderLoadModel:
+		l.state.Model = p.Value
+	case comfreyengine.OrderLoadAdapter:
+		l.state.Adapter = p.Value
+	case comfreyengine.OrderLoadVersion:
+		l.state.Version = p.Value
+	case comfreyengine.OrderChangeRole:
+		l.state.Role = p.Value
+	}
+}
+
+// State returns what the engine has loaded.
+func (e *Engine) State() comfreyengine.State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loader.settle(e.config.Now())
+	s := e.loader.state
+	s.Identity = e.identity
+	s.Reclaimed = e.reclaimed
+	return s
+}
+
+// Orders returns the orders that the engine obeyed, in order.
+func (e *Engine) Orders() []comfreyengine.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.loader.taken)
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.State())
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o comfreyengine.Order
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&o)
+	kinds := []comfreyengine.OrderKind{comfreyengine.OrderLoadModel, comfreyengine.OrderLoadAdapter, comfreyengine.OrderLoadVersion, comfreyengine.OrderChangeRole}
+	if err != nil || !slices.Contains(kinds, o.Kind) {
+		writeError(w, http.StatusBadRequest, "not an order")
+		return
+	}
+	if !e.take(o) {
+		writeError(w, http.StatusConflict, "old fencing number")
+		return
+	}
+	writeJSON(w, http.StatusAccepted, e.State())
+}
+
+// take begins an order unless its fencing number is refused. A new order
+// replaces the pending one.
+func (e *Engine) take(o comfreyengine.Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := &e.loader
+	now := e.config.Now()
+	l.settle(now)
+	if e.config.Fencing == FencingEnforced && o.FencingNumber < l.state.FencingNumber {
+		return false
+	}
+	l.state.FencingNumber = o.FencingNumber
+	l.taken = append(l.taken, o)
+	l.state.LastError = ""
+	if o.Kind != comfreyengine.OrderChangeRole {
+		if err := e.config.FetchWeights(); err != nil {
+			l.state.LastError = err.Error()
+			return true
+		}
+	}
+	l.state.Pending = &o
+	l.readyAt = now.Add(e.config.LoadTime)
+	return true
+}
--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -29,6 +29,7 @@
 	ReasonRetryBudget        Reason = "retry-budget"
 	ReasonSequenceGap        Reason = "sequence-gap"
 	ReasonSlowReader         Reason = "slow-reader"
+	ReasonStaleFencingNumber Reason = "stale-fencing-number"
 	ReasonSuspectRequest     Reason = "suspect-request"
 	ReasonUnauthorized       Reason = "unauthorized"
 	ReasonUnknownGeneration  Reason = "unknown-generation"
