--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -35,6 +35,7 @@
 	ReasonSequenceGap        Reason = "sequence-gap"
 	ReasonSlowReader         Reason = "slow-reader"
 	ReasonSpill              Reason = "spill"
+	ReasonStaleFencingNumber Reason = "stale-fencing-number"
 	ReasonSuspectRequest     Reason = "suspect-request"
 	ReasonTicketBodyDiffers  Reason = "ticket-body-differs"
 	ReasonTicketCustomer     Reason = "ticket-customer"
