--- /dev/null
+++ b/comfreygateway/models.go
@@ -0,0 +1,44 @@
+package comfreygateway
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+)
+
+// modelList is the OpenAI-style list of the services that a caller can name as
+// a model.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels answers GET /v1/models.
+func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, id)
+	if _, err := g.authenticate(r); err != nil {
+		g.refuse(w, id, err)
+		return
+	}
+	l := modelList{Object: "list", Data: []model{}}
+	for _, v := range g.config.Settings().Services() {
+		if v.Kind == comfreyconfig.ServiceKindGeneration {
+			l.Data = append(l.Data, model{ID: v.Name, Object: "model", OwnedBy: "comfreyridge"})
+		}
+	}
+	writeJSON(w, http.StatusOK, l)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/comfreygateway/plain.go
@@ -0,0 +1,179 @@
+package comfreygateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyfleet"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrouter"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreystream"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// plainRequest is a caller's request to a plain service.
+type plainRequest struct {
+	id       string
+	customer comfreyconfig.Customer
+	service  comfreyconfig.Service
+	method   string
+	path     string
+	headers  []*comfreyproto.Header
+	body     []byte
+	// safe means that running the request twice does no harm.
+	safe bool
+}
+
+// servePlain answers every path of a plain service but its orders.
+func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request) {
+	g.withPlain(w, r, func(ctx context.Context, q plainRequest) error {
+		reply, err := g.forward(ctx, q)
+		if err != nil {
+			return err
+		}
+		writeAnswer(w, reply.Status, reply.Headers, reply.Body)
+		return nil
+	})
+}
+
+// withPlain authenticates and reads a request to a plain service, accounts for
+// it, and answers with the error that f returns.
+func (g *Gateway) withPlain(w http.ResponseWriter, r *http.Request, f func(ctx context.Context, q plainRequest) error) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, id)
+	q, err := g.parsePlain(w, r, id)
+	if err != nil {
+		g.refuse(w, id, err)
+		return
+	}
+	release, err := g.limits.acquire(q.customer)
+	if err != nil {
+		g.refuse(w, id, err)
+		return
+	}
+	defer release()
+	deadline, err := g.deadline(r, q.service)
+	if err != nil {
+		g.refuse(w, id, err)
+		return
+	}
+	ctx, cancel := g.requestContext(r.Context(), deadline)
+	defer cancel()
+	g.conservation.Accept(id, deadline)
+	if err := f(ctx, q); err != nil {
+		g.conservation.End(id, comfreystream.OutcomeFailed)
+		g.refuse(w, id, err)
+		return
+	}
+	g.conservation.End(id, comfreystream.OutcomeEnded)
+	g.recorder.Record(id, comfreydecision.KindFinish, comfreyverdict.ReasonAccepted, map[string]any{"customer": q.customer.Name, "service": q.service.Name, "method": q.method})
+}
+
+func (g *Gateway) parsePlain(w http.ResponseWriter, r *http.Request, id string) (plainRequest, error) {
+	q := plainRequest{id: id, method: r.Method}
+	c, err := g.authenticate(r)
+	if err != nil {
+		return q, err
+	}
+	route, ok := g.config.Settings().Route(c.Name, chi.URLParam(r, "service"), r.URL.Path)
+	if !ok || route.Service.Kind != comfreyconfig.ServiceKindPlain {
+		return q, comfreyverdict.NotRun(comfreyverdict.ReasonUnknownService, "no plain service "+chi.URLParam(r, "service"))
+	}
+	b, err := readBody(w, r, route.Service.MaxBodyBytes)
+	if err != nil {
+		return q, err
+	}
+	q.customer, q.service, q.body = c, route.Service, b
+	q.path = upstreamPath(r)
+	q.headers = comfreyrpc.HeadersOf(r.Header)
+	q.safe = r.Method == http.MethodGet || r.Method == http.MethodHead || route.Service.Idempotent
+	return q, nil
+}
+
+// upstreamPath returns the path and query behind the service's name.
+func upstreamPath(r *http.Request) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"), "/")
+	if r.URL.RawQuery != "" {
+		rest += "?" + r.URL.RawQuery
+	}
+	return "/" + rest
+}
+
+func writeAnswer(w http.ResponseWriter, status uint32, headers []*comfreyproto.Header, body []byte) {
+	for _, h := range headers {
+		w.Header().Add(h.Name, h.Value)
+	}
+	w.Header().Set(HeaderVerdict, comfreyverdict.VerdictRan.String())
+	w.WriteHeader(int(status))
+	_, _ = w.Write(body)
+}
+
+// forward offers a call to upstreams until one has answered it. A request that
+// is not safe to run twice goes to another upstream only if it did not run.
+func (g *Gateway) forward(ctx context.Context, q plainRequest) (*comfreyproto.ForwardReply, error) {
+	var reply *comfreyproto.ForwardReply
+	err := g.offer(ctx, q, func(m comfreyfleet.Member) error {
+		var err error
+		reply, err = g.client.Sidecar(m.Address).Forward(ctx, &comfreyproto.ForwardRequest{
+			RequestId:     q.id,
+			Customer:      q.customer.Name,
+			Service:       q.service.Name,
+			Method:        q.method,
+			Path:          q.path,
+			Headers:       q.headers,
+			Body:          q.body,
+			TimeoutMillis: remaining(ctx, g.config.Now()),
+			Listed:        g.fleet.listed(m.Host),
+			Digest:        g.config.Digest(),
+		})
+		if err != nil {
+			return callError(err)
+		}
+		g.fleet.observe(m.Host, reply.Load)
+		if reply.Outcome != nil {
+			return comfreyrpc.ErrorOf(reply.Outcome)
+		}
+		return nil
+	})
+	return reply, err
+}
+
+// offer calls f for one upstream after the other until it succeeds, may have
+// run, or the retry budget is spent.
+func (g *Gateway) offer(ctx context.Context, q plainRequest, f func(m comfreyfleet.Member) error) error {
+	b := g.budgets.of(q.service.Name, g.config.Settings().Limits().RetryRatio)
+	b.Request(g.config.Now())
+	var excluded []string
+	for attempt := 1; ; attempt++ {
+		c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{Service: q.service.Name, Customer: q.customer.Name, Excluded: excluded})
+		if err != nil {
+			return err
+		}
+		g.recorder.Record(q.id, comfreydecision.KindRoute, c.Reason, routeFigures(c, uint32(attempt-1)))
+		err = f(comfreyfleet.Member{Host: c.Host, Address: c.Address})
+		if err == nil {
+			return nil
+		}
+		e := comfreyverdict.From(err)
+		if e.Reason == comfreyverdict.ReasonDialFailed {
+			g.fleet.suspect(c.Host, comfreyfleet.EvidenceDialFailed)
+		}
+		mayRun := e.Verdict == comfreyverdict.VerdictNotRun || q.safe
+		if !mayRun || !isRetryable(e.Reason) || attempt >= maxAttempts || ctx.Err() != nil {
+			return e
+		}
+		allowed := b.TryRetry(g.config.Now(), e.Reason)
+		g.metrics.retry(e.Reason, allowed)
+		g.recorder.Record(q.id, comfreydecision.KindRetry, e.Reason, map[string]any{"allowed": allowed, "host": c.Host, "attempt": attempt})
+		if !allowed {
+			return e
+		}
+		excluded = append(excluded, c.Host)
+	}
+}
--- a/comfreygateway/refusal.go
+++ b/comfreygateway/refusal.go
@@ -100,4 +100,5 @@
 	}
 	w.WriteHeader(statusOf(e.Reason))
 	_ = json.NewEncoder(w).Encode(refusalOf(e, requestID))
+	_ = http.NewResponseController(w).Flush()
 }
--- /dev/null
+++ b/comfreygateway/resume.go
@@ -0,0 +1,105 @@
+package comfreygateway
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreystream"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// serveStream answers GET /v1/streams/{id}: it resumes a stream after the
+// event that the header Last-Event-ID names, or from the start without one.
+func (g *Gateway) serveStream(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, id)
+	c, err := g.authenticate(r)
+	if err != nil {
+		g.refuse(w, id, err)
+		return
+	}
+	last := r.Header.Get("Last-Event-ID")
+	if last == "" {
+		last = chi.URLParam(r, "id") + "/0"
+	}
+	g.resume(w, r, id, c, last)
+}
+
+// resume continues a stream on a new connection, whichever gateway served it
+// before.
+func (g *Gateway) resume(w http.ResponseWriter, r *http.Request, id string, c comfreyconfig.Customer, last string) {
+	e, err := comfreystream.ParseEventID(last)
+	if err != nil {
+		g.refuse(w, id, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, "the header Last-Event-ID is malformed"))
+		return
+	}
+	m, ok := g.fleet.find(e.Generation.Host)
+	if !ok {
+		g.refuse(w, id, comfreyverdict.MayHaveRun(comfreyverdict.ReasonUnknownGeneration, "the host of the generation is not listed"))
+		return
+	}
+	v, ok := g.config.Settings().Service(m.Service)
+	if !ok {
+		g.refuse(w, id, comfreyverdict.MayHaveRun(comfreyverdict.ReasonUnknownGeneration, "the service of the generation is not configured"))
+		return
+	}
+	q := generationRequest{id: id, customer: c, stream: true, route: comfreyconfig.Route{Service: v}, deadline: g.config.Now().Add(v.Deadline)}
+	s := &session{gateway: g, request: q, output: g.newOutput(w, q), began: g.config.Now(), lastWrite: g.config.Now(), member: m}
+	s.delivered = e.Seq
+	s.resumedAfter = e.Seq
+	s.sequencer = comfreystream.NewSequencer(e.Generation, e.Seq)
+	g.conservation.Accept(id, q.deadline)
+	ctx, cancel := g.requestContext(r.Context(), q.deadline)
+	defer cancel()
+	g.sessions.add(s)
+	tries := 0
+	stream, err := s.reconnect(ctx, &tries)
+	if err == nil {
+		err = s.follow(ctx, stream)
+	}
+	if err != nil {
+		err = s.explain(ctx, err)
+	}
+	s.finish(err)
+}
+
+// serveCancel answers DELETE /v1/streams/{id}: it ends a generation and frees
+// its memory in the engine at once.
+func (g *Gateway) serveCancel(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, id)
+	c, err := g.authenticate(r)
+	if err != nil {
+		g.refuse(w, id, err)
+		return
+	}
+	n, err := comfreystream.ParseGenerationID(chi.URLParam(r, "id"))
+	if err != nil {
+		g.refuse(w, id, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, "the stream id is malformed"))
+		return
+	}
+	m, ok := g.fleet.find(n.Host)
+	if !ok {
+		g.refuse(w, id, comfreyverdict.MayHaveRun(comfreyverdict.ReasonUnknownGeneration, "the host of the generation is not listed"))
+		return
+	}
+	reply, err := g.client.Sidecar(m.Address).Cancel(r.Context(), &comfreyproto.CancelRequest{
+		Customer:    c.Name,
+		Incarnation: n.Incarnation,
+		Counter:     n.Counter,
+	})
+	if err != nil {
+		g.refuse(w, id, comfreyverdict.MayHaveRun(comfreyverdict.ReasonConnectionLost, err.Error()))
+		return
+	}
+	if !reply.Found {
+		g.refuse(w, id, comfreyverdict.MayHaveRun(comfreyverdict.ReasonUnknownGeneration, "the sidecar does not know the generation"))
+		return
+	}
+	g.recorder.Record(id, comfreydecision.KindFinish, comfreyverdict.ReasonCancelled, map[string]any{"generation": n.String(), "customer": c.Name})
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/comfreyrpc/client.go
+++ b/comfreyrpc/client.go
@@ -63,14 +63,21 @@
 	c.fresh.CloseIdleConnections()
 }
 
-// Do sends a signed request; it makes Client usable as twirp's HTTP client.
+// Do sends a signed request; it makes Client usable as twirp's HTTP client. Its
+// error wraps a comfreyverdict.Error: not-run only if no byte can have left.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, err
 	}
 	_ = r.Body.Close()
-	return c.send(c.pooled, r, body)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.send(c.pooled, r.WithContext(httptrace.WithClientTrace(r.Context(), trace)), body)
+	if err != nil {
+		return nil, openError(connected.Load(), err)
+	}
+	return resp, nil
 }
 
 func (c *Client) send(t *http.Transport, r *http.Request, body []byte) (*http.Response, error) {
@@ -124,8 +131,8 @@
 	if err != nil {
 		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonInternal, err.Error())
 	}
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, http.NoBody)
 	if err != nil {
@@ -135,7 +142,7 @@
 	resp, err := c.send(t, r, body)
 	if err != nil {
 		cancel()
-		return nil, openError(wrote.Load(), err)
+		return nil, openError(connected.Load(), err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		cancel()
--- a/comfreysidecar/drain.go
+++ b/comfreysidecar/drain.go
@@ -73,7 +73,7 @@
 			return false
 		}
 	}
-	return s.upstream.open() == 0
+	return s.upstream.open() == 0 && s.orders.running() == 0
 }
 
 // isDelivered reports whether g has ended and nobody is still to read it.
--- a/comfreysidecar/orders.go
+++ b/comfreysidecar/orders.go
@@ -57,6 +57,13 @@
 	return n
 }
 
+// running returns how many orders were handed over and have no outcome yet.
+func (o *orders) running() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owner.Running()
+}
+
 // MintTicket implements the twirp service.
 func (s *Sidecar) MintTicket(_ context.Context, r *comfreyproto.MintTicketRequest) (*comfreyproto.OrderReply, error) {
 	s.observe(r.Listed)
--- a/comfreysidecar/service.go
+++ b/comfreysidecar/service.go
@@ -58,7 +58,7 @@
 		return &comfreyproto.ForwardReply{Outcome: comfreyrpc.OutcomeOf(e), Load: s.Load()}, nil
 	}
 	s.recorder.Record(r.RequestId, comfreydecision.KindFinish, comfreyverdict.ReasonAccepted, map[string]any{"status": a.status, "customer": r.Customer})
-	return &comfreyproto.ForwardReply{Status: uint32(a.status), Headers: headersOf(a.headers), Body: a.body, Load: s.Load()}, nil
+	return &comfreyproto.ForwardReply{Status: uint32(a.status), Headers: comfreyrpc.HeadersOf(a.headers), Body: a.body, Load: s.Load()}, nil
 }
 
 func (s *Sidecar) forward(ctx context.Context, r *comfreyproto.ForwardRequest) (upstreamAnswer, error) {
--- a/comfreysidecar/upstream.go
+++ b/comfreysidecar/upstream.go
@@ -8,12 +8,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -24,27 +24,6 @@
 	maxAnswerBytes = 8 << 20
 )
 
-// hopHeaders are the headers that belong to one connection and are not
-// forwarded, with those that carry the caller's secret.
-var hopHeaders = map[string]bool{
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Authorization":       true,
-	"Content-Length":      true,
-	"Host":                true,
-}
-
-// IsHopHeader reports whether a header is not passed on to an upstream.
-func IsHopHeader(name string) bool {
-	return hopHeaders[textproto.CanonicalMIMEHeaderKey(name)]
-}
-
 // upstreamClient calls a plain service. It is safe for concurrent use.
 type upstreamClient struct {
 	base      string
@@ -94,7 +73,7 @@
 		return upstreamAnswer{}, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, err.Error())
 	}
 	for _, h := range l.headers {
-		if !IsHopHeader(h.Name) {
+		if !comfreyrpc.IsHopHeader(h.Name) {
 			r.Header.Add(h.Name, h.Value)
 		}
 	}
@@ -123,17 +102,3 @@
 	}
 	return comfreyverdict.MayHaveRun(comfreyverdict.ReasonConnectionLost, err.Error())
 }
-
-// headersOf converts the headers of an answer for the wire.
-func headersOf(h http.Header) []*comfreyproto.Header {
-	var s []*comfreyproto.Header
-	for name, values := range h {
-		if IsHopHeader(name) {
-			continue
-		}
-		for _, v := range values {
-			s = append(s, &comfreyproto.Header{Name: name, Value: v})
-		}
-	}
-	return s
-}
