--- /dev/null
+++ b/comfreydemo/fleet.go
@@ -0,0 +1,294 @@
+// Package comfreydemo runs a whole fleet over loopback in one process: the
+// platform's answers, engines, applications, sidecars and gateways.
+package comfreydemo
+
+import (
+	"context"
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyfakeapplication"
+	"comfreyridge.example/comfreyridge/comfreyfakeengine"
+	"comfreyridge.example/comfreyridge/comfreyfleet"
+	"comfreyridge.example/comfreyridge/comfreygateway"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreysidecar"
+)
+
+// Folder is the configuration that the demo runs on.
+//
+//go:embed folder
+var folder embed.FS
+
+// Names of the demo's configuration.
+const (
+	// SampleKey is the bearer key of the demo's customer.
+	SampleKey = "demo-key"
+	// GenerationService is the demo's model service.
+	GenerationService = "quotes"
+	// OrderService is the demo's plain service.
+	OrderService = "parts"
+	// fleetKey signs the requests between the demo's processes.
+	fleetKey = "demo-fleet-shared-key"
+)
+
+// Defaults of FleetConfig.
+const (
+	defaultEngines      = 3
+	defaultApplications = 2
+	defaultGateways     = 2
+)
+
+// FleetConfig holds the size and the parts of a Fleet. The zero value of each
+// field selects its default; a negative count selects none.
+type FleetConfig struct {
+	// Engines is how many engines run; the default is 3.
+	Engines int
+	// Applications is how many plain services run; the default is 2.
+	Applications int
+	// Gateways is how many gateways run; the default is 2.
+	Gateways int
+	// Engine configures the engine stand-ins.
+	Engine comfreyfakeengine.Config
+	// Gateway and Sidecar set parts of the processes; the fleet fills the rest.
+	Gateway comfreygateway.Config
+	Sidecar comfreysidecar.Config
+	// Settings is the configuration; the default is the embedded folder's.
+	Settings func() comfreyconfig.Settings
+	// Listen is the address of the first gateway; the default is any port of
+	// the loopback address.
+	Listen string
+	// Logger receives the decisions of all processes; the default drops them.
+	Logger *logrus.Logger
+}
+
+func (c FleetConfig) withDefaults() FleetConfig {
+	c.Engines = count(c.Engines, defaultEngines)
+	c.Applications = count(c.Applications, defaultApplications)
+	c.Gateways = count(c.Gateways, defaultGateways)
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	if c.Logger == nil {
+		c.Logger = discardLogger()
+	}
+	return c
+}
+
+func count(n, fallback int) int {
+	if n == 0 {
+		return fallback
+	}
+	return max(n, 0)
+}
+
+func discardLogger() *logrus.Logger {
+	l := logrus.New()
+	l.SetLevel(logrus.PanicLevel)
+	return l
+}
+
+// EmbeddedSettings returns the checked settings of the embedded folder. It
+// panics if the folder has faults, which a test rules out.
+func EmbeddedSettings() comfreyconfig.Settings {
+	sub, err := fs.Sub(folder, "folder")
+	if err != nil {
+		panic("comfreydemo: " + err.Error())
+	}
+	f, err := comfreyconfig.LoadFolder(sub)
+	if err != nil {
+		panic("comfreydemo: " + err.Error())
+	}
+	s, faults := comfreyconfig.Check(f)
+	if len(faults) > 0 {
+		panic(fmt.Sprintf("comfreydemo: %v", faults))
+	}
+	return s
+}
+
+// Node is one process of the system within a Fleet.
+type Node struct {
+	// Address is where the process listens.
+	Address string
+	// Stop begins a planned stop; Kill ends the process at once.
+	Stop, Kill context.CancelFunc
+	// Done is closed when the process has ended; Err is its result then.
+	Done chan struct{}
+	// Err is the result of the process.
+	Err error
+	// Recorder holds the decisions of the process.
+	Recorder *comfreydecision.Recorder
+}
+
+// Fleet is a running fleet. Its exported fields do not change after
+// StartFleet.
+type Fleet struct {
+	Engines      []*comfreyfakeengine.Engine
+	Applications []*comfreyfakeapplication.Application
+	Sidecars     []*Node
+	Gateways     []*Node
+	gateways     []*comfreygateway.Gateway
+	sidecars     []*comfreysidecar.Sidecar
+	members      []comfreyfleet.Member
+	config       FleetConfig
+	settings     func() comfreyconfig.Settings
+	group        *comfreygroup.Group
+}
+
+// StartFleet starts every process and returns once the gateways know their
+// upstreams. Stop ends the fleet.
+func StartFleet(ctx context.Context, c FleetConfig) (*Fleet, error) {
+	c = c.withDefaults()
+	f := &Fleet{config: c, settings: c.Settings, group: comfreygroup.New(context.WithoutCancel(ctx))}
+	if f.settings == nil {
+		s := EmbeddedSettings()
+		f.settings = func() comfreyconfig.Settings { return s }
+	}
+	if err := f.start(ctx); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	for i := range f.config.Engines {
+		e := f.config.Engine
+		e.Name = fmt.Sprintf("engine-%d", i)
+		e.Seed += uint64(i)
+		x := comfreyfakeengine.New(e)
+		f.Engines = append(f.Engines, x)
+		if err := f.startUpstream(ctx, e.Name, GenerationService, x); err != nil {
+			return err
+		}
+	}
+	for i := range f.config.Applications {
+		x := comfreyfakeapplication.New(comfreyfakeapplication.Config{})
+		f.Applications = append(f.Applications, x)
+		if err := f.startUpstream(ctx, fmt.Sprintf("application-%d", i), OrderService, x); err != nil {
+			return err
+		}
+	}
+	for i := range f.config.Gateways {
+		if err := f.startGateway(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startUpstream serves a stand-in and starts the sidecar beside it.
+func (f *Fleet) startUpstream(ctx context.Context, host, service string, h http.Handler) error {
+	l, err := f.serve(h)
+	if err != nil {
+		return err
+	}
+	return f.startSidecar(ctx, host, service, "http://"+l.Addr().String())
+}
+
+// serve serves a stand-in until the fleet stops.
+func (f *Fleet) serve(h http.Handler) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("comfreydemo: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	f.group.Go("serve stand-in", func(context.Context) error { return ignoreClosed(s.Serve(l)) })
+	f.group.Go("close stand-in", func(ctx context.Context) error {
+		<-ctx.Done()
+		return s.Close()
+	})
+	return l, nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (f *Fleet) startSidecar(ctx context.Context, host, service, upstream string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("comfreydemo: %w", err)
+	}
+	c := f.config.Sidecar
+	c.Host = host
+	c.Service = service
+	c.Key = comfreyrpc.Key(fleetKey)
+	c.Listener = l
+	c.Upstream = upstream
+	c.Settings = f.settings
+	c.Recorder = comfreydecision.New(comfreydecision.Config{Process: "sidecar/" + host, Logger: f.config.Logger})
+	s := comfreysidecar.New(ctx, c)
+	f.sidecars = append(f.sidecars, s)
+	f.Sidecars = append(f.Sidecars, f.run("sidecar "+host, l, c.Recorder, s.Run))
+	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: "north", Address: l.Addr().String(), Service: service})
+	return nil
+}
+
+func (f *Fleet) startGateway(ctx context.Context, i int) error {
+	address := "127.0.0.1:0"
+	if i == 0 {
+		address = f.config.Listen
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("comfreydemo: %w", err)
+	}
+	host := fmt.Sprintf("gateway-%d", i)
+	c := f.config.Gateway
+	c.Host = host
+	c.DataCentre = "north"
+	c.Key = comfreyrpc.Key(fleetKey)
+	c.Listener = l
+	c.Settings = f.settings
+	c.Recorder = comfreydecision.New(comfreydecision.Config{Process: "gateway/" + host, Logger: f.config.Logger})
+	g := comfreygateway.New(ctx, c)
+	g.ObserveView(comfreyfleet.NewView(1, time.Now(), f.members))
+	f.gateways = append(f.gateways, g)
+	f.Gateways = append(f.Gateways, f.run(host, l, c.Recorder, g.Run))
+	return nil
+}
+
+// run starts one process of the system.
+func (f *Fleet) run(name string, l net.Listener, r *comfreydecision.Recorder, run func(ctx, kill context.Context) error) *Node {
+	ctx, stop := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	n := &Node{Address: l.Addr().String(), Stop: stop, Kill: end, Done: make(chan struct{}), Recorder: r}
+	f.group.Go(name, func(context.Context) error {
+		n.Err = run(ctx, kill)
+		close(n.Done)
+		return nil
+	})
+	return n
+}
+
+// URL returns the base URL of gateway i.
+func (f *Fleet) URL(i int) string {
+	return "http://" + f.Gateways[i].Address
+}
+
+// Stop ends every process at once, gateways first.
+func (f *Fleet) Stop() {
+	for _, n := range append(f.Gateways, f.Sidecars...) {
+		n.Kill()
+		<-n.Done
+	}
+	f.group.Stop()
+	for _, e := range f.Engines {
+		_ = e.Close()
+	}
+	_ = f.group.Wait()
+}
--- /dev/null
+++ b/comfreysettings/settings.go
@@ -0,0 +1,120 @@
+// Package comfreysettings holds the settings of the long-running processes, as
+// flags and environment variables, and checks them at the start.
+package comfreysettings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+)
+
+// Process holds the settings that gateways and sidecars share.
+type Process struct {
+	Host        string        `arg:"--host,env:COMFREY_HOST" help:"name of this host in the platform's host list"`
+	DataCentre  string        `arg:"--data-centre,env:COMFREY_DATA_CENTRE" help:"data centre of this host"`
+	Listen      string        `arg:"--listen,env:COMFREY_LISTEN" help:"address to listen on, host:port"`
+	AdminListen string        `arg:"--admin-listen,env:COMFREY_ADMIN_LISTEN" help:"address of health, metrics and debug pages; none if empty"`
+	Platform    string        `arg:"--platform,env:COMFREY_PLATFORM" help:"base URL of the platform's read-and-watch service"`
+	Key         string        `arg:"--key,env:COMFREY_KEY" help:"secret shared by all processes, at least 16 bytes; prefer the environment variable"`
+	DrainLimit  time.Duration `arg:"--drain-limit,env:COMFREY_DRAIN_LIMIT" help:"longest planned stop; the default is 2m, or that of the service"`
+	LogLevel    string        `arg:"--log-level,env:COMFREY_LOG_LEVEL" default:"info" help:"error, warning, info or debug"`
+}
+
+// Gateway holds the settings of a gateway.
+type Gateway struct {
+	Process
+	DrainDelay time.Duration `arg:"--drain-delay,env:COMFREY_DRAIN_DELAY" default:"5s" help:"time for the balancer to notice a planned stop; 0s for none"`
+	TraceOut   string        `arg:"--trace-out,env:COMFREY_TRACE_OUT" help:"file or named pipe that receives a replayable line for each request"`
+}
+
+// Sidecar holds the settings of a sidecar.
+type Sidecar struct {
+	Process
+	Service  string `arg:"--service,env:COMFREY_SERVICE" help:"service that the upstream serves"`
+	Upstream string `arg:"--upstream,env:COMFREY_UPSTREAM" help:"base URL of the upstream beside this process"`
+}
+
+// Faults are the settings that cannot be used.
+type Faults []string
+
+// Error lists every fault on a line of its own.
+func (f Faults) Error() string {
+	return "comfreysettings: " + strings.Join(f, "\ncomfreysettings: ")
+}
+
+// orNil returns f as an error, or nil if there is no fault.
+func (f Faults) orNil() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+func (f *Faults) add(format string, args ...any) {
+	*f = append(*f, fmt.Sprintf(format, args...))
+}
+
+func (f *Faults) needAddress(flag, v string) {
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		f.add("%s: %q is not an address of the form host:port", flag, v)
+	}
+}
+
+func (f *Faults) needURL(flag, v string) {
+	u, err := url.Parse(v)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		f.add("%s: %q is not a URL of the form http://host:port", flag, v)
+	}
+}
+
+func (f *Faults) needText(flag, v string) {
+	if v == "" {
+		f.add("%s: a value is needed", flag)
+	}
+}
+
+func (f *Faults) needDuration(flag string, d time.Duration) {
+	if d < 0 {
+		f.add("%s: %s is negative", flag, d)
+	}
+}
+
+func (p Process) check(f *Faults) {
+	f.needText("--host", p.Host)
+	f.needText("--data-centre", p.DataCentre)
+	f.needAddress("--listen", p.Listen)
+	if p.AdminListen != "" {
+		f.needAddress("--admin-listen", p.AdminListen)
+	}
+	f.needURL("--platform", p.Platform)
+	if _, err := comfreyrpc.ParseKey(p.Key); err != nil {
+		f.add("--key: at least %d bytes are needed, and %d are given", comfreyrpc.MinKeyBytes, len(p.Key))
+	}
+	f.needDuration("--drain-limit", p.DrainLimit)
+	if _, err := logrus.ParseLevel(p.LogLevel); err != nil {
+		f.add("--log-level: %q is none of error, warning, info, debug", p.LogLevel)
+	}
+}
+
+// Check returns every fault of the settings at once, or nil.
+func (g Gateway) Check() error {
+	var f Faults
+	g.check(&f)
+	f.needDuration("--drain-delay", g.DrainDelay)
+	return f.orNil()
+}
+
+// Check returns every fault of the settings at once, or nil.
+func (s Sidecar) Check() error {
+	var f Faults
+	s.check(&f)
+	f.needText("--service", s.Service)
+	f.needURL("--upstream", s.Upstream)
+	return f.orNil()
+}
