--- a/comfreyfakeengine/engine.go
+++ b/comfreyfakeengine/engine.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"comfreyridge.example/comfreyridge/comfreyengine"
+	"comfreyridge.example/comfreyridge/comfreyfakeserver"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyring"
 )
@@ -106,7 +106,7 @@
 
 func (e *Engine) routes() http.Handler {
 	m := chi.NewRouter()
-	m.Use(e.dropWhenDown)
+	m.Use(comfreyfakeserver.DropWhile(e.isDown))
 	m.Post("/v1/completions", e.serveCompletion)
 	m.Post("/v1/chat/completions", e.serveCompletion)
 	m.Get("/v1/generations/{id}", e.serveResume)
@@ -129,11 +129,5 @@
 }
 
 func writeError(w http.ResponseWriter, status int, message string) {
-	writeJSON(w, status, errorBody{Error: errorMessage{Message: message}})
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	comfreyfakeserver.WriteJSON(w, status, errorBody{Error: errorMessage{Message: message}})
 }
--- a/comfreyfakeengine/failure.go
+++ b/comfreyfakeengine/failure.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -96,13 +95,3 @@
 	defer e.mu.Unlock()
 	return e.config.Now().Before(e.downUntil)
 }
-
-// dropWhenDown cuts the connection of each request to a crashed engine.
-func (e *Engine) dropWhenDown(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.isDown() {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/comfreyfakeengine/load.go
+++ b/comfreyfakeengine/load.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"comfreyridge.example/comfreyridge/comfreyengine"
+	"comfreyridge.example/comfreyridge/comfreyfakeserver"
 )
 
 // historySize is how many load reports and cache events an engine keeps.
@@ -62,7 +63,7 @@
 		http.Error(w, "no report", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, http.StatusOK, e.laggedLoad())
+	comfreyfakeserver.WriteJSON(w, http.StatusOK, e.laggedLoad())
 }
 
 // publishCacheEvent keeps an event, but for the gaps. The caller holds e.mu.
@@ -92,5 +93,5 @@
 			s.Events = append(s.Events, v)
 		}
 	}
-	writeJSON(w, http.StatusOK, s)
+	comfreyfakeserver.WriteJSON(w, http.StatusOK, s)
 }
--- a/comfreyfakeengine/order.go
+++ b/comfreyfakeengine/order.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyengine"
+	"comfreyridge.example/comfreyridge/comfreyfakeserver"
 )
 
 // loader carries out the orders of an engine, one at a time.
@@ -54,7 +55,7 @@
 }
 
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, e.State())
+	comfreyfakeserver.WriteJSON(w, http.StatusOK, e.State())
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
@@ -69,7 +70,7 @@
 		writeError(w, http.StatusConflict, "old fencing number")
 		return
 	}
-	writeJSON(w, http.StatusAccepted, e.State())
+	comfreyfakeserver.WriteJSON(w, http.StatusAccepted, e.State())
 }
 
 // take begins an order unless its fencing number is refused. A new order
--- a/comfreyfakeengine/run.go
+++ b/comfreyfakeengine/run.go
@@ -2,19 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"time"
 
-	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyfakeserver"
 )
 
-// readHeaderTimeout bounds how long a caller takes to send its headers.
-const readHeaderTimeout = 10 * time.Second
-
 // Options are the command line's settings of an engine stand-in.
 type Options struct {
 	Listen         string        `arg:"--listen,env:COMFREY_FAKE_ENGINE_LISTEN" default:"127.0.0.1:0" help:"address to listen on"`
@@ -55,24 +48,8 @@
 // Run serves an engine stand-in until ctx ends. It writes the address that it
 // listens on to w.
 func Run(ctx context.Context, o Options, w io.Writer) error {
-	l, err := net.Listen("tcp", o.Listen)
-	if err != nil {
-		return fmt.Errorf("comfreyfakeengine: %w", err)
-	}
-	e := New(o.config(l.Addr().String()))
-	s := &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
-	fmt.Fprintf(w, "listening=%s\n", l.Addr())
-	g := comfreygroup.New(ctx)
-	g.Go("serve", func(context.Context) error {
-		err := s.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
-	g.Go("close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return errors.Join(s.Close(), e.Close())
+	return comfreyfakeserver.Serve(ctx, o.Listen, w, func(address string) comfreyfakeserver.Server {
+		e := New(o.config(address))
+		return comfreyfakeserver.Server{Handler: e, Close: e.Close}
 	})
-	return g.Wait()
 }
--- a/comfreyfakeengine/runs.go
+++ b/comfreyfakeengine/runs.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"net/http"
+
+	"comfreyridge.example/comfreyridge/comfreyfakeserver"
 )
 
 // RunRecord is the ground truth about one request id.
@@ -38,5 +40,5 @@
 }
 
 func (e *Engine) serveRuns(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, e.Runs())
+	comfreyfakeserver.WriteJSON(w, http.StatusOK, e.Runs())
 }
