Failure tests over an in-process fleet; end a resume at refused dials

Cause: three of the new tests failed first. A request whose sidecar was killed before its first token got may-have-run after 3.2 s: the retry budget of a new gateway was empty, and refused dials were repeated six times although a refused dial proves that the process and its frames are gone. An engine crash was reported as connection-lost.

Change: a new budget holds a reserve of 3 retries; two refused dials in a row end a resume; a lost connection between sidecar and engine is engine-failed.

After: all tests of comfreydemo pass in 8.4 s; the killed-sidecar case retries at the other engine.

--- a/comfreydemo/fleet.go
+++ b/comfreydemo/fleet.go
@@ -21,6 +21,7 @@
 	"comfreyridge.example/comfreyridge/comfreyfleet"
 	"comfreyridge.example/comfreyridge/comfreygateway"
 	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyrelay"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreysidecar"
 )
@@ -68,6 +69,9 @@
 	// Listen is the address of the first gateway; the default is any port of
 	// the loopback address.
 	Listen string
+	// Relays puts a relay before each sidecar, so that connections can be broken
+	// on demand.
+	Relays bool
 	// Logger receives the decisions of all processes; the default drops them.
 	Logger *logrus.Logger
 }
@@ -137,9 +141,11 @@
 	Applications []*comfreyfakeapplication.Application
 	Sidecars     []*Node
 	Gateways     []*Node
+	Relays       []*comfreyrelay.Relay
 	gateways     []*comfreygateway.Gateway
-	sidecars     []*comfreysidecar.Sidecar
 	members      []comfreyfleet.Member
+	upstreams    []string
+	version      uint64
 	config       FleetConfig
 	settings     func() comfreyconfig.Settings
 	group        *comfreygroup.Group
@@ -179,6 +185,7 @@
 			return err
 		}
 	}
+	f.version++
 	for i := range f.config.Gateways {
 		if err := f.startGateway(ctx, i); err != nil {
 			return err
@@ -218,11 +225,28 @@
 	return err
 }
 
+// startSidecar starts the sidecar beside an upstream and lists its host.
 func (f *Fleet) startSidecar(ctx context.Context, host, service, upstream string) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("comfreydemo: %w", err)
 	}
+	address := l.Addr().String()
+	if f.config.Relays {
+		r, err := comfreyrelay.New(comfreyrelay.Config{Target: address})
+		if err != nil {
+			return fmt.Errorf("comfreydemo: %w", err)
+		}
+		f.Relays = append(f.Relays, r)
+		address = r.Addr()
+	}
+	f.Sidecars = append(f.Sidecars, f.newSidecar(ctx, l, host, service, upstream))
+	f.upstreams = append(f.upstreams, upstream)
+	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: "north", Address: address, Service: service})
+	return nil
+}
+
+func (f *Fleet) newSidecar(ctx context.Context, l net.Listener, host, service, upstream string) *Node {
 	c := f.config.Sidecar
 	c.Host = host
 	c.Service = service
@@ -232,10 +256,7 @@
 	c.Settings = f.settings
 	c.Recorder = comfreydecision.New(comfreydecision.Config{Process: "sidecar/" + host, Logger: f.config.Logger})
 	s := comfreysidecar.New(ctx, c)
-	f.sidecars = append(f.sidecars, s)
-	f.Sidecars = append(f.Sidecars, f.run("sidecar "+host, l, c.Recorder, s.Run))
-	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: "north", Address: l.Addr().String(), Service: service})
-	return nil
+	return f.run("sidecar "+host, l, c.Recorder, s.Run)
 }
 
 func (f *Fleet) startGateway(ctx context.Context, i int) error {
@@ -256,12 +277,43 @@
 	c.Settings = f.settings
 	c.Recorder = comfreydecision.New(comfreydecision.Config{Process: "gateway/" + host, Logger: f.config.Logger})
 	g := comfreygateway.New(ctx, c)
-	g.ObserveView(comfreyfleet.NewView(1, time.Now(), f.members))
+	g.ObserveView(comfreyfleet.NewView(f.version, time.Now(), f.members))
 	f.gateways = append(f.gateways, g)
 	f.Gateways = append(f.Gateways, f.run(host, l, c.Recorder, g.Run))
 	return nil
 }
 
+// Publish lists the hosts as they are now to every gateway. The function edit
+// may change a copy of each member; nil changes none.
+func (f *Fleet) Publish(edit func(m comfreyfleet.Member) comfreyfleet.Member) {
+	f.version++
+	members := make([]comfreyfleet.Member, 0, len(f.members))
+	for _, m := range f.members {
+		if edit != nil {
+			m = edit(m)
+		}
+		members = append(members, m)
+	}
+	v := comfreyfleet.NewView(f.version, time.Now(), members)
+	for _, g := range f.gateways {
+		g.ObserveView(v)
+	}
+}
+
+// ReplaceSidecar starts a new process beside upstream i, which must have
+// ended, and lists it. The new one knows nothing of the old one.
+func (f *Fleet) ReplaceSidecar(ctx context.Context, i int) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("comfreydemo: %w", err)
+	}
+	m := f.members[i]
+	f.Sidecars[i] = f.newSidecar(ctx, l, m.Host, m.Service, f.upstreams[i])
+	f.members[i].Address = l.Addr().String()
+	f.Publish(nil)
+	return nil
+}
+
 // run starts one process of the system.
 func (f *Fleet) run(name string, l net.Listener, r *comfreydecision.Recorder, run func(ctx, kill context.Context) error) *Node {
 	ctx, stop := context.WithCancel(context.Background())
@@ -290,5 +342,8 @@
 	for _, e := range f.Engines {
 		_ = e.Close()
 	}
+	for _, r := range f.Relays {
+		_ = r.Close()
+	}
 	_ = f.group.Wait()
 }
--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreydecision"
@@ -19,6 +20,9 @@
 	// resumeTries bounds the connections opened to resume one stream without a
 	// frame in between.
 	resumeTries = 6
+	// refusedTries bounds the refused dials in a row after which the sidecar's
+	// process is taken to have ended, and its frames with it.
+	refusedTries = 2
 	// firstResumeDelay is the pause after the first failed connection; it
 	// doubles with each further one.
 	firstResumeDelay = 50 * time.Millisecond
@@ -59,12 +63,13 @@
 // reconnect opens the stream again on a new connection.
 func (s *session) reconnect(ctx context.Context, tries *int) (*comfreyrpc.Stream, error) {
 	delay := firstResumeDelay
+	refused := 0
 	for {
 		if ctx.Err() != nil {
 			return nil, s.lost(ctx.Err().Error())
 		}
 		*tries++
-		if *tries > resumeTries {
+		if *tries > resumeTries || refused >= refusedTries {
 			return nil, s.lost("the sidecar cannot be reached")
 		}
 		id := s.sequencer.Generation()
@@ -81,6 +86,9 @@
 			return stream, nil
 		}
 		s.suspect(err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			refused++
+		}
 		wait(ctx, delay)
 		delay = min(2*delay, maxResumeDelay)
 	}
--- a/comfreygateway/limits.go
+++ b/comfreygateway/limits.go
@@ -44,6 +44,10 @@
 	}
 }
 
+// retryReserve is how many retries a new gateway may send for a service before
+// its requests have earned any.
+const retryReserve = 3
+
 // retryBudgets holds one retry budget a service. It is safe for concurrent
 // use.
 type retryBudgets struct {
@@ -61,7 +65,7 @@
 	defer b.mu.Unlock()
 	r, ok := b.byService[service]
 	if !ok {
-		r = comfreyrouter.NewRetryBudget(comfreyrouter.RetryConfig{Ratio: ratio})
+		r = comfreyrouter.NewRetryBudget(comfreyrouter.RetryConfig{Ratio: ratio, Reserve: retryReserve})
 		b.byService[service] = r
 	}
 	return r
--- a/comfreyrouter/retry.go
+++ b/comfreyrouter/retry.go
@@ -29,6 +29,10 @@
 	Ratio float64
 	// Burst is how many retries may be saved up; the default is 10.
 	Burst float64
+	// Reserve is how many retries a new budget holds before any request has
+	// earned one, so that the first requests of a gateway can be retried at
+	// all; the default is none. More than Burst counts as Burst.
+	Reserve float64
 }
 
 // RetryCounts are the totals of a RetryBudget.
@@ -48,12 +52,13 @@
 	mu      sync.Mutex
 	earned  int64
 	limit   int64
+	reserve int64
 	tokens  int64
 	counts  RetryCounts
 	reasons map[comfreyverdict.Reason]uint64
 }
 
-// NewRetryBudget returns a budget from which the first requests have to earn.
+// NewRetryBudget returns a budget that holds its reserve.
 func NewRetryBudget(c RetryConfig) *RetryBudget {
 	if c.Ratio == 0 {
 		c.Ratio = defaultRetryRatio
@@ -61,9 +66,12 @@
 	if c.Burst <= 0 {
 		c.Burst = defaultRetryBurst
 	}
+	reserve := int64(min(max(c.Reserve, 0), c.Burst) * retryUnit)
 	return &RetryBudget{
 		earned:  int64(math.Round(max(c.Ratio, 0) * retryUnit)),
 		limit:   int64(c.Burst * retryUnit),
+		reserve: reserve,
+		tokens:  reserve,
 		reasons: map[comfreyverdict.Reason]uint64{},
 	}
 }
@@ -88,7 +96,7 @@
 	b.tokens -= retryUnit
 	b.counts.Retries++
 	b.reasons[reason]++
-	earned := b.counts.Requests * uint64(b.earned)
+	earned := b.counts.Requests*uint64(b.earned) + uint64(b.reserve)
 	comfreyinvariant.Check(b.counts.Retries*retryUnit <= earned, invariantRetryBudget, "retries exceed the share of requests")
 	return true
 }
--- a/comfreyrpc/client.go
+++ b/comfreyrpc/client.go
@@ -156,7 +156,7 @@
 // after a connection was there.
 func openError(connected bool, err error) error {
 	if !connected {
-		return comfreyverdict.NotRun(comfreyverdict.ReasonDialFailed, err.Error())
+		return comfreyverdict.NotRun(comfreyverdict.ReasonDialFailed, err.Error()).WithCause(err)
 	}
-	return comfreyverdict.MayHaveRun(comfreyverdict.ReasonConnectionLost, err.Error())
+	return comfreyverdict.MayHaveRun(comfreyverdict.ReasonConnectionLost, err.Error()).WithCause(err)
 }
--- a/comfreysidecar/run_generation.go
+++ b/comfreysidecar/run_generation.go
@@ -116,6 +116,11 @@
 	if g.generated() > 0 {
 		e.Verdict = comfreyverdict.VerdictRan
 	}
+	if e.Reason == comfreyverdict.ReasonConnectionLost {
+		// The engine runs on the same host, so that a lost connection means a
+		// lost engine.
+		e.Reason = comfreyverdict.ReasonEngineFailed
+	}
 	if r := g.cancelReason(); r != "" {
 		e.Reason = r
 		e.Detail = "the generation was cancelled"
--- a/comfreyverdict/error.go
+++ b/comfreyverdict/error.go
@@ -19,6 +19,9 @@
 	RetryAfter time.Duration
 	// Detail is for people. It never holds keys or request bodies.
 	Detail string
+	// Cause is the error of a library, for errors.Is; nil if there is none. It
+	// does not travel between processes.
+	Cause error
 }
 
 // NotRun returns an error that proves that the request did not run.
@@ -42,6 +45,17 @@
 	return e
 }
 
+// WithCause returns a copy of e that wraps an error of a library.
+func (e Error) WithCause(err error) Error {
+	e.Cause = err
+	return e
+}
+
+// Unwrap returns the cause.
+func (e Error) Unwrap() error {
+	return e.Cause
+}
+
 // Error implements the error interface.
 func (e Error) Error() string {
 	if e.Detail == "" {
