State a verdict that covers every attempt of a request

A request whose first attempt began at an engine and whose second was refused before it ran was answered not-run, the verdict of the last attempt.

Ruled out: the fences of the sidecar (the two attempts were at two sidecars).

Change: Verdict.Join; the final error joins the verdicts of all attempts, for generations and plain calls. TestVerdictCoversEveryAttempt is the directed case; with the join removed it fails (got not-run).

--- a/comfreydemo/fleet.go
+++ b/comfreydemo/fleet.go
@@ -132,6 +132,7 @@
 	Err error
 	// Recorder holds the decisions of the process.
 	Recorder *comfreydecision.Recorder
+	ready    func() error
 }
 
 // Fleet is a running fleet. Its exported fields do not change after
@@ -256,7 +257,9 @@
 	c.Settings = f.settings
 	c.Recorder = comfreydecision.New(comfreydecision.Config{Process: "sidecar/" + host, Logger: f.config.Logger})
 	s := comfreysidecar.New(ctx, c)
-	return f.run("sidecar "+host, l, c.Recorder, s.Run)
+	n := f.run("sidecar "+host, l, c.Recorder, s.Run)
+	n.ready = s.Ready
+	return n
 }
 
 func (f *Fleet) startGateway(ctx context.Context, i int) error {
@@ -279,7 +282,9 @@
 	g := comfreygateway.New(ctx, c)
 	g.ObserveView(comfreyfleet.NewView(f.version, time.Now(), f.members))
 	f.gateways = append(f.gateways, g)
-	f.Gateways = append(f.Gateways, f.run(host, l, c.Recorder, g.Run))
+	n := f.run(host, l, c.Recorder, g.Run)
+	n.ready = g.Ready
+	f.Gateways = append(f.Gateways, n)
 	return nil
 }
 
--- a/comfreydemo/fleet_test.go
+++ b/comfreydemo/fleet_test.go
@@ -14,6 +14,7 @@
 	"comfreyridge.example/comfreyridge/comfreyfakeengine"
 	"comfreyridge.example/comfreyridge/comfreygateway"
 	"comfreyridge.example/comfreyridge/comfreysidecar"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
 // stepTime slows the engines down so that a fault hits a running generation.
@@ -140,6 +141,26 @@
 	checkText(t, r.Text, 0, 30)
 }
 
+func TestVerdictCoversEveryAttempt(t *testing.T) {
+	f := startFleet(t, FleetConfig{Engines: 2})
+	for _, e := range f.Engines {
+		e.Stall()
+	}
+	result := make(chan comfreycaller.Result, 1)
+	c := newCaller(t)
+	var wg sync.WaitGroup
+	wg.Go(func() { result <- c.Stream(t.Context(), f.URL(0), lengthBody(t, 30, true), "", nil) })
+	i := waitForRun(t, f)
+	f.Sidecars[1-i].Kill()
+	<-f.Sidecars[1-i].Done
+	f.Sidecars[i].Kill()
+	r := <-result
+	wg.Wait()
+	if r.Complete || r.Error.Verdict != comfreyverdict.VerdictMayHaveRun {
+		t.Fatalf("the first attempt began at an engine, the second was refused: got %+v", r)
+	}
+}
+
 // waitForRun blocks until an engine holds a generation and returns its index.
 func waitForRun(t testing.TB, f *Fleet) int {
 	t.Helper()
--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -102,6 +102,11 @@
 	return nil
 }
 
+// Open returns how many accepted requests have no outcome yet.
+func (g *Gateway) Open() int {
+	return int(g.conservation.Totals().Open)
+}
+
 // ObserveView takes a host list.
 func (g *Gateway) ObserveView(v comfreyfleet.View) {
 	g.fleet.update(v)
--- a/comfreygateway/plain.go
+++ b/comfreygateway/plain.go
@@ -150,10 +150,13 @@
 	b := g.budgets.of(q.service.Name, g.config.Settings().Limits().RetryRatio)
 	b.Request(g.config.Now())
 	var excluded []string
+	verdict := comfreyverdict.VerdictNotRun
 	for attempt := 1; ; attempt++ {
 		c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{Service: q.service.Name, Customer: q.customer.Name, Excluded: excluded})
 		if err != nil {
-			return err
+			e := comfreyverdict.From(err)
+			e.Verdict = verdict.Join(e.Verdict)
+			return e
 		}
 		g.recorder.Record(q.id, comfreydecision.KindRoute, c.Reason, routeFigures(c, uint32(attempt-1)))
 		err = f(comfreyfleet.Member{Host: c.Host, Address: c.Address})
@@ -161,10 +164,12 @@
 			return nil
 		}
 		e := comfreyverdict.From(err)
+		mayRun := e.Verdict == comfreyverdict.VerdictNotRun || q.safe
+		verdict = verdict.Join(e.Verdict)
+		e.Verdict = verdict
 		if e.Reason == comfreyverdict.ReasonDialFailed {
 			g.fleet.suspect(c.Host, comfreyfleet.EvidenceDialFailed)
 		}
-		mayRun := e.Verdict == comfreyverdict.VerdictNotRun || q.safe
 		if !mayRun || !isRetryable(e.Reason) || attempt >= maxAttempts || ctx.Err() != nil {
 			return e
 		}
--- a/comfreygateway/report.go
+++ b/comfreygateway/report.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// Probe exchanges one report with the sidecar of a host.
+func (g *Gateway) Probe(ctx context.Context, m comfreyfleet.Member) {
+	g.report(ctx, renewal{member: m})
+}
+
 // report exchanges one report with a sidecar.
 func (g *Gateway) report(ctx context.Context, r renewal) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -110,15 +110,19 @@
 }
 
 // run offers the request to upstreams until one has answered it. A nil error
-// means that the caller has the whole answer.
+// means that the caller has the whole answer. The verdict of an error covers
+// every attempt.
 func (s *session) run(ctx context.Context) error {
+	verdict := comfreyverdict.VerdictNotRun
 	for {
 		err := s.try(ctx)
 		if err == nil {
 			return nil
 		}
 		e := s.explain(ctx, err)
+		verdict = verdict.Join(e.Verdict)
 		if !s.mayRetry(ctx, e) {
+			e.Verdict = verdict
 			return e
 		}
 		s.excluded = append(s.excluded, s.member.Host)
--- a/comfreyverdict/verdict.go
+++ b/comfreyverdict/verdict.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// Join returns the verdict on a request of which two attempts were made: it
+// ran if either did, and it did not run only if neither did.
+func (v Verdict) Join(o Verdict) Verdict {
+	if v == VerdictRan || o == VerdictRan {
+		return VerdictRan
+	}
+	if v == VerdictNotRun && o == VerdictNotRun {
+		return VerdictNotRun
+	}
+	return VerdictMayHaveRun
+}
+
 // ParseVerdict returns the verdict that String names. It returns an error for
 // any other text.
 func ParseVerdict(s string) (Verdict, error) {
--- a/comfreyverdict/verdict_test.go
+++ b/comfreyverdict/verdict_test.go
@@ -28,3 +28,14 @@
 	// not-run <nil>
 	// comfreyverdict: unknown verdict "maybe"
 }
+
+func ExampleVerdict_Join() {
+	v := comfreyverdict.VerdictNotRun
+	fmt.Println(v.Join(comfreyverdict.VerdictNotRun))
+	fmt.Println(v.Join(comfreyverdict.VerdictMayHaveRun))
+	fmt.Println(v.Join(comfreyverdict.VerdictRan))
+	// Output:
+	// not-run
+	// may-have-run
+	// ran
+}
