--- /dev/null
+++ b/comfreyconfig/fleet_test.go
@@ -0,0 +1,238 @@
+package comfreyconfig_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+)
+
+// inForceLimit is the time in which a change is in force everywhere.
+const inForceLimit = 12 * time.Second
+
+// content returns a valid folder whose one changing file holds tag.
+func content(tag string) comfreyconfig.Folder {
+	return comfreyconfig.NewFolder(
+		comfreyconfig.File{Name: "10-services.yaml", Content: []byte("services:\n  template:\n    kind: generation\n")},
+		comfreyconfig.File{Name: "20-change.yaml", Content: []byte("upstreams:\n  template:\n    model: " + tag + "\n")},
+	)
+}
+
+func (s *sim) publish(number uint64, tag string) comfreyconfig.Revision {
+	return s.platform.publish(number, content(tag))
+}
+
+// expectAll fails unless every process has that revision in force.
+func (s *sim) expectAll(r comfreyconfig.Revision, when string) {
+	s.t.Helper()
+	for _, n := range s.nodes {
+		if n.alive && !n.paused && n.node.Store().Revision().Hash != r.Hash {
+			s.t.Fatalf("%s: %s has %s in force, want number %d", when, n.peer.Address, n.node.Store(), r.Number)
+		}
+	}
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed, 60, 3, comfreyconfig.Timing{})
+		s.publish(1, "a")
+		s.startAll()
+		s.run(inForceLimit)
+		s.expectAll(s.platform.current, "start")
+		for i := range uint64(5) {
+			s.publish(2+i, fmt.Sprint("b", i))
+			s.run(time.Duration(s.random.Int64N(int64(20*time.Second))) + inForceLimit)
+			s.expectAll(s.platform.current, "change")
+		}
+	}
+}
+
+// TestOneOfTwoRacingRevisionsWins publishes two contents under one number up
+// to 15 s apart. Without a partition every process must end with the same.
+func TestOneOfTwoRacingRevisionsWins(t *testing.T) {
+	if n := racingSplits(t, 300, comfreyconfig.Timing{}); n != 0 {
+		t.Errorf("%d of 300 races split the fleet", n)
+	}
+}
+
+// racingSplits returns how many of the races put two contents into force under
+// one number, and fails if a race raised no alarm.
+func racingSplits(t *testing.T, races uint64, timing comfreyconfig.Timing) int {
+	splits := 0
+	for seed := range races {
+		s := newSim(t, seed, 30, 3, timing)
+		s.publish(1, "a")
+		s.startAll()
+		s.run(inForceLimit + time.Duration(s.random.Int64N(int64(20*time.Second))))
+		taken := map[comfreyconfig.Hash]bool{}
+		s.onTake = func(_ *simNode, number uint64, h comfreyconfig.Hash) {
+			if number == 2 {
+				taken[h] = true
+			}
+		}
+		s.publish(2, "left")
+		s.run(time.Duration(s.random.Int64N(int64(15 * time.Second))))
+		s.publish(2, "right")
+		s.run(40 * time.Second)
+		if s.alarms == 0 {
+			t.Errorf("seed %d: the race raised no alarm", seed)
+		}
+		if len(taken) > 1 {
+			splits++
+		}
+		s.expectAllAfterNext(3)
+	}
+	return splits
+}
+
+// expectAllAfterNext fails unless a later number ends a conflict everywhere.
+func (s *sim) expectAllAfterNext(number uint64) {
+	s.t.Helper()
+	r := s.publish(number, fmt.Sprint("next", number))
+	s.run(inForceLimit)
+	s.expectAll(r, "after a race")
+	for _, n := range s.nodes {
+		if n.alive && n.node.Digest().Conflict {
+			s.t.Fatalf("%s still reports a conflict", n.peer.Address)
+		}
+	}
+}
+
+func TestInvalidRevisionIsRefusedWhole(t *testing.T) {
+	s := newSim(t, 1, 30, 3, comfreyconfig.Timing{})
+	r := s.publish(1, "a")
+	s.startAll()
+	s.run(inForceLimit)
+	bad := append(content("b"), comfreyconfig.File{Name: "30-bad.yaml", Content: []byte("services:\n  template:\n    colour: red\n")})
+	s.platform.publish(2, bad)
+	s.run(time.Minute)
+	s.expectAll(r, "invalid revision")
+	invalid := uint64(0)
+	for _, n := range s.nodes {
+		invalid += n.node.Stats().Invalid
+	}
+	if invalid == 0 {
+		t.Error("no process counted the invalid revision")
+	}
+	s.expectAllAfterNext(3)
+}
+
+func TestReplacedProcessDoesNotFallBackToStalePlatform(t *testing.T) {
+	for seed := range uint64(50) {
+		s := newSim(t, seed, 20, 4, comfreyconfig.Timing{})
+		s.platform.stale = s.publish(1, "a")
+		s.startAll()
+		s.run(inForceLimit)
+		s.publish(2, "b")
+		s.run(inForceLimit)
+		s.platform.isStale = true
+		s.onTake = func(n *simNode, number uint64, _ comfreyconfig.Hash) {
+			if number < 2 {
+				t.Errorf("seed %d: %s fell back to %d", seed, n.peer.Address, number)
+			}
+		}
+		for range 30 {
+			n := s.nodes[s.random.IntN(len(s.nodes))]
+			s.stop(n)
+			s.run(100 * time.Millisecond)
+			s.start(n)
+			s.run(3 * time.Second)
+			if n.number() != 2 {
+				t.Errorf("seed %d: a replaced process has %d in force", seed, n.number())
+			}
+		}
+	}
+}
+
+func TestPlatformThatDiesAfterAPublication(t *testing.T) {
+	for seed := range uint64(50) {
+		s := newSim(t, seed, 40, 4, comfreyconfig.Timing{})
+		s.publish(1, "a")
+		s.startAll()
+		s.run(inForceLimit + time.Duration(seed)*time.Second)
+		r := s.publish(2, "b")
+		s.run(100 * time.Millisecond)
+		s.platform.down = true
+		s.run(inForceLimit)
+		s.expectAll(r, "platform down")
+	}
+}
+
+// TestFleetCosts prints what configuration costs against the size of the
+// fleet, at 3,100 changes a day, and bounds it.
+func TestFleetCosts(t *testing.T) {
+	sizes := []int{100, 300, 1260}
+	if testing.Short() {
+		sizes = sizes[:2]
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "processes\tplatform calls/s\tcalls in the busiest second of a cold start\tcontrol bytes/s and process\tworst bytes/s\tslowest change\t")
+	var calls []float64
+	for _, size := range sizes {
+		c := measureCosts(t, size)
+		fmt.Fprintf(w, "%d\t%.1f\t%d\t%.0f\t%.0f\t%v\t\n", size, c.calls, c.startCalls, c.bytes, c.worstBytes, c.slowest.Round(time.Millisecond))
+		calls = append(calls, c.calls)
+		if c.slowest > inForceLimit || c.calls > 100 || c.bytes > 4000 {
+			t.Errorf("at %d processes: %+v", size, c)
+		}
+	}
+	w.Flush()
+	if last := len(sizes) - 1; calls[last]/calls[0] > 0.5*float64(sizes[last])/float64(sizes[0]) {
+		t.Errorf("calls grow almost as fast as the fleet: %v at %v", calls, sizes)
+	}
+}
+
+type costs struct {
+	calls, bytes, worstBytes float64
+	startCalls               int
+	slowest                  time.Duration
+}
+
+// targetContent returns a folder whose changes have the size of the target's:
+// a manifest of 124 files, and one file of 13.7 KB that changes.
+func targetContent(tag string) comfreyconfig.Folder {
+	f := content(tag)
+	for i := range 122 {
+		text := fmt.Sprintf("# %d\n", i)
+		f = append(f, comfreyconfig.File{Name: fmt.Sprintf("40-customers-%03d.yaml", i), Content: []byte(text)})
+	}
+	f[1].Content = append(f[1].Content, "# "+strings.Repeat("y", 13_600)+"\n"...)
+	return comfreyconfig.NewFolder(f...)
+}
+
+func measureCosts(t *testing.T, size int) costs {
+	const changes = 10
+	const period = 86_400 * time.Second / 3100
+	s := newSim(t, 7, size, 6, comfreyconfig.Timing{})
+	s.platform.publish(1, targetContent("a"))
+	s.startAll()
+	var c costs
+	for range 20 {
+		s.platform.calls = 0
+		s.run(time.Second)
+		c.startCalls = max(c.startCalls, s.platform.calls)
+	}
+	s.platform.calls = 0
+	for _, n := range s.nodes {
+		n.bytes = 0
+	}
+	for i := range uint64(changes) {
+		at := s.now
+		s.onTake = func(*simNode, uint64, comfreyconfig.Hash) { c.slowest = max(c.slowest, s.now.Sub(at)) }
+		r := s.platform.publish(2+i, targetContent(fmt.Sprint("b", i)))
+		s.run(period)
+		s.expectAll(r, "change")
+	}
+	seconds := (changes * period).Seconds()
+	c.calls = float64(s.platform.calls) / seconds
+	for _, n := range s.nodes {
+		b := float64(n.bytes) / seconds
+		c.bytes += b / float64(size)
+		c.worstBytes = max(c.worstBytes, b)
+	}
+	return c
+}
--- /dev/null
+++ b/comfreyconfig/sim_test.go
@@ -0,0 +1,356 @@
+package comfreyconfig_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+)
+
+// messageBytes is what one message costs besides its payload: a request line
+// and headers of HTTP, and the headers of TCP and IP.
+const messageBytes = 450
+
+// digestBytes is the size of a digest in protobuf.
+const digestBytes = 90
+
+// sim runs nodes, peers' connections and a platform on a virtual clock.
+type sim struct {
+	t        *testing.T
+	now      time.Time
+	queue    eventQueue
+	sequence uint64
+	random   *rand.Rand
+	nodes    []*simNode
+	byPeer   map[string]*simNode
+	platform *simPlatform
+	timing   comfreyconfig.Timing
+	cut      map[string]int // the side of a partition that a data centre is on
+	alarms   int
+	onTake   func(n *simNode, number uint64, h comfreyconfig.Hash)
+}
+
+// simNode is one process with what the test knows of it.
+type simNode struct {
+	peer        comfreyconfig.Peer
+	node        *comfreyconfig.Node
+	incarnation uint64
+	alive       bool
+	paused      bool
+	steadySince time.Time
+	held        []func()
+	bytes       int
+	since       map[uint64]time.Time
+}
+
+func (n *simNode) number() uint64 {
+	return n.node.Store().Revision().Number
+}
+
+type event struct {
+	at       time.Time
+	sequence uint64
+	run      func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].sequence < q[j].sequence
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// newSim returns a fleet with its processes spread over data centres; half of
+// the hosts of each start within a second.
+func newSim(t *testing.T, seed uint64, size, dataCentres int, timing comfreyconfig.Timing) *sim {
+	s := &sim{
+		t:        t,
+		now:      time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC),
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		byPeer:   map[string]*simNode{},
+		timing:   timing,
+		cut:      map[string]int{},
+		platform: &simPlatform{blobs: map[comfreyconfig.Hash][]byte{}},
+	}
+	var hosts []comfreyconfig.Host
+	for i := range size {
+		p := comfreyconfig.Peer{Address: fmt.Sprintf("10.0.%d.%d:80", i/256, i%256), DataCentre: fmt.Sprintf("dc-%d", i%dataCentres)}
+		hosts = append(hosts, comfreyconfig.Host{DataCentre: p.DataCentre, Address: p.Address, State: comfreyconfig.HostStateLive})
+		n := &simNode{peer: p}
+		s.nodes = append(s.nodes, n)
+		s.byPeer[p.Address] = n
+	}
+	b, err := json.Marshal(hosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.platform.hosts = b
+	return s
+}
+
+// startAll starts every process within a second.
+func (s *sim) startAll() {
+	for _, n := range s.nodes {
+		s.after(time.Duration(s.random.Int64N(int64(time.Second))), func() { s.start(n) })
+	}
+}
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.sequence++
+	heap.Push(&s.queue, event{at: s.now.Add(d), sequence: s.sequence, run: f})
+}
+
+// run runs the simulation for d.
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && s.queue[0].at.Before(end) {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+// start starts a process anew, with nothing in memory.
+func (s *sim) start(n *simNode) {
+	n.incarnation++
+	n.alive, n.paused, n.held = true, false, nil
+	n.steadySince = s.now
+	n.since = map[uint64]time.Time{}
+	n.node = comfreyconfig.NewNode(comfreyconfig.NodeConfig{
+		Self: n.peer, Timing: s.timing, Seed: s.random.Uint64(), Seeds: []comfreyconfig.Peer{s.nodes[0].peer, s.nodes[len(s.nodes)-1].peer},
+	})
+	s.tick(n)
+}
+
+func (s *sim) stop(n *simNode) {
+	n.alive = false
+	n.incarnation++
+}
+
+func (s *sim) pause(n *simNode, d time.Duration) {
+	i := n.incarnation
+	n.paused = true
+	s.after(d, func() {
+		if n.incarnation != i {
+			return
+		}
+		n.paused = false
+		n.steadySince = s.now
+		held := n.held
+		n.held = nil
+		for _, f := range held {
+			f()
+		}
+	})
+}
+
+// at runs f at a process now, or when it wakes if it is paused. It is dropped
+// if the process of that incarnation is gone.
+func (s *sim) at(n *simNode, incarnation uint64, f func()) {
+	switch {
+	case n.incarnation != incarnation || !n.alive:
+	case n.paused:
+		n.held = append(n.held, func() { s.at(n, incarnation, f) })
+	default:
+		f()
+	}
+}
+
+// deliver runs f at a process after d.
+func (s *sim) deliver(n *simNode, d time.Duration, f func()) {
+	i := n.incarnation
+	s.after(d, func() { s.at(n, i, f) })
+}
+
+func (s *sim) tick(n *simNode) {
+	s.act(n, n.node.Tick(s.now))
+	d := max(n.node.Next().Sub(s.now), time.Millisecond)
+	s.deliver(n, d, func() { s.tick(n) })
+}
+
+func (s *sim) latency() time.Duration {
+	return time.Millisecond + time.Duration(s.random.Int64N(int64(4*time.Millisecond)))
+}
+
+func (s *sim) connected(a, b *simNode) bool {
+	return s.cut[a.peer.DataCentre] == s.cut[b.peer.DataCentre]
+}
+
+// call runs serve at the process of p and answer at n with its result. A lost
+// call fails after the time that an answer may take, a refused one at once.
+func (s *sim) call(n *simNode, p comfreyconfig.Peer, serve func(to *simNode) (int, func()), fail func()) {
+	to := s.byPeer[p.Address]
+	if !s.connected(n, to) || to.paused {
+		s.deliver(n, 2*time.Second, fail)
+		return
+	}
+	if !to.alive {
+		s.deliver(n, s.latency(), fail)
+		return
+	}
+	i := n.incarnation
+	s.deliver(to, s.latency(), func() {
+		size, answer := serve(to)
+		to.bytes += size + 2*messageBytes
+		n.bytes += size + 2*messageBytes
+		s.after(s.latency(), func() { s.at(n, i, answer) })
+	})
+}
+
+// act carries out the actions of a node.
+func (s *sim) act(n *simNode, actions []comfreyconfig.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case comfreyconfig.ActionExchange:
+			s.exchange(n, a.Peer)
+		case comfreyconfig.ActionFetch:
+			s.fetch(n, a)
+		case comfreyconfig.ActionRead, comfreyconfig.ActionWatch, comfreyconfig.ActionHosts:
+			s.platform.call(s, n, a)
+		case comfreyconfig.ActionInForce:
+			n.since[a.Revision.Number] = s.now
+			if s.onTake != nil {
+				s.onTake(n, a.Revision.Number, a.Revision.Hash)
+			}
+		case comfreyconfig.ActionReport:
+			if a.Outcome == comfreyconfig.OutcomeConflict {
+				s.alarms++
+			}
+		}
+	}
+}
+
+func (s *sim) exchange(n *simNode, p comfreyconfig.Peer) {
+	d := n.node.Digest()
+	s.call(n, p, func(to *simNode) (int, func()) {
+		s.act(to, to.node.Hear(s.now, n.peer, d))
+		r := to.node.Digest()
+		return 2 * digestBytes, func() { s.act(n, n.node.Exchanged(s.now, p, r)) }
+	}, func() { s.act(n, n.node.ExchangeFailed(s.now)) })
+}
+
+func (s *sim) fetch(n *simNode, a comfreyconfig.Action) {
+	failed := func() { s.act(n, n.node.Fetched(s.now, comfreyconfig.FetchAnswer{Peer: a.Peer, Failed: true})) }
+	if a.Peer.Address == "" {
+		s.platform.fetch(s, n, a, failed)
+		return
+	}
+	s.call(n, a.Peer, func(to *simNode) (int, func()) {
+		b := to.node.Serve(a.Hashes)
+		size := 0
+		for _, x := range b {
+			size += len(x)
+		}
+		return size, func() { s.act(n, n.node.Fetched(s.now, comfreyconfig.FetchAnswer{Peer: a.Peer, Blobs: b})) }
+	}, failed)
+}
+
+// simPlatform is the read-and-watch service.
+type simPlatform struct {
+	current comfreyconfig.Revision
+	stale   comfreyconfig.Revision
+	blobs   map[comfreyconfig.Hash][]byte
+	hosts   []byte
+	down    bool
+	isStale bool
+	calls   int
+	waiters []func()
+}
+
+// publish makes f the folder of that number and wakes the watches.
+func (p *simPlatform) publish(number uint64, f comfreyconfig.Folder) comfreyconfig.Revision {
+	p.current = comfreyconfig.NewRevision(number, f)
+	for h, b := range comfreyconfig.Blobs(f) {
+		p.blobs[h] = b
+	}
+	w := p.waiters
+	p.waiters = nil
+	for _, f := range w {
+		f()
+	}
+	return p.current
+}
+
+func (p *simPlatform) shown() comfreyconfig.Revision {
+	if p.isStale {
+		return p.stale
+	}
+	return p.current
+}
+
+// call answers a read, a watch or a read of the host list.
+func (p *simPlatform) call(s *sim, n *simNode, a comfreyconfig.Action) {
+	p.calls++
+	asked := s.now
+	answer := func(x comfreyconfig.PlatformAnswer) {
+		x.Asked, x.Kind = asked, a.Kind
+		s.deliver(n, s.latency(), func() { s.act(n, n.node.PlatformAnswered(s.now, x)) })
+	}
+	switch {
+	case a.Kind == comfreyconfig.ActionHosts:
+		h := comfreyconfig.HostsAnswer{Failed: p.down, Unchanged: a.After >= 1, Number: 1, Text: p.hosts}
+		s.deliver(n, s.latency(), func() { s.act(n, n.node.HostsAnswered(s.now, h)) })
+	case p.down:
+		answer(comfreyconfig.PlatformAnswer{Failed: true})
+	case a.Kind == comfreyconfig.ActionWatch && p.shown().Number <= a.After:
+		p.wait(s, a, answer)
+	case p.shown().Number == 0:
+		answer(comfreyconfig.PlatformAnswer{Unchanged: true})
+	default:
+		answer(comfreyconfig.PlatformAnswer{Number: p.shown().Number, Manifest: p.shown().Manifest()})
+	}
+}
+
+// wait keeps a watch until something newer is published or its time is over.
+func (p *simPlatform) wait(s *sim, a comfreyconfig.Action, answer func(comfreyconfig.PlatformAnswer)) {
+	done := false
+	var check func()
+	check = func() {
+		switch {
+		case done:
+		case p.down:
+			done = true
+			answer(comfreyconfig.PlatformAnswer{Failed: true})
+		case p.shown().Number > a.After:
+			done = true
+			answer(comfreyconfig.PlatformAnswer{Number: p.shown().Number, Manifest: p.shown().Manifest()})
+		default:
+			p.waiters = append(p.waiters, check)
+		}
+	}
+	p.waiters = append(p.waiters, check)
+	s.after(a.Wait, func() {
+		if !done {
+			done = true
+			answer(comfreyconfig.PlatformAnswer{Unchanged: true, Hash: p.shown().Hash})
+		}
+	})
+}
+
+func (p *simPlatform) fetch(s *sim, n *simNode, a comfreyconfig.Action, failed func()) {
+	p.calls += len(a.Hashes)
+	if p.down {
+		s.deliver(n, s.latency(), failed)
+		return
+	}
+	var b [][]byte
+	for _, h := range a.Hashes {
+		b = append(b, p.blobs[h])
+	}
+	s.deliver(n, s.latency(), func() { s.act(n, n.node.Fetched(s.now, comfreyconfig.FetchAnswer{Blobs: b})) })
+}
