--- a/comfreyadmission/config.go
+++ b/comfreyadmission/config.go
@@ -6,7 +6,7 @@
 	defaultMaxRunning      = 256
 	defaultQueueLimit      = 256
 	defaultMaxLengthTokens = 4096
-	defaultWatermark       = 0.9
+	defaultWatermark       = 0.99
 )
 
 // Config holds the settings of a Controller. The zero value of each field
--- a/comfreyadmission/request.go
+++ b/comfreyadmission/request.go
@@ -25,6 +25,9 @@
 	// Booking is the ID of an earlier refusal whose RetryAfter the caller
 	// follows. It may be empty or unknown.
 	Booking string
+	// Final says that a refusal goes to the caller, not to a gateway that tries
+	// elsewhere, so that the controller keeps a place for the caller's return.
+	Final bool
 }
 
 // Outcome says how a generation ended.
--- /dev/null
+++ b/comfreylength/curve.go
@@ -0,0 +1,122 @@
+package comfreylength
+
+const (
+	// weightLimit bounds the observations that a bucket remembers; older ones
+	// fade by half whenever it is reached.
+	weightLimit = 512
+	// rebuildLimit bounds the observations after which a curve is rebuilt.
+	rebuildLimit = 32
+)
+
+// Curve is the length distribution of one key. It is not safe for concurrent
+// use. A curve that its model has evicted goes on working.
+type Curve struct {
+	parent   *Curve
+	backOff  float32
+	exposed  [buckets]float32 // generations whose fate in the bucket is known
+	ended    [buckets]float32 // those of them that ended in it
+	survival [buckets + 1]float32
+	updates  int
+	built    int
+	used     int // the model's clock at the last look-up
+}
+
+// Pass tells that a running generation has left the bucket that holds tokens.
+// Long answers teach the curve before they end, so the ones that are still
+// running do not bias it towards short ones.
+func (c *Curve) Pass(tokens int) {
+	b := Bucket(tokens)
+	for ; c.parent != nil; c = c.parent {
+		c.add(b, 0)
+	}
+}
+
+// End tells that an answer ended by itself after tokens. The buckets before
+// the last one must have been passed already.
+func (c *Curve) End(tokens int) {
+	b := Bucket(tokens)
+	for ; c.parent != nil; c = c.parent {
+		c.add(b, 1)
+	}
+}
+
+// Observe adds a whole answer of the given length.
+func (c *Curve) Observe(tokens int) {
+	for b := range Bucket(tokens) {
+		c.Pass(lowerBound(b))
+	}
+	c.End(tokens)
+}
+
+// add counts one generation in bucket b.
+func (c *Curve) add(b int, ended float32) {
+	c.exposed[b]++
+	c.ended[b] += ended
+	if c.exposed[b] > weightLimit {
+		c.exposed[b] /= 2
+		c.ended[b] /= 2
+	}
+	c.updates++
+}
+
+// Survival returns the chance that an answer of which generated tokens exist
+// is longer than generated+further. It is 1 if further is zero or below.
+func (c *Curve) Survival(generated, further int) float64 {
+	if further <= 0 {
+		return 1
+	}
+	c.refresh()
+	s := c.at(generated)
+	if s <= 0 {
+		return 0
+	}
+	return float64(min(c.at(generated+further)/s, 1))
+}
+
+// Remaining returns the expected number of tokens that follow the generated
+// ones.
+func (c *Curve) Remaining(generated int) float64 {
+	c.refresh()
+	s := c.at(generated)
+	if s <= 0 {
+		return 0
+	}
+	sum := float32(0)
+	from, left := generated, s
+	for b := Bucket(generated) + 1; b <= buckets; b++ {
+		n := lowerBound(b)
+		sum += (left + c.survival[b]) / 2 * float32(n-from)
+		from, left = n, c.survival[b]
+	}
+	return float64(sum / s)
+}
+
+// at returns the chance that an answer is at least tokens long.
+func (c *Curve) at(tokens int) float32 {
+	b := Bucket(tokens)
+	low, high := lowerBound(b), lowerBound(b+1)
+	share := float32(tokens-low) / float32(high-low)
+	return c.survival[b] + min(share, 1)*(c.survival[b+1]-c.survival[b])
+}
+
+// refresh rebuilds the survival table if enough was observed since the last
+// time.
+func (c *Curve) refresh() {
+	if c.updates-c.built < min(1+c.built/16, rebuildLimit) && c.survival[0] != 0 {
+		return
+	}
+	c.built = c.updates
+	c.survival[0] = 1
+	for b := range buckets {
+		c.survival[b+1] = c.survival[b] * (1 - c.hazard(b))
+	}
+}
+
+// hazard returns the chance that an answer that reaches bucket b ends in it.
+// Few observations leave it near the parent's.
+func (c *Curve) hazard(b int) float32 {
+	if c.parent == nil {
+		return c.ended[b] / c.exposed[b]
+	}
+	return (c.ended[b] + c.backOff*c.parent.hazard(b)) / (c.exposed[b] + c.backOff)
+}
--- /dev/null
+++ b/comfreylength/model.go
@@ -0,0 +1,147 @@
+// Package comfreylength learns, while answers are generated, how long answers
+// are. A distribution backs off from customer and service to the service and
+// to all services while it has seen little, and can be conditioned on the
+// number of tokens that already exist.
+//
+// Each distribution is a table of hazards over buckets of logarithmic width:
+// the share of the answers that reach a bucket and end in it. Answers that are
+// still running count in the buckets that they have left (as in the
+// Kaplan-Meier estimator).
+package comfreylength
+
+import "math"
+
+// The defaults of Config.
+const (
+	defaultBackOff      = 12
+	defaultMaxCurves    = 1024
+	defaultMedianTokens = 200
+	defaultSpread       = 1.3
+)
+
+// Config holds the settings of a Model. The zero value of each field selects
+// its default; so does a value below zero.
+type Config struct {
+	// BackOff is how many observations the coarser distribution counts for.
+	BackOff float64
+	// MaxCurves bounds the keys that the model remembers; the least recently
+	// used one is evicted.
+	MaxCurves int
+	// MedianTokens and Spread are the median, and the standard deviation of the
+	// logarithm, of the lognormal distribution that the model starts from.
+	MedianTokens float64
+	Spread       float64
+}
+
+// Key names a distribution. Class may be empty.
+type Key struct {
+	Customer string
+	Service  string
+	Class    string
+}
+
+// Model holds the distributions of one process. It is not safe for concurrent
+// use.
+type Model struct {
+	config   Config
+	fleet    *Curve
+	services map[string]*Curve
+	curves   map[Key]*Curve
+	clock    int
+}
+
+// New returns a model that knows nothing but its prior.
+func New(c Config) *Model {
+	if c.BackOff <= 0 {
+		c.BackOff = defaultBackOff
+	}
+	if c.MaxCurves <= 0 {
+		c.MaxCurves = defaultMaxCurves
+	}
+	if c.MedianTokens <= 0 {
+		c.MedianTokens = defaultMedianTokens
+	}
+	if c.Spread <= 0 {
+		c.Spread = defaultSpread
+	}
+	m := &Model{config: c, services: map[string]*Curve{}, curves: map[Key]*Curve{}}
+	m.fleet = m.child(prior(c))
+	return m
+}
+
+// prior returns the root distribution, which is never updated.
+func prior(c Config) *Curve {
+	r := &Curve{}
+	for b := range buckets {
+		r.exposed[b] = 1
+		r.ended[b] = float32(lognormalHazard(c, lowerBound(b), lowerBound(b+1)))
+	}
+	return r
+}
+
+// lognormalHazard returns the chance that a lognormal length of at least low
+// is below high.
+func lognormalHazard(c Config, low, high int) float64 {
+	s := lognormalSurvival(c, low)
+	if s < math.SmallestNonzeroFloat32 {
+		return 1
+	}
+	return 1 - lognormalSurvival(c, high)/s
+}
+
+// lognormalSurvival returns the chance that a lognormal length is at least
+// tokens.
+func lognormalSurvival(c Config, tokens int) float64 {
+	if tokens <= 0 {
+		return 1
+	}
+	z := (math.Log(float64(tokens)) - math.Log(c.MedianTokens)) / c.Spread
+	return math.Erfc(z/math.Sqrt2) / 2
+}
+
+// child returns an empty curve that backs off to p.
+func (m *Model) child(p *Curve) *Curve {
+	return &Curve{parent: p, backOff: float32(m.config.BackOff)}
+}
+
+// Curve returns the distribution of k, which it creates if k is new.
+func (m *Model) Curve(k Key) *Curve {
+	m.clock++
+	c, ok := m.curves[k]
+	if !ok {
+		m.evict()
+		c = m.child(m.service(k.Service))
+		m.curves[k] = c
+	}
+	c.used = m.clock
+	return c
+}
+
+// service returns the distribution of a service.
+func (m *Model) service(name string) *Curve {
+	c, ok := m.services[name]
+	if ok {
+		return c
+	}
+	if len(m.services) >= m.config.MaxCurves {
+		return m.fleet
+	}
+	c = m.child(m.fleet)
+	m.services[name] = c
+	return c
+}
+
+// evict makes room for one more key.
+func (m *Model) evict() {
+	if len(m.curves) < m.config.MaxCurves {
+		return
+	}
+	var oldest Key
+	used := math.MaxInt
+	for k, c := range m.curves {
+		if c.used < used {
+			oldest, used = k, c.used
+		}
+	}
+	delete(m.curves, oldest)
+}
--- /dev/null
+++ b/comfreylength/model_test.go
@@ -0,0 +1,108 @@
+package comfreylength
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"unsafe"
+)
+
+func TestBucketsCoverEveryLengthInOrder(t *testing.T) {
+	for n := range 1 << 17 {
+		b := Bucket(n)
+		if n < lowerBound(b) || n >= lowerBound(b+1) {
+			t.Fatalf("length %d in bucket %d of [%d, %d)", n, b, lowerBound(b), lowerBound(b+1))
+		}
+	}
+}
+
+func TestCurveConvergesOnTheSampledDistribution(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	c := New(Config{}).Curve(Key{Customer: "a", Service: "s"})
+	var lengths []int
+	for range 2000 {
+		n := int(math.Exp(6 + 0.8*r.NormFloat64()))
+		lengths = append(lengths, n)
+		c.Observe(n)
+	}
+	for _, g := range []int{0, 200, 800} {
+		for _, h := range []int{50, 200, 800} {
+			alive, longer := 0.0, 0.0
+			for _, n := range lengths {
+				if n >= g {
+					alive++
+				}
+				if n >= g+h {
+					longer++
+				}
+			}
+			if got, want := c.Survival(g, h), longer/alive; math.Abs(got-want) > 0.08 {
+				t.Errorf("Survival(%d, %d) = %.3f, sampled %.3f", g, h, got, want)
+			}
+		}
+	}
+}
+
+// TestRunningAnswersCount compares learning from short answers that ended
+// beside long ones that still run: the long ones must show.
+func TestRunningAnswersCount(t *testing.T) {
+	c := New(Config{}).Curve(Key{Service: "s"})
+	for range 100 {
+		c.Observe(20)
+		for b := range Bucket(1000) {
+			c.Pass(lowerBound(b))
+		}
+	}
+	if got := c.Survival(0, 900); math.Abs(got-0.5) > 0.1 {
+		t.Errorf("Survival(0, 900) = %.3f, want about 0.5", got)
+	}
+}
+
+func TestNewCustomerBacksOffToItsService(t *testing.T) {
+	m := New(Config{})
+	for range 300 {
+		m.Curve(Key{Customer: "a", Service: "reports"}).Observe(2000)
+		m.Curve(Key{Customer: "a", Service: "quotes"}).Observe(30)
+	}
+	long := m.Curve(Key{Customer: "b", Service: "reports"}).Survival(0, 500)
+	short := m.Curve(Key{Customer: "b", Service: "quotes"}).Survival(0, 500)
+	if long < 0.8 || short > 0.1 {
+		t.Errorf("reports %.2f, quotes %.2f", long, short)
+	}
+}
+
+func TestModelForgetsTheLeastRecentlyUsedKey(t *testing.T) {
+	m := New(Config{MaxCurves: 2})
+	a := m.Curve(Key{Customer: "a"})
+	m.Curve(Key{Customer: "b"})
+	m.Curve(Key{Customer: "a"})
+	m.Curve(Key{Customer: "c"})
+	if m.Curve(Key{Customer: "a"}) != a || len(m.curves) != 2 {
+		t.Errorf("kept %d curves, a kept: %t", len(m.curves), m.Curve(Key{Customer: "a"}) == a)
+	}
+}
+
+func BenchmarkSurvival(b *testing.B) {
+	c := New(Config{}).Curve(Key{Service: "s"})
+	for i := range 1000 {
+		c.Observe(i)
+	}
+	b.ReportMetric(float64(unsafe.Sizeof(*c)), "B/customer")
+	for i := 0; b.Loop(); i++ {
+		c.Survival(i&1023, 128)
+	}
+}
+
+func ExampleCurve_Survival() {
+	c := New(Config{}).Curve(Key{Customer: "a", Service: "reports"})
+	for range 200 {
+		c.Observe(100)
+		c.Observe(1000)
+	}
+	fmt.Printf("%.1f\n", c.Survival(0, 500))
+	fmt.Printf("%.1f\n", c.Survival(200, 500))
+	// Output:
+	// 0.5
+	// 1.0
+}
