comfreyadmission: predicted-peak admission with bookings, customer thresholds and paced prompts

Cause: greedy fills the memory and pushes aside what then no longer fits; reservation runs a fraction of what fits.

--- /dev/null
+++ b/comfreyadmission/account.go
@@ -0,0 +1,97 @@
+package comfreyadmission
+
+import "time"
+
+const (
+	// maxBookings bounds the places that are kept for callers that return.
+	maxBookings = 1024
+	// bookingGrace is how long after its time a place is kept.
+	bookingGrace = 5 * time.Second
+)
+
+// account is what a customer has waiting, in expected answer tokens.
+type account struct {
+	queued float64
+	booked float64
+	weight float64
+}
+
+// waiting returns the expected tokens of everything that waits.
+func (a *account) waiting() float64 {
+	return a.queued + a.booked
+}
+
+// booking is a place kept for a caller that was told when to return.
+type booking struct {
+	id       string
+	customer string
+	due      time.Time
+	tokens   float64
+}
+
+// account returns the account of a customer, which it opens if need be.
+func (c *Controller) account(customer string) *account {
+	a, ok := c.accounts[customer]
+	if ok {
+		return a
+	}
+	a = &account{weight: c.config.Weights(customer)}
+	if a.weight <= 0 {
+		a.weight = 1
+	}
+	c.accounts[customer] = a
+	return a
+}
+
+// tidyAccounts closes the accounts of customers that have nothing waiting.
+func (c *Controller) tidyAccounts() {
+	for n, a := range c.accounts {
+		if a.waiting() < 1 {
+			delete(c.accounts, n)
+		}
+	}
+}
+
+// book keeps a place for the return of a refused caller.
+func (c *Controller) book(now time.Time, r Request, d time.Duration, tokens float64) {
+	if len(c.bookings) >= maxBookings {
+		return
+	}
+	c.bookings = append(c.bookings, booking{id: r.ID, customer: r.Customer, due: now.Add(d), tokens: tokens})
+	c.account(r.Customer).booked += tokens
+	c.booked += tokens
+}
+
+// redeem gives up the place of a caller that returns. It reports whether there
+// was one.
+func (c *Controller) redeem(id string) bool {
+	if id == "" {
+		return false
+	}
+	for i := range c.bookings {
+		if c.bookings[i].id == id {
+			c.dropBooking(i)
+			return true
+		}
+	}
+	return false
+}
+
+// expireBookings gives up the places of callers that did not return.
+func (c *Controller) expireBookings(now time.Time) {
+	for i := len(c.bookings) - 1; i >= 0; i-- {
+		if now.Sub(c.bookings[i].due) > bookingGrace {
+			c.dropBooking(i)
+		}
+	}
+}
+
+// dropBooking removes booking i.
+func (c *Controller) dropBooking(i int) {
+	b := c.bookings[i]
+	last := len(c.bookings) - 1
+	c.bookings[i] = c.bookings[last]
+	c.bookings = c.bookings[:last]
+	c.account(b.customer).booked -= b.tokens
+	c.booked -= b.tokens
+}
--- a/comfreyadmission/config.go
+++ b/comfreyadmission/config.go
@@ -1,10 +1,17 @@
 package comfreyadmission
 
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreylength"
+)
+
 // The defaults of Config.
 const (
 	defaultCapacityTokens  = 65536
 	defaultMaxRunning      = 256
 	defaultQueueLimit      = 256
+	defaultQueueTime       = 20 * time.Second
 	defaultMaxLengthTokens = 4096
 	defaultWatermark       = 0.99
 )
@@ -22,15 +29,23 @@
 	MaxRunning int
 	// QueueLimit bounds the requests that wait in the controller.
 	QueueLimit int
+	// QueueTime is the longest wait that a request is queued for; one that is
+	// expected to wait longer is refused at once and told when to return.
+	QueueTime time.Duration
 	// MaxLengthTokens is the answer length that PolicyReservation assumes for a
 	// request whose MaxTokens is unknown.
 	MaxLengthTokens int
 	// Watermark is the share of CapacityTokens that PolicyGreedy fills, above 0
 	// and at most 1.
 	Watermark float64
+	// Margin is the number of standard deviations of the predicted memory that
+	// PolicyPredictedPeak keeps free; zero selects what Preset asks for.
+	Margin float64
 	// Weights returns the weight of a customer's share of the tokens. A result
 	// of zero or below counts as 1. The default weighs all customers equally.
 	Weights func(customer string) float64
+	// Lengths are the length distributions; the default is a model of its own.
+	Lengths *comfreylength.Model
 }
 
 // withDefaults returns a copy of c with every field set.
@@ -42,9 +57,18 @@
 	if c.Watermark <= 0 || c.Watermark > 1 {
 		c.Watermark = defaultWatermark
 	}
+	if c.QueueTime <= 0 {
+		c.QueueTime = defaultQueueTime
+	}
 	if c.Weights == nil {
 		c.Weights = func(string) float64 { return 1 }
 	}
+	if c.Margin <= 0 {
+		c.Margin = c.Preset.margin()
+	}
+	if c.Lengths == nil {
+		c.Lengths = comfreylength.New(comfreylength.Config{})
+	}
 	return c
 }
 
--- a/comfreyadmission/controller.go
+++ b/comfreyadmission/controller.go
@@ -13,21 +13,29 @@
 // use: one goroutine owns it. The slices that its methods return are valid
 // until the next call.
 type Controller struct {
-	config   Config
-	entries  map[string]*entry
-	queue    []*entry
-	running  []*entry
-	free     []*entry
-	used     int
-	reserved int
-	drain    drain
-	actions  []Action
-	counts   counts
+	config    Config
+	entries   map[string]*entry
+	queue     []*entry
+	running   []*entry
+	free      []*entry
+	used      int
+	reserved  int
+	accounts  map[string]*account
+	bookings  []booking
+	queued    float64 // expected tokens that wait in the queue
+	booked    float64 // expected tokens of callers told to return
+	drain     drain
+	forecast  forecast
+	margin    float64 // standard deviations of the predicted memory that stay free
+	actions   []Action
+	paceUntil time.Time // no further prompt before
+	counts    counts
 }
 
 // New returns a controller for an idle engine.
 func New(c Config) *Controller {
-	return &Controller{config: c.withDefaults(), entries: map[string]*entry{}}
+	c = c.withDefaults()
+	return &Controller{config: c, margin: c.Margin, entries: map[string]*entry{}, accounts: map[string]*account{}}
 }
 
 // Submit offers a request. The last action about r says whether it was
@@ -49,11 +57,10 @@
 		c.refuse(r, comfreyverdict.ReasonBadRequest, 0)
 		return c.end()
 	}
-	if len(c.queue) >= c.config.QueueLimit {
-		c.refuse(r, comfreyverdict.ReasonAdmissionFull, c.expectedWait())
+	e, ok := c.enter(now, r)
+	if !ok {
 		return c.end()
 	}
-	e := c.enqueue(now, r)
 	c.fill(now)
 	if e.state == stateQueued {
 		c.act(ActionQueue, e, comfreyverdict.ReasonAdmissionFull, now)
@@ -71,11 +78,17 @@
 		return c.end()
 	}
 	d := generatedTokens - e.generated
+	e.learn(e.generated, generatedTokens)
 	c.reserved -= e.reserved(c.config.MaxLengthTokens)
 	e.generated = generatedTokens
 	c.reserved += e.reserved(c.config.MaxLengthTokens)
 	c.used += d
-	c.drain.tokens(now, d)
+	c.drain.tokens(now, d, now.Sub(e.last))
+	e.last = now
+	if e.stale() {
+		c.renew(e)
+	}
+	c.fill(now)
 	return c.end()
 }
 
@@ -88,7 +101,7 @@
 		return c.end()
 	}
 	if o == OutcomeCompleted {
-		c.drain.finished(e.generated)
+		e.curve.End(e.generated)
 	}
 	c.release(e)
 	c.fill(now)
@@ -133,6 +146,8 @@
 // that fit. The owner calls it several times a second.
 func (c *Controller) Tick(now time.Time) []Action {
 	c.begin()
+	c.expireBookings(now)
+	c.tidyAccounts()
 	for i := len(c.queue) - 1; i >= 0; i-- {
 		e := c.queue[i]
 		if d := e.request.Deadline; !d.IsZero() && !now.Before(d) {
--- a/comfreyadmission/entry.go
+++ b/comfreyadmission/entry.go
@@ -1,6 +1,10 @@
 package comfreyadmission
 
-import "time"
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreylength"
+)
 
 // state is where a request is. A request that ended has no entry.
 type state int
@@ -18,7 +22,15 @@
 	generated int
 	submitted time.Time
 	admitted  time.Time
-	index     int // in Controller.running
+	last      time.Time     // of the latest progress
+	rank      time.Time     // orders the queue
+	promised  time.Duration // estimate of the wait at submission
+	expected  float64       // tokens of the answer
+	index     int           // in Controller.running
+
+	curve      *comfreylength.Curve
+	forecast   forecast
+	forecastAt int // generated tokens at the last prediction
 }
 
 // tokens returns the memory that e takes in the engine.
--- a/comfreyadmission/fit.go
+++ b/comfreyadmission/fit.go
@@ -12,6 +12,8 @@
 		return c.reserved+e.reserved(c.config.MaxLengthTokens) <= n
 	case PolicyEngineQueue:
 		return true
+	case PolicyPredictedPeak:
+		return c.peakWith(e) <= float64(n)
 	default:
 		return float64(c.used+e.tokens()) <= c.config.Watermark*float64(n)
 	}
@@ -19,8 +21,12 @@
 
 // peak returns the predicted peak of the memory.
 func (c *Controller) peak() int {
-	if c.config.Policy == PolicyReservation {
+	switch c.config.Policy {
+	case PolicyReservation:
 		return c.reserved
+	case PolicyPredictedPeak:
+		return int(c.peakWith(nil))
+	default:
+		return c.used
 	}
-	return c.used
 }
--- a/comfreyadmission/invariant.go
+++ b/comfreyadmission/invariant.go
@@ -41,6 +41,7 @@
 
 // audit compares the running sums with the generations.
 func (c *Controller) audit() {
+	c.resum()
 	used, reserved := 0, 0
 	for _, e := range c.running {
 		used += e.tokens()
--- a/comfreyadmission/policy.go
+++ b/comfreyadmission/policy.go
@@ -1,6 +1,9 @@
 package comfreyadmission
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Policy selects how the controller decides whether a request fits. The zero
 // value is PolicyPredictedPeak.
@@ -91,3 +94,37 @@
 	}
 	return PresetStallTime, fmt.Errorf("comfreyadmission: unknown preset %q", s)
 }
+
+// margin returns the standard deviations of the predicted memory that stay
+// free.
+func (p Preset) margin() float64 {
+	if p == PresetPreemptions {
+		return preemptionsMargin
+	}
+	return stallMargin
+}
+
+// The margins of the presets, in standard deviations.
+const (
+	stallMargin       = 2.5
+	preemptionsMargin = 2.6
+)
+
+const (
+	// longAnswerTokens is the expected length that counts as long.
+	longAnswerTokens = 1000
+	// promptTokensPerStep is how many prompt tokens the engine is given for
+	// each step.
+	promptTokensPerStep = 512
+	// stallDelay and preemptionsDelay are the delays of the presets.
+	stallDelay       = time.Second
+	preemptionsDelay = 10 * time.Second
+)
+
+// delay returns by how much a long answer ranks behind its arrival.
+func (p Preset) delay() time.Duration {
+	if p == PresetPreemptions {
+		return preemptionsDelay
+	}
+	return stallDelay
+}
--- a/comfreyreplay/html.go
+++ b/comfreyreplay/html.go
@@ -82,4 +82,3 @@
 	_, err = w.Write(svg)
 	return err
 }
-
--- a/comfreyreplay/run.go
+++ b/comfreyreplay/run.go
@@ -31,6 +31,7 @@
 	CapacityTokens int           `arg:"--capacity-tokens" help:"memory of each engine; zero selects the model's default"`
 	Outcomes       bool          `arg:"--outcomes" help:"replay every scenario of --seeds seeds, from --seed on, and compare the figures with their bounds"`
 	Seeds          int           `arg:"--seeds" help:"number of seeds for --outcomes" default:"20"`
+	Margin         float64       `arg:"--margin" help:"standard deviations that predicted-peak keeps free; zero selects the preset's"`
 	Customers      bool          `arg:"--customers" help:"print the figures by customer too"`
 	Out            string        `arg:"--out" help:"write a report with pictures to this file" placeholder:"HTML"`
 	GenerateFlags
@@ -194,6 +195,7 @@
 		u.Choose = choose
 		u.ReportInterval = o.ReportInterval
 		u.Seed = o.Seed
+		u.Admission.Margin = o.Margin
 		u.Engine.CapacityTokens = o.CapacityTokens
 		if o.Replicas > 0 {
 			u.Replicas = o.Replicas
