comfreyadmission: only the queue itself limits other customers

Cause: places kept for returning callers of one customer were counted against the room of all others, so a crowding customer's bookings refused everybody. A customer's bookings now count against itself alone, nobody is refused while the queue is short, and the drain rate of a customer is what it got of late.

--- a/comfreyadmission/account.go
+++ b/comfreyadmission/account.go
@@ -7,12 +7,15 @@
 	maxBookings = 1024
 	// bookingGrace is how long after its time a place is kept.
 	bookingGrace = 5 * time.Second
+	// servedFade is the part of the served tokens that is left after a tick.
+	servedFade = 0.995
 )
 
 // account is what a customer has waiting, in expected answer tokens.
 type account struct {
 	queued float64
 	booked float64
+	served float64 // faded tokens that its answers got
 	weight float64
 }
 
@@ -43,10 +46,14 @@
 	return a
 }
 
-// tidyAccounts closes the accounts of customers that have nothing waiting.
+// tidyAccounts fades what was served, and closes the accounts of customers
+// that have nothing waiting.
 func (c *Controller) tidyAccounts() {
+	c.served = 0
 	for n, a := range c.accounts {
-		if a.waiting() < 1 {
+		a.served *= servedFade
+		c.served += a.served
+		if a.waiting() < 1 && a.served < 1 {
 			delete(c.accounts, n)
 		}
 	}
@@ -59,7 +66,6 @@
 	}
 	c.bookings = append(c.bookings, booking{id: r.ID, customer: r.Customer, due: now.Add(d), tokens: tokens})
 	c.account(r.Customer).booked += tokens
-	c.booked += tokens
 }
 
 // redeem gives up the place of a caller that returns. It reports whether there
@@ -93,5 +99,10 @@
 	c.bookings[i] = c.bookings[last]
 	c.bookings = c.bookings[:last]
 	c.account(b.customer).booked -= b.tokens
-	c.booked -= b.tokens
+}
+
+// serve counts n tokens that a running generation got.
+func (c *Controller) serve(e *entry, n int) {
+	c.account(e.request.Customer).served += float64(n)
+	c.served += float64(n)
 }
--- a/comfreyadmission/controller.go
+++ b/comfreyadmission/controller.go
@@ -23,7 +23,7 @@
 	accounts  map[string]*account
 	bookings  []booking
 	queued    float64 // expected tokens that wait in the queue
-	booked    float64 // expected tokens of callers told to return
+	served    float64 // sum over the accounts
 	drain     drain
 	forecast  forecast
 	margin    float64 // standard deviations of the predicted memory that stay free
@@ -83,6 +83,7 @@
 	e.generated = generatedTokens
 	c.reserved += e.reserved(c.config.MaxLengthTokens)
 	c.used += d
+	c.serve(e, d)
 	c.drain.tokens(now, d, now.Sub(e.last))
 	e.last = now
 	if e.stale() {
--- a/comfreyadmission/drain.go
+++ b/comfreyadmission/drain.go
@@ -81,10 +81,10 @@
 }
 
 // expectedWait returns how long a new request waits for its start, from the
-// answers that wait before it and the measured rate.
+// queued answers and the measured rate.
 func (c *Controller) expectedWait() time.Duration {
 	if len(c.queue) == 0 {
 		return 0
 	}
-	return time.Duration((c.queued + c.booked) / c.drain.tokenRate() * float64(time.Second))
+	return time.Duration(c.queued / c.drain.tokenRate() * float64(time.Second))
 }
--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -16,6 +16,11 @@
 	// deadlineSlack is by how much the estimate of a wait may be short for a
 	// request that is queued until close to its deadline.
 	deadlineSlack = 1.5
+	// openShare is the part of the queue time below which nobody is refused.
+	openShare = 4
+	// thresholdFactor is how many times the free part of the queue a customer
+	// of weight 1 may hold.
+	thresholdFactor = 4
 )
 
 // enter queues a request or refuses it. It reports false if it refused.
@@ -32,7 +37,7 @@
 		return c.enqueue(now, r, now), true
 	}
 	if c.redeem(r.Booking) && len(c.queue) < c.config.QueueLimit {
-		return c.enqueue(now, r, now.Add(-c.config.QueueTime)), true
+		return c.enqueue(now, r, now.Add(-c.config.QueueTime/returnLead)), true
 	}
 	reason, ok := c.room(now, r)
 	if ok {
@@ -50,20 +55,20 @@
 
 // room reports whether r may wait in the queue, or why not.
 func (c *Controller) room(now time.Time, r Request) (comfreyverdict.Reason, bool) {
-	if len(c.queue) == 0 {
+	wait := c.expectedWait()
+	if len(c.queue) == 0 || wait < c.config.QueueTime/openShare {
 		return "", true
 	}
-	wait := c.expectedWait()
-	late := time.Duration(float64(wait) * deadlineSlack)
 	if len(c.queue) >= c.config.QueueLimit-c.config.QueueLimit/bookedPlaces || wait > c.config.QueueTime {
 		return comfreyverdict.ReasonAdmissionFull, false
 	}
+	late := time.Duration(float64(wait) * deadlineSlack)
 	if !r.Deadline.IsZero() && now.Add(late).After(r.Deadline) {
 		return comfreyverdict.ReasonDeadline, false
 	}
 	a := c.account(r.Customer)
-	free := c.config.QueueTime.Seconds()*c.drain.tokenRate() - c.queued - c.booked
-	if a.waiting() > a.weight*free {
+	free := c.config.QueueTime.Seconds()*c.drain.tokenRate() - c.queued
+	if a.waiting() > thresholdFactor*a.weight*free {
 		return comfreyverdict.ReasonCustomerLimit, false
 	}
 	return "", true
@@ -73,8 +78,7 @@
 // customer has waiting has drained, but for the last part of the queue time.
 func (c *Controller) returnTime(r Request, tokens float64) time.Duration {
 	a := c.account(r.Customer)
-	share := c.share(a)
-	d := time.Duration((a.waiting() + tokens) / (share * c.drain.tokenRate()) * float64(time.Second))
+	d := time.Duration((a.waiting() + tokens) / (c.share(a) * c.drain.tokenRate()) * float64(time.Second))
 	d = max(d, c.expectedWait())
 	return max(d-c.config.QueueTime/returnLead, minimumReturn)
 }
@@ -83,15 +87,16 @@
 const minimumReturn = time.Second
 
 // share returns the part of the token rate that drains an account: the part of
-// the queue that it holds, and at least its weight among those that wait.
+// the tokens that its customer got of late, and at least its weight among
+// those that ask.
 func (c *Controller) share(a *account) float64 {
 	weights := 0.0
 	for _, b := range c.accounts {
 		weights += b.weight
 	}
 	share := a.weight / weights
-	if c.queued > 0 {
-		share = max(share, a.queued/c.queued)
+	if c.served > 0 {
+		share = max(share, a.served/c.served)
 	}
 	return share
 }
--- a/comfreyreplay/run.go
+++ b/comfreyreplay/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -108,17 +109,34 @@
 // runOutcomes replays the scenarios of several seeds and writes progress and
 // the summary. A missed outcome is an error.
 func runOutcomes(w io.Writer, o ReplayOptions) error {
-	var all []Outcome
-	missed := 0
+	bySeed := make([][]Outcome, o.Seeds)
+	done := make(chan uint64, o.Seeds)
+	g := comfreygroup.New(context.Background())
+	next := make(chan int, o.Seeds)
 	for i := range o.Seeds {
-		seed := o.Seed + uint64(i)
-		r, err := Outcomes(context.Background(), seed, o.Replicas)
-		if err != nil {
-			return err
-		}
-		all = append(all, r...)
-		fmt.Fprintf(w, "event=seed-replayed seed=%d done=%d of=%d\n", seed, i+1, o.Seeds)
+		next <- i
+	}
+	close(next)
+	for range parallelReplays {
+		g.Go("replay", func(ctx context.Context) error {
+			for i := range next {
+				seed := o.Seed + uint64(i)
+				r, err := Outcomes(ctx, seed, o.Replicas)
+				if err != nil {
+					return err
+				}
+				bySeed[i] = r
+				done <- seed
+				fmt.Fprintf(os.Stderr, "event=seed-replayed seed=%d done=%d of=%d\n", seed, len(done), o.Seeds)
+			}
+			return nil
+		})
 	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	all := slices.Concat(bySeed...)
+	missed := 0
 	for _, r := range all {
 		if !r.Hit() {
 			missed++
