--- a/comfreysidecar/admission.go
+++ b/comfreysidecar/admission.go
@@ -20,7 +20,6 @@
 
 const (
 	admissionSubmit admissionEventKind = iota
-	admissionProgress
 	admissionFinish
 	admissionCancel
 )
@@ -29,7 +28,6 @@
 type admissionEvent struct {
 	kind    admissionEventKind
 	id      string
-	tokens  int
 	request comfreyadmission.Request
 	outcome comfreyadmission.Outcome
 }
@@ -42,14 +40,19 @@
 	load       atomic.Pointer[comfreyadmission.Load]
 	now        func() time.Time
 	act        func(a comfreyadmission.Action)
+	// sample appends the tokens that each running generation has so far. The
+	// duty asks before every decision, which costs less than an event a token.
+	sample  func(s []tokenSample) []tokenSample
+	samples []tokenSample
 }
 
-func newAdmission(c comfreyadmission.Config, now func() time.Time, act func(a comfreyadmission.Action)) *admission {
+func newAdmission(c comfreyadmission.Config, s *Sidecar) *admission {
 	a := &admission{
 		controller: comfreyadmission.New(c),
 		events:     make(chan admissionEvent, admissionEvents),
-		now:        now,
-		act:        act,
+		now:        s.config.Now,
+		act:        s.apply,
+		sample:     s.sampleTokens,
 	}
 	a.publish()
 	return a
@@ -73,6 +76,7 @@
 		case e := <-a.events:
 			a.handle(e)
 		case <-t.C:
+			a.progress()
 			a.apply(a.controller.Tick(a.now()))
 			a.publish()
 		case <-ctx.Done():
@@ -82,20 +86,32 @@
 }
 
 func (a *admission) handle(e admissionEvent) {
+	a.progress()
 	now := a.now()
 	switch e.kind {
 	case admissionSubmit:
 		a.apply(a.controller.Submit(now, e.request))
-		a.publish()
-	case admissionProgress:
-		a.apply(a.controller.Progress(now, e.id, e.tokens))
 	case admissionFinish:
 		a.apply(a.controller.Finish(now, e.id, e.outcome))
-		a.publish()
 	case admissionCancel:
 		a.apply(a.controller.Cancel(now, e.id))
-		a.publish()
 	}
+	a.publish()
+}
+
+// progress tells the controller of the tokens generated since the last time.
+func (a *admission) progress() {
+	now := a.now()
+	a.samples = a.sample(a.samples[:0])
+	for _, x := range a.samples {
+		a.apply(a.controller.Progress(now, x.id, x.tokens))
+	}
+}
+
+// tokenSample is how many tokens a running generation has.
+type tokenSample struct {
+	id     string
+	tokens int
 }
 
 func (a *admission) apply(actions []comfreyadmission.Action) {
--- a/comfreysidecar/generation.go
+++ b/comfreysidecar/generation.go
@@ -215,6 +215,17 @@
 	return g.ended && g.reader == nil && now.Sub(g.endedAt) > keep && now.Sub(g.lastSeen) > keep
 }
 
+// runningTokens returns the count of tokens of a running generation, and 0 for
+// any other.
+func (g *generation) runningTokens() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.running || g.ended {
+		return 0
+	}
+	return g.tokens
+}
+
 // generated returns the count of tokens so far.
 func (g *generation) generated() int {
 	g.mu.Lock()
--- a/comfreysidecar/run_generation.go
+++ b/comfreysidecar/run_generation.go
@@ -72,7 +72,8 @@
 		}
 		if err == nil {
 			resumes = 0
-			s.take(g, c)
+			g.appendTokens(c.Data, c.Tokens)
+			s.metrics.tokens.Add(float64(c.Tokens))
 			continue
 		}
 		resumes++
@@ -87,13 +88,14 @@
 	}
 }
 
-// take adds one chunk to the generation and reports its tokens.
-func (s *Sidecar) take(g *generation, c comfreyengine.Chunk) {
-	g.appendTokens(c.Data, c.Tokens)
-	s.metrics.tokens.Add(float64(c.Tokens))
-	if c.Tokens > 0 {
-		s.admission.send(s.group.Context(), admissionEvent{kind: admissionProgress, id: g.key, tokens: g.generated()})
-	}
+// sampleTokens appends the tokens of every running generation.
+func (s *Sidecar) sampleTokens(samples []tokenSample) []tokenSample {
+	s.table.each(func(g *generation) {
+		if n := g.runningTokens(); n > 0 {
+			samples = append(samples, tokenSample{id: g.key, tokens: n})
+		}
+	})
+	return samples
 }
 
 // resumeEngine opens the stream of a generation again after its connection
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -54,7 +54,7 @@
 		group:     comfreygroup.New(context.WithoutCancel(ctx)),
 		lifecycle: comfreyfleet.NewLifecycle(c.Host, c.Incarnation, comfreyfleet.LeaseConfig{}),
 	}
-	s.admission = newAdmission(c.admissionConfig(), c.Now, s.apply)
+	s.admission = newAdmission(c.admissionConfig(), s)
 	s.orders = newOrders(comfreyorder.Config{Host: c.Host, Incarnation: uint64(c.Incarnation)}, c.Now)
 	s.metrics = newMetrics(c.Registry, s)
 	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout}
--- a/comfreysidecar/table.go
+++ b/comfreysidecar/table.go
@@ -88,6 +88,15 @@
 	return s
 }
 
+// each calls f for every kept generation. The callback must not use the table.
+func (t *table) each(f func(g *generation)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.byCounter {
+		f(g)
+	}
+}
+
 // expire forgets the generations whose frames need not be kept, and the fences
 // that no late copy can reach.
 func (t *table) expire(now time.Time, keep time.Duration) {
