--- /dev/null
+++ b/comfreyconfig/chaos_test.go
@@ -0,0 +1,260 @@
+package comfreyconfig_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+)
+
+// long multiplies the number of seeds of the randomized tests.
+var long = flag.Int("long", 1, "multiplies the seeds of the randomized tests")
+
+// first is the first seed of the randomized tests.
+var first = flag.Uint64("seed", 1, "first seed of the randomized tests")
+
+// chaos adds random faults to a fleet and checks what must hold.
+type chaos struct {
+	*sim
+	number     uint64    // the highest valid number published
+	published  time.Time // when the platform last changed its value
+	cutAt      time.Time // when a partition last changed
+	platformAt time.Time // when the platform's faults last changed
+	isValid    bool      // whether the platform holds a valid revision
+	raced      bool
+	checks     checks
+}
+
+// checks counts how often each check had something to say.
+type checks struct {
+	spread, published, split int
+}
+
+// TestConfigurationUnderRandomFaults runs fleets under platform outages and
+// staleness, restarts, pauses, partitions, invalid revisions and operators who
+// race, alone and together. To run one seed again:
+//
+//	go test ./comfreyconfig -run UnderRandomFaults -seed N
+func TestConfigurationUnderRandomFaults(t *testing.T) {
+	var total checks
+	for seed := *first; seed < *first+uint64(30**long); seed++ {
+		c := &chaos{sim: newSim(t, seed, 40, 4, comfreyconfig.Timing{})}
+		c.publishNext("first")
+		c.startAll()
+		c.onTake = c.taken(seed)
+		c.run(inForceLimit)
+		for range 300 {
+			if c.random.IntN(5) == 0 {
+				c.fault()
+			}
+			c.run(time.Second)
+			c.checkSpread(seed)
+			c.checkPublished(seed)
+		}
+		c.checkHealed(seed)
+		total.spread += c.checks.spread
+		total.published += c.checks.published
+		total.split += c.checks.split
+	}
+	t.Logf("checked %d lags behind peers and %d behind the platform; %d runs ended with two contents of one number, each with an alarm",
+		total.spread, total.published, total.split)
+	if total.spread < 1000 || total.published < 1000 {
+		t.Errorf("the checks had too little to say: %+v", total)
+	}
+}
+
+// taken returns a check that a process never goes back.
+func (c *chaos) taken(seed uint64) func(*simNode, uint64, comfreyconfig.Hash) {
+	return func(n *simNode, number uint64, _ comfreyconfig.Hash) {
+		for old := range n.since {
+			if old > number {
+				c.t.Errorf("seed %d: %s went back from %d to %d", seed, n.peer.Address, old, number)
+			}
+		}
+	}
+}
+
+// fault makes at most one thing go wrong or right.
+func (c *chaos) fault() {
+	n := c.nodes[c.random.IntN(len(c.nodes))]
+	switch c.random.IntN(16) {
+	case 0, 1:
+		if n.alive && !n.paused {
+			c.pause(n, c.upTo(40*time.Second))
+		}
+	case 2, 3:
+		c.stop(n)
+		c.after(c.upTo(20*time.Second), func() {
+			if !n.alive {
+				c.start(n)
+			}
+		})
+	case 4:
+		for i := range 4 {
+			c.cut[fmt.Sprint("dc-", i)] = c.random.IntN(2)
+		}
+		c.cutAt = c.now
+	case 5, 6:
+		clear(c.cut)
+		c.cutAt = c.now
+	case 7:
+		c.setPlatform(!c.platform.down, c.platform.isStale)
+	case 8:
+		c.setPlatform(c.platform.down, !c.platform.isStale)
+	case 9:
+		c.setPlatform(false, false)
+	case 10, 11:
+		c.publishNext("valid")
+	case 12:
+		c.publishInvalid()
+	case 13:
+		c.publishNext("left")
+		c.after(c.upTo(10*time.Second), func() {
+			c.raced = true
+			c.publish(c.number, fmt.Sprint("right", c.random.Uint32()))
+			c.published, c.isValid = c.now, true
+		})
+	}
+}
+
+func (c *chaos) upTo(d time.Duration) time.Duration {
+	return time.Duration(c.random.Int64N(int64(d)))
+}
+
+func (c *chaos) setPlatform(down, isStale bool) {
+	if isStale && !c.platform.isStale {
+		c.platform.stale = c.platform.current
+	}
+	c.platform.down, c.platform.isStale = down, isStale
+	c.platformAt = c.now
+}
+
+func (c *chaos) publishNext(tag string) {
+	c.number++
+	c.publish(c.number, fmt.Sprint(tag, c.number))
+	c.published, c.isValid = c.now, true
+}
+
+func (c *chaos) publishInvalid() {
+	f := content("bad")
+	f[0].Content = []byte("services:\n  template:\n    kind: none\n")
+	c.number++
+	c.platform.publish(c.number, f)
+	c.published, c.isValid = c.now, false
+}
+
+// isSteady reports whether a process was alive, awake and in the same
+// partition for the time in which a change is in force everywhere.
+func (c *chaos) isSteady(n *simNode) bool {
+	return n.alive && !n.paused && c.now.Sub(n.steadySince) > inForceLimit && c.now.Sub(c.cutAt) > inForceLimit
+}
+
+// checkSpread fails if a process lags behind a peer that it can reach and that
+// has had a newer revision in force for long enough.
+func (c *chaos) checkSpread(seed uint64) {
+	c.t.Helper()
+	newest := map[int]uint64{}
+	for _, n := range c.nodes {
+		x := n.number()
+		if side := c.cut[n.peer.DataCentre]; c.isSteady(n) && c.now.Sub(n.since[x]) > inForceLimit {
+			newest[side] = max(newest[side], x)
+		}
+	}
+	for _, n := range c.nodes {
+		if c.isSteady(n) {
+			c.checks.spread++
+		}
+		if w := newest[c.cut[n.peer.DataCentre]]; c.isSteady(n) && n.number() < w {
+			c.t.Fatalf("seed %d: at %v %s has %d in force, its peers %d", seed, c.now, n.peer.Address, n.number(), w)
+		}
+	}
+}
+
+// checkPublished fails if a valid revision, which the platform has shown for
+// long enough, is not in force at a process.
+func (c *chaos) checkPublished(seed uint64) {
+	c.t.Helper()
+	d := min(c.now.Sub(c.published), c.now.Sub(c.platformAt))
+	if !c.isValid || d < inForceLimit || c.platform.down || c.platform.isStale {
+		return
+	}
+	for _, n := range c.nodes {
+		if !c.isSteady(n) {
+			continue
+		}
+		c.checks.published++
+		if n.number() < c.number {
+			c.t.Fatalf("seed %d: at %v %s has %d in force, published is %d", seed, c.now, n.peer.Address, n.number(), c.number)
+		}
+	}
+}
+
+// checkHealed ends all faults, and fails if two contents of one number are in
+// force without an alarm, or if the next number does not end that.
+func (c *chaos) checkHealed(seed uint64) {
+	c.t.Helper()
+	clear(c.cut)
+	c.setPlatform(false, false)
+	c.run(time.Minute)
+	hashes := map[comfreyconfig.Hash]bool{}
+	flags := 0
+	for _, n := range c.nodes {
+		if !n.alive {
+			c.start(n)
+		}
+		hashes[n.node.Digest().Hash] = true
+		if n.node.Digest().Conflict {
+			flags++
+		}
+	}
+	if len(hashes) > 1 {
+		c.checks.split++
+		if !c.raced || c.alarms == 0 || flags == 0 {
+			c.t.Errorf("seed %d: %d contents in force, %d alarms, %d flags", seed, len(hashes), c.alarms, flags)
+		}
+	}
+	c.run(inForceLimit)
+	c.expectAllAfterNext(c.number + 1)
+}
+
+// TestStreamOfChangesComesIntoForce publishes faster than a revision settles.
+func TestStreamOfChangesComesIntoForce(t *testing.T) {
+	s := newSim(t, 3, 40, 4, comfreyconfig.Timing{})
+	s.publish(1, "a")
+	s.startAll()
+	s.run(inForceLimit)
+	const step = 700 * time.Millisecond
+	due := uint64(inForceLimit / step)
+	for i := uint64(2); i < 120; i++ {
+		s.publish(i, fmt.Sprint("b", i))
+		s.run(step)
+		for _, n := range s.nodes {
+			if n.number()+due < i {
+				t.Fatalf("%d is published and %s has %d in force", i, n.peer.Address, n.number())
+			}
+		}
+	}
+}
+
+// TestRevisionSpreadsWhilePlatformIsDown hands the newest revision to one
+// process only, as after a stop of all others.
+func TestRevisionSpreadsWhilePlatformIsDown(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed, 40, 4, comfreyconfig.Timing{})
+		r := s.publish(1, "a")
+		s.startAll()
+		s.run(inForceLimit)
+		s.platform.down = true
+		for _, n := range s.nodes[1:] {
+			s.stop(n)
+		}
+		s.run(time.Second)
+		for _, n := range s.nodes[1:] {
+			s.start(n)
+		}
+		s.run(inForceLimit)
+		s.expectAll(r, "after replacement of all but one")
+	}
+}
--- a/comfreyconfig/node.go
+++ b/comfreyconfig/node.go
@@ -34,6 +34,7 @@
 	pending   *pending
 	turn      turn
 	exchange  time.Time
+	retried   bool
 	conflict  uint64
 	reported  map[Hash]bool
 	listFetch time.Time
@@ -136,6 +137,7 @@
 	}
 	if !now.Before(n.exchange) {
 		n.exchange = now.Add(n.jitter(n.config.Timing.Exchange))
+		n.retried = false
 		a = append(a, n.exchangeWith(n.pick(n.random.IntN(2) == 0))...)
 	}
 	a = append(a, n.tickStart(now)...)
--- a/comfreyconfig/node_peer.go
+++ b/comfreyconfig/node_peer.go
@@ -44,9 +44,17 @@
 	return append(a, n.startAnswered(now, true)...)
 }
 
-// ExchangeFailed takes in that ActionExchange had no answer.
+// ExchangeFailed takes in that ActionExchange had no answer. One more peer, a
+// near one, is tried in each period.
 func (n *Node) ExchangeFailed(now time.Time) []Action {
-	return n.startAnswered(now, false)
+	if n.start != nil {
+		return n.startAnswered(now, false)
+	}
+	if n.retried {
+		return nil
+	}
+	n.retried = true
+	return n.exchangeWith(n.pick(true))
 }
 
 // beginTransfer asks a peer for a newer revision, unless a transfer of one at
--- a/comfreyconfig/store.go
+++ b/comfreyconfig/store.go
@@ -104,7 +104,7 @@
 // OutcomeInvalid with all faults if the content has any, and OutcomeTaken if
 // Take may follow. An invalid revision is remembered and not checked again.
 func (s *Store) Check(r Revision, extra map[Hash][]byte) (Candidate, []Fault, Outcome) {
-	if !r.isWhole() {
+	if HashOf(r.manifest) != r.Hash {
 		return Candidate{}, nil, OutcomeCorrupt
 	}
 	if s.refused.has(r.Hash) {
