Show that each mechanism of the configuration fleet is needed

The first form of the race test drew lags evenly up to 15 s and passed with Settle 1 ms; it now doubles them from 1 ms to 16 s.

--- a/comfreyconfig/fleet_test.go
+++ b/comfreyconfig/fleet_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// TestOneOfTwoRacingRevisionsWins publishes two contents under one number up
-// to 15 s apart. Without a partition every process must end with the same.
+// TestOneOfTwoRacingRevisionsWins publishes two contents under one number, 1 ms
+// to 16 s apart. Without a partition every process must end with the same.
 func TestOneOfTwoRacingRevisionsWins(t *testing.T) {
 	races := uint64(100 * *long)
 	if n := racingSplits(t, races, comfreyconfig.Timing{}); n != 0 {
@@ -76,7 +76,7 @@
 			}
 		}
 		s.publish(2, "left")
-		s.run(time.Duration(s.random.Int64N(int64(15 * time.Second))))
+		s.run(time.Millisecond << s.random.IntN(15))
 		s.publish(2, "right")
 		s.run(40 * time.Second)
 		if s.alarms == 0 {
--- /dev/null
+++ b/comfreyconfig/node_test.go
@@ -0,0 +1,128 @@
+package comfreyconfig_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+)
+
+var (
+	testStart = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+	testPeer  = comfreyconfig.Peer{Address: "10.0.0.2:80", DataCentre: "dc-0"}
+)
+
+// blobs returns the content of f as a peer or the platform answers it.
+func blobs(f comfreyconfig.Folder) [][]byte {
+	var b [][]byte
+	for _, i := range f {
+		b = append(b, i.Content)
+	}
+	return b
+}
+
+// newNodeAt returns a node that took revision 1 from the platform at
+// testStart.
+func newNodeAt(t *testing.T) *comfreyconfig.Node {
+	t.Helper()
+	n := comfreyconfig.NewNode(comfreyconfig.NodeConfig{Seed: 1})
+	n.Tick(testStart)
+	n.HostsAnswered(testStart, comfreyconfig.HostsAnswer{Failed: true})
+	read(n, testStart, testStart, 1, content("a"))
+	if r := n.Store().Revision(); r.Number != 1 {
+		t.Fatalf("%d is in force", r.Number)
+	}
+	return n
+}
+
+// read answers a read of the manifest, and the fetch that follows.
+func read(n *comfreyconfig.Node, now, asked time.Time, number uint64, f comfreyconfig.Folder) []comfreyconfig.Action {
+	a := n.PlatformAnswered(now, comfreyconfig.PlatformAnswer{
+		Asked: asked, Kind: comfreyconfig.ActionRead, Number: number, Manifest: comfreyconfig.NewRevision(number, f).Manifest(),
+	})
+	return append(a, n.Fetched(now, comfreyconfig.FetchAnswer{Blobs: blobs(f)})...)
+}
+
+func TestWokenProcessAsksThePlatformAgain(t *testing.T) {
+	asked := testStart.Add(3 * time.Second)
+	woken := testStart.Add(time.Minute)
+	for name, wake := range map[string]func(n *comfreyconfig.Node){
+		"timer first": func(n *comfreyconfig.Node) { n.Tick(woken) },
+		"answer first": func(n *comfreyconfig.Node) {
+			n.PlatformAnswered(woken, comfreyconfig.PlatformAnswer{Asked: asked, Kind: comfreyconfig.ActionRead, Failed: true})
+		},
+	} {
+		n := newNodeAt(t)
+		read(n, testStart, testStart, 2, content("b"))
+		n.Tick(asked)
+		wake(n)
+		n.Tick(woken.Add(time.Second))
+		if r := n.Store().Revision(); r.Number != 1 {
+			t.Errorf("%s: a process that slept took %d from before its sleep", name, r.Number)
+		}
+		for d := range 10 {
+			n.Tick(woken.Add(time.Duration(d) * time.Second))
+		}
+		if r := n.Store().Revision(); r.Number != 2 {
+			t.Errorf("%s: %d is in force after the platform did not answer again", name, r.Number)
+		}
+	}
+}
+
+func TestPeerWithOtherContentIsNotBelieved(t *testing.T) {
+	n := newNodeAt(t)
+	r := comfreyconfig.NewRevision(2, content("b"))
+	wrong := comfreyconfig.NewRevision(3, content("c"))
+	n.Hear(testStart, testPeer, comfreyconfig.Digest{Number: 2, Hash: r.Hash})
+	n.Fetched(testStart, comfreyconfig.FetchAnswer{Peer: testPeer, Blobs: [][]byte{wrong.Manifest()}})
+	n.Fetched(testStart, comfreyconfig.FetchAnswer{Peer: testPeer, Blobs: append(blobs(content("c")), []byte("garbage"))})
+	if x := n.Store().Revision(); x.Number != 1 || n.Stats().Corrupt == 0 {
+		t.Errorf("%d is in force, %d corrupt blobs", x.Number, n.Stats().Corrupt)
+	}
+	later := testStart.Add(5 * time.Second)
+	n.Tick(later)
+	n.Hear(later, testPeer, comfreyconfig.Digest{Number: 2, Hash: r.Hash})
+	n.Fetched(later, comfreyconfig.FetchAnswer{Peer: testPeer, Blobs: [][]byte{r.Manifest()}})
+	n.Fetched(later, comfreyconfig.FetchAnswer{Peer: testPeer, Blobs: blobs(content("b"))})
+	if x := n.Store().Revision(); x.Number != 2 {
+		t.Errorf("%d is in force", x.Number)
+	}
+}
+
+func TestPlatformNumberMustMatchManifest(t *testing.T) {
+	n := newNodeAt(t)
+	n.PlatformAnswered(testStart, comfreyconfig.PlatformAnswer{
+		Asked: testStart, Kind: comfreyconfig.ActionRead, Number: 9, Manifest: comfreyconfig.NewRevision(2, content("b")).Manifest(),
+	})
+	if n.Stats().Corrupt != 1 {
+		t.Errorf("%d corrupt manifests", n.Stats().Corrupt)
+	}
+}
+
+func TestServeIsBounded(t *testing.T) {
+	n := newNodeAt(t)
+	h := n.Store().Revision().Hash
+	many := slices.Repeat([]comfreyconfig.Hash{h}, 100_000)
+	size := 0
+	for _, b := range n.Serve(many) {
+		size += len(b)
+	}
+	if size == 0 || size > comfreyconfig.MaxFetchSizeBytes {
+		t.Errorf("served %d bytes", size)
+	}
+	if b := n.Serve([]comfreyconfig.Hash{{1}}); len(b) != 0 {
+		t.Errorf("served %d unknown blobs", len(b))
+	}
+}
+
+func TestParseManifestRefusesMalformedText(t *testing.T) {
+	for _, s := range []string{
+		"", "[]", `{"files":[]}`, `{"number":1,"files":[{"name":"b.yaml","hash":"00"}]}`, `{"number":-1}`,
+		`{"number":1,"files":[{"name":"b.yaml"},{"name":"a.yaml"}]}`, `{"number":1,"files":[{"name":"a.yaml"},{"name":"a.yaml"}]}`,
+	} {
+		if r, err := comfreyconfig.ParseManifest([]byte(s)); err == nil {
+			t.Errorf("%q is revision %+v", s, r)
+		}
+	}
+}
