Add the platform client, the agent that runs a node, and the platform stand-in

The node keeps the retries, the back-off and the count of stale answers, so that the virtual fleet tests the same decisions that the agent runs.

Agents over real HTTP take revisions and hosts, pass them on while the platform is down, stale or slow, and refuse invalid and conflicting ones (go test -race ./comfreyplatform ./comfreyfakeplatform).

--- /dev/null
+++ b/comfreyplatform/agent_test.go
@@ -0,0 +1,206 @@
+package comfreyplatform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreyfakeplatform"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyplatform"
+)
+
+// fast is a timing for tests on the wall clock. No test asserts how long
+// something takes.
+var fast = comfreyconfig.Timing{
+	Exchange: 20 * time.Millisecond, Settle: 60 * time.Millisecond, WatchWait: 200 * time.Millisecond, Retry: 20 * time.Millisecond,
+}
+
+// fleet runs agents against one platform. Peers talk by direct calls.
+type fleet struct {
+	t        *testing.T
+	platform *comfreyfakeplatform.Platform
+	url      string
+	group    *comfreygroup.Group
+
+	mu     sync.Mutex
+	agents map[string]*comfreyplatform.Agent
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, platform: comfreyfakeplatform.New(), agents: map[string]*comfreyplatform.Agent{}}
+	s := httptest.NewServer(f.platform)
+	f.url = s.URL
+	f.group = comfreygroup.New(context.Background())
+	t.Cleanup(func() {
+		f.group.Stop()
+		if err := f.group.Wait(); err != nil {
+			t.Error(err)
+		}
+		f.platform.SetSwitches(comfreyfakeplatform.Switches{Down: true})
+		s.Close()
+	})
+	return f
+}
+
+func (f *fleet) peer(p comfreyconfig.Peer) (*comfreyplatform.Agent, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, ok := f.agents[p.Address]
+	if !ok {
+		return nil, errors.New("connection refused")
+	}
+	return a, nil
+}
+
+// start starts an agent under an address.
+func (f *fleet) start(address string, seed uint64, seeds ...string) *comfreyplatform.Agent {
+	self := comfreyconfig.Peer{Address: address, DataCentre: "ruwi"}
+	n := comfreyconfig.NodeConfig{Self: self, Timing: fast, Seed: seed}
+	for _, s := range seeds {
+		n.Seeds = append(n.Seeds, comfreyconfig.Peer{Address: s, DataCentre: "ruwi"})
+	}
+	a := comfreyplatform.NewAgent(comfreyplatform.AgentConfig{
+		Node:   n,
+		Client: comfreyplatform.New(comfreyplatform.Config{URL: f.url}),
+		Exchange: func(_ context.Context, p comfreyconfig.Peer, d comfreyconfig.Digest) (comfreyconfig.Digest, error) {
+			to, err := f.peer(p)
+			if err != nil {
+				return comfreyconfig.Digest{}, err
+			}
+			to.Hear(self, d)
+			return to.Digest(), nil
+		},
+		Fetch: func(_ context.Context, p comfreyconfig.Peer, h []comfreyconfig.Hash) ([][]byte, error) {
+			to, err := f.peer(p)
+			if err != nil {
+				return nil, err
+			}
+			return to.Serve(h), nil
+		},
+	})
+	f.mu.Lock()
+	f.agents[address] = a
+	f.mu.Unlock()
+	f.group.Go(address, a.Run)
+	return a
+}
+
+// expect waits until every agent has the number in force. A minute of waiting
+// fails the test.
+func (f *fleet) expect(number uint64, agents ...*comfreyplatform.Agent) {
+	f.t.Helper()
+	f.until(fmt.Sprintf("number %d in force", number), func() bool {
+		for _, a := range agents {
+			if a.Revision().Number != number {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *fleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for range 6000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("not seen: %s", what)
+}
+
+func folder(model string) comfreyconfig.Folder {
+	return comfreyconfig.NewFolder(
+		comfreyconfig.File{Name: "10-services.yaml", Content: []byte("services:\n  reports:\n")},
+		comfreyconfig.File{Name: "15-upstreams.yaml", Content: []byte("upstreams:\n  reports:\n    model: " + model + "\n")},
+	)
+}
+
+func TestAgentsTakeRevisionsAndHosts(t *testing.T) {
+	f := newFleet(t)
+	f.platform.Publish(folder("a"))
+	a, b, c := f.start("a", 1, "b", "c"), f.start("b", 2, "a"), f.start("c", 3, "a")
+	f.expect(1, a, b, c)
+	f.platform.Publish(folder("b"))
+	f.expect(2, a, b, c)
+	s, ok := c.Settings()
+	if u, _ := s.Upstream("reports"); !ok || u.Model != "b" {
+		t.Errorf("upstream %+v", u)
+	}
+	h := []comfreyconfig.Host{{Host: "x", Address: "x", Role: comfreyconfig.HostRoleSidecar, State: comfreyconfig.HostStateLeaving}}
+	if err := f.platform.SetHosts(h); err != nil {
+		t.Fatal(err)
+	}
+	f.until("host list", func() bool {
+		return len(a.Hosts().Hosts) == 1 && len(b.Hosts().Hosts) == 1 && len(c.Hosts().Hosts) == 1
+	})
+}
+
+func TestAgentsKeepAndPassOnTheirRevisionWhilePlatformIsDownOrStale(t *testing.T) {
+	for name, w := range map[string]comfreyfakeplatform.Switches{
+		"down":  {Down: true},
+		"stale": {Stale: true},
+		"slow":  {Slow: time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.platform.Publish(folder("a"))
+			a := f.start("a", 1)
+			f.expect(1, a)
+			if w.Stale {
+				f.platform.SetSwitches(w)
+				f.platform.SetSwitches(comfreyfakeplatform.Switches{})
+			}
+			f.platform.SetSwitches(w)
+			if w.Stale {
+				f.platform.PublishRaw(2, folder("b"))
+			}
+			b := f.start("b", 2, "a")
+			f.expect(1, a, b)
+			f.platform.SetSwitches(comfreyfakeplatform.Switches{})
+			f.platform.PublishRaw(3, folder("c"))
+			f.expect(3, a, b)
+		})
+	}
+}
+
+func TestAgentRefusesInvalidAndConflictingRevisions(t *testing.T) {
+	f := newFleet(t)
+	f.platform.Publish(folder("a"))
+	a := f.start("a", 1)
+	f.expect(1, a)
+	f.platform.PublishRaw(2, comfreyconfig.NewFolder(comfreyconfig.File{Name: "10-services.yaml", Content: []byte("services:\n  reports:\n    colour: red\n")}))
+	f.until("invalid revision", func() bool { return a.Stats().Invalid > 0 })
+	f.platform.PublishRaw(1, folder("other"))
+	f.until("conflict", func() bool { return a.Stats().Conflicts > 0 && a.Digest().Conflict })
+	f.platform.PublishRaw(3, folder("c"))
+	f.expect(3, a)
+	if a.Digest().Conflict {
+		t.Error("the conflict outlives the next number")
+	}
+}
+
+func TestClientRefusesWhatIsNoValue(t *testing.T) {
+	f := newFleet(t)
+	c := comfreyplatform.New(comfreyplatform.Config{URL: f.url})
+	ctx := context.Background()
+	if a := c.Read(ctx); !a.Failed {
+		t.Errorf("an empty platform answered %+v", a)
+	}
+	if a := c.Blobs(ctx, []comfreyconfig.Hash{{1}}); !a.Failed || len(a.Blobs) != 0 {
+		t.Errorf("an unknown blob is %+v", a)
+	}
+	if a := c.Watch(ctx, 0, time.Millisecond); a.Failed || !a.Unchanged {
+		t.Errorf("a watch with nothing to tell is %+v", a)
+	}
+	if x := f.platform.Calls(); x.Reads != 2 || x.Watches != 1 || x.Hosts != 0 {
+		t.Errorf("calls %+v", x)
+	}
+}
--- /dev/null
+++ b/comfreyplatform/call.go
@@ -0,0 +1,66 @@
+package comfreyplatform
+
+import (
+	"context"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+)
+
+// call makes the call that an action asks for and gives the answer to the
+// node.
+func (a *Agent) call(ctx context.Context, x comfreyconfig.Action) {
+	switch x.Kind {
+	case comfreyconfig.ActionRead:
+		a.answerPlatform(a.config.Client.Read(ctx))
+	case comfreyconfig.ActionWatch:
+		a.answerPlatform(a.config.Client.Watch(ctx, x.After, x.Wait))
+	case comfreyconfig.ActionHosts:
+		h := a.config.Client.Hosts(ctx, x.After)
+		a.step(func(n *comfreyconfig.Node, now time.Time) []comfreyconfig.Action { return n.HostsAnswered(now, h) })
+	case comfreyconfig.ActionFetch:
+		f := a.fetch(ctx, x)
+		a.step(func(n *comfreyconfig.Node, now time.Time) []comfreyconfig.Action { return n.Fetched(now, f) })
+	case comfreyconfig.ActionExchange:
+		a.exchange(ctx, x.Peer)
+	default:
+	}
+}
+
+func (a *Agent) answerPlatform(p comfreyconfig.PlatformAnswer) {
+	a.step(func(n *comfreyconfig.Node, now time.Time) []comfreyconfig.Action { return n.PlatformAnswered(now, p) })
+}
+
+// fetch asks the platform or a peer for blobs.
+func (a *Agent) fetch(ctx context.Context, x comfreyconfig.Action) comfreyconfig.FetchAnswer {
+	if x.Peer.Address == "" {
+		return a.config.Client.Blobs(ctx, x.Hashes)
+	}
+	f := comfreyconfig.FetchAnswer{Peer: x.Peer}
+	if a.config.Fetch == nil {
+		f.Failed = true
+		return f
+	}
+	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
+	defer cancel()
+	b, err := a.config.Fetch(ctx, x.Peer, x.Hashes)
+	f.Blobs, f.Failed = b, err != nil
+	return f
+}
+
+// exchange exchanges digests with a peer.
+func (a *Agent) exchange(ctx context.Context, p comfreyconfig.Peer) {
+	failed := func(n *comfreyconfig.Node, now time.Time) []comfreyconfig.Action { return n.ExchangeFailed(now) }
+	if a.config.Exchange == nil {
+		a.step(failed)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
+	defer cancel()
+	d, err := a.config.Exchange(ctx, p, a.Digest())
+	if err != nil {
+		a.step(failed)
+		return
+	}
+	a.step(func(n *comfreyconfig.Node, now time.Time) []comfreyconfig.Action { return n.Exchanged(now, p, d) })
+}
