--- a/comfreyconfig/example_test.go
+++ b/comfreyconfig/example_test.go
@@ -75,3 +75,21 @@
 	// 0 draft atelier-drafts [namur leuven] true
 	// template  true
 }
+
+func ExampleRunPack() {
+	f := folder(map[string]string{
+		"10-services.yaml":  "services:\n  template:\n",
+		"15-upstreams.yaml": "upstreams:\n  template:\n    model: m\n",
+	})
+	code := comfreyconfig.RunPack(os.Stdout, f, 7, func(key string, b []byte) error {
+		fmt.Printf("%.13s %d bytes\n", key, len(b))
+		return nil
+	})
+	fmt.Println("exit code", code)
+	// Output:
+	// blob-532d4290 22 bytes
+	// blob-cdede267 36 bytes
+	// manifest 227 bytes
+	// revision 7 with hash cd85ff8e: 2 files and the manifest
+	// exit code 0
+}
--- a/comfreyconfig/fleet_test.go
+++ b/comfreyconfig/fleet_test.go
@@ -163,6 +163,39 @@
 	}
 }
 
+// TestChangeArrivesThoughAllWatchersFail makes every process that watches the
+// platform die, sleep or be cut off from it right before a change.
+func TestChangeArrivesThoughAllWatchersFail(t *testing.T) {
+	faults := map[string]func(s *sim, n *simNode){
+		"dead":    func(s *sim, n *simNode) { s.stop(n) },
+		"asleep":  func(s *sim, n *simNode) { s.pause(n, time.Minute) },
+		"cut off": func(_ *sim, n *simNode) { n.noPlatform = true },
+	}
+	for name, fail := range faults {
+		for seed := range uint64(6 * *long) {
+			for _, size := range []int{30, 60} {
+				s := newSim(t, seed, size, 3, comfreyconfig.Timing{})
+				s.publish(1, "a")
+				s.startAll()
+				s.run(time.Minute + time.Duration(seed)*time.Second)
+				failed := 0
+				for _, n := range s.nodes {
+					if n.watching {
+						failed++
+						fail(s, n)
+					}
+				}
+				r := s.publish(2, "b")
+				s.run(inForceLimit)
+				if failed == 0 {
+					t.Errorf("%s: seed %d: nobody watched", name, seed)
+				}
+				s.expectAll(r, fmt.Sprintf("%s: seed %d: %d of %d watched", name, seed, failed, size))
+			}
+		}
+	}
+}
+
 // TestFleetCosts prints what configuration costs against the size of the
 // fleet, at 3,100 changes a day, and bounds it.
 func TestFleetCosts(t *testing.T) {
--- a/comfreyconfig/node_test.go
+++ b/comfreyconfig/node_test.go
@@ -126,3 +126,24 @@
 		}
 	}
 }
+
+func TestHostListMovesForwardOnly(t *testing.T) {
+	n := newNodeAt(t)
+	list := []byte(`[{"host":"a","address":"10.0.0.9:80","data-centre":"dc-0"}]`)
+	d := comfreyconfig.Digest{HostsNumber: 5, HostsHash: comfreyconfig.HashOf(list)}
+	a := n.Hear(testStart, testPeer, d)
+	if len(a) != 1 || a[0].Kind != comfreyconfig.ActionFetch {
+		t.Fatalf("a newer list led to %+v", a)
+	}
+	a = n.Fetched(testStart, comfreyconfig.FetchAnswer{Peer: testPeer, Blobs: [][]byte{[]byte("[]"), list}})
+	if len(a) != 1 || a[0].Kind != comfreyconfig.ActionHostList || len(a[0].Hosts.Hosts) != 1 {
+		t.Fatalf("the list led to %+v", a)
+	}
+	n.HostsAnswered(testStart, comfreyconfig.HostsAnswer{Number: 4, Text: []byte("[]")})
+	if h := n.Hosts(); h.Number != 5 || len(h.Hosts) != 1 {
+		t.Errorf("an older list replaced it: %+v", h)
+	}
+	if b := n.Serve([]comfreyconfig.Hash{d.HostsHash}); len(b) != 1 {
+		t.Errorf("the list is not served on")
+	}
+}
--- a/comfreyconfig/node_turn.go
+++ b/comfreyconfig/node_turn.go
@@ -39,11 +39,15 @@
 	}
 }
 
-// period returns the mean time between the beginnings of two turns.
+// period returns the mean time between the beginnings of two turns. In a data
+// centre of few processes all of them watch always.
 func (n *Node) period() time.Duration {
 	t := &n.config.Timing
-	p := t.WatchWait * time.Duration(len(n.near)+1) / time.Duration(t.Watches)
-	return max(p, t.WatchWait)
+	size := len(n.near) + 1
+	if size <= 2*t.Watches {
+		return t.WatchWait
+	}
+	return t.WatchWait * time.Duration(size) / time.Duration(t.Watches)
 }
 
 // tickTurn does what is due for the turn.
--- a/comfreyconfig/sim_test.go
+++ b/comfreyconfig/sim_test.go
@@ -44,6 +44,8 @@
 	steadySince time.Time
 	held        []func()
 	bytes       int
+	watching    bool
+	noPlatform  bool // cut off from the platform only
 	since       map[uint64]time.Time
 }
 
@@ -309,11 +311,19 @@
 func (p *simPlatform) call(s *sim, n *simNode, a comfreyconfig.Action) {
 	p.calls++
 	asked := s.now
+	n.watching = a.Kind == comfreyconfig.ActionWatch
 	answer := func(x comfreyconfig.PlatformAnswer) {
 		x.Asked, x.Kind = asked, a.Kind
-		s.deliver(n, s.latency(), func() { s.act(n, n.node.PlatformAnswered(s.now, x)) })
+		if n.noPlatform {
+			return
+		}
+		s.deliver(n, s.latency(), func() {
+			n.watching = n.watching && x.Kind != comfreyconfig.ActionWatch
+			s.act(n, n.node.PlatformAnswered(s.now, x))
+		})
 	}
 	switch {
+	case n.noPlatform:
 	case a.Kind == comfreyconfig.ActionHosts:
 		h := comfreyconfig.HostsAnswer{Failed: p.down, Unchanged: a.After >= 1, Number: 1, Text: p.hosts}
 		s.deliver(n, s.latency(), func() { s.act(n, n.node.HostsAnswered(s.now, h)) })
--- a/comfreyconfig/store.go
+++ b/comfreyconfig/store.go
@@ -7,34 +7,6 @@
 	"comfreyridge.example/comfreyridge/comfreyinvariant"
 )
 
-// Outcome says what became of an offered revision.
-type Outcome int
-
-// The outcomes.
-const (
-	// OutcomeHeld means that the offered revision is already in force.
-	OutcomeHeld Outcome = iota
-	// OutcomeTaken means that the revision came into force.
-	OutcomeTaken
-	// OutcomeStale means that the number is below the one in force.
-	OutcomeStale
-	// OutcomeConflict means that the number is in force with other content.
-	OutcomeConflict
-	// OutcomeInvalid means that the content has faults.
-	OutcomeInvalid
-	// OutcomeCorrupt means that a blob is missing or does not have its hash.
-	OutcomeCorrupt
-)
-
-// String returns the kebab-case name of o.
-func (o Outcome) String() string {
-	names := [...]string{"held", "taken", "stale", "conflict", "invalid", "corrupt"}
-	if o < 0 || int(o) >= len(names) {
-		return "unknown"
-	}
-	return names[o]
-}
-
 // Candidate is a revision whose content is whole and passed the check. Only
 // Store.Check makes one.
 type Candidate struct {
--- a/comfreyfakeplatform/platform.go
+++ b/comfreyfakeplatform/platform.go
@@ -192,12 +192,12 @@
 func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
 	s := p.admit(r, &p.calls.Reads)
 	k := chi.URLParam(r, "key")
-	if k == comfreyplatform.KeyManifest {
+	if k == comfreyconfig.KeyManifest {
 		writeManifest(w, s.manifest)
 		return
 	}
 	var h comfreyconfig.Hash
-	if len(k) < 5 || h.UnmarshalText([]byte(k[5:])) != nil || comfreyplatform.KeyBlob(h) != k {
+	if len(k) < 5 || h.UnmarshalText([]byte(k[5:])) != nil || comfreyconfig.KeyBlob(h) != k {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
 	}
@@ -238,7 +238,7 @@
 	p.admit(r, &p.calls.Watches)
 	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, werr := time.ParseDuration(r.FormValue("wait"))
-	if err != nil || werr != nil || r.FormValue("key") != comfreyplatform.KeyManifest {
+	if err != nil || werr != nil || r.FormValue("key") != comfreyconfig.KeyManifest {
 		http.Error(w, "malformed watch", http.StatusBadRequest)
 		return
 	}
--- a/comfreyplatform/agent_test.go
+++ b/comfreyplatform/agent_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"comfreyridge.example/comfreyridge/comfreyconfig"
 	"comfreyridge.example/comfreyridge/comfreyfakeplatform"
 	"comfreyridge.example/comfreyridge/comfreygroup"
@@ -185,6 +187,11 @@
 	if a.Digest().Conflict {
 		t.Error("the conflict outlives the next number")
 	}
+	r := prometheus.NewPedanticRegistry()
+	r.MustRegister(a.Collector())
+	if m, err := r.Gather(); len(m) != 8 || err != nil {
+		t.Errorf("%d metrics, %v", len(m), err)
+	}
 }
 
 func TestClientRefusesWhatIsNoValue(t *testing.T) {
--- a/comfreyplatform/client.go
+++ b/comfreyplatform/client.go
@@ -19,14 +19,6 @@
 // MaxValueSizeBytes is the largest value that the platform holds.
 const MaxValueSizeBytes = 1 << 20
 
-// KeyManifest is the key under which operators publish the manifest.
-const KeyManifest = "manifest"
-
-// KeyBlob returns the key under which operators publish a file's content.
-func KeyBlob(h comfreyconfig.Hash) string {
-	return "blob-" + h.String()
-}
-
 // RevisionHeader carries the number of a value.
 const RevisionHeader = "Revision"
 
@@ -73,14 +65,14 @@
 // Read reads the manifest.
 func (c *Client) Read(ctx context.Context) comfreyconfig.PlatformAnswer {
 	a := comfreyconfig.PlatformAnswer{Asked: c.config.Now(), Kind: comfreyconfig.ActionRead}
-	v, err := c.get(ctx, "/v1/values/"+KeyManifest, c.config.Timeout)
+	v, err := c.get(ctx, "/v1/values/"+comfreyconfig.KeyManifest, c.config.Timeout)
 	return manifestAnswer(a, v, err)
 }
 
 // Watch waits until the manifest's number is above after, for at most wait.
 func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) comfreyconfig.PlatformAnswer {
 	a := comfreyconfig.PlatformAnswer{Asked: c.config.Now(), Kind: comfreyconfig.ActionWatch}
-	q := url.Values{"key": {KeyManifest}, "after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
+	q := url.Values{"key": {comfreyconfig.KeyManifest}, "after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
 	v, err := c.get(ctx, "/v1/watch?"+q.Encode(), wait+c.config.Timeout)
 	return manifestAnswer(a, v, err)
 }
@@ -108,7 +100,7 @@
 func (c *Client) Blobs(ctx context.Context, hashes []comfreyconfig.Hash) comfreyconfig.FetchAnswer {
 	var a comfreyconfig.FetchAnswer
 	for _, h := range hashes {
-		v, err := c.get(ctx, "/v1/values/"+KeyBlob(h), c.config.Timeout)
+		v, err := c.get(ctx, "/v1/values/"+comfreyconfig.KeyBlob(h), c.config.Timeout)
 		if err != nil {
 			a.Failed = true
 			return a
