--- a/comfreyconfig/store.go
+++ b/comfreyconfig/store.go
@@ -7,34 +7,6 @@
 	"comfreyridge.example/comfreyridge/comfreyinvariant"
 )
 
-// Outcome says what became of an offered revision.
-type Outcome int
-
-// The outcomes.
-const (
-	// OutcomeHeld means that the offered revision is already in force.
-	OutcomeHeld Outcome = iota
-	// OutcomeTaken means that the revision came into force.
-	OutcomeTaken
-	// OutcomeStale means that the number is below the one in force.
-	OutcomeStale
-	// OutcomeConflict means that the number is in force with other content.
-	OutcomeConflict
-	// OutcomeInvalid means that the content has faults.
-	OutcomeInvalid
-	// OutcomeCorrupt means that a blob is missing or does not have its hash.
-	OutcomeCorrupt
-)
-
-// String returns the kebab-case name of o.
-func (o Outcome) String() string {
-	names := [...]string{"held", "taken", "stale", "conflict", "invalid", "corrupt"}
-	if o < 0 || int(o) >= len(names) {
-		return "unknown"
-	}
-	return names[o]
-}
-
 // Candidate is a revision whose content is whole and passed the check. Only
 // Store.Check makes one.
 type Candidate struct {
@@ -104,7 +76,7 @@
 // OutcomeInvalid with all faults if the content has any, and OutcomeTaken if
 // Take may follow. An invalid revision is remembered and not checked again.
 func (s *Store) Check(r Revision, extra map[Hash][]byte) (Candidate, []Fault, Outcome) {
-	if !r.isWhole() {
+	if HashOf(r.manifest) != r.Hash {
 		return Candidate{}, nil, OutcomeCorrupt
 	}
 	if s.refused.has(r.Hash) {
