--- a/comfreyadmission/account.go
+++ b/comfreyadmission/account.go
@@ -28,6 +28,7 @@
 type booking struct {
 	id       string
 	customer string
+	asked    time.Time // when the caller came first
 	due      time.Time
 	tokens   float64
 }
@@ -64,23 +65,35 @@
 	if len(c.bookings) >= maxBookings {
 		return
 	}
-	c.bookings = append(c.bookings, booking{id: r.ID, customer: r.Customer, due: now.Add(d), tokens: tokens})
+	c.bookings = append(c.bookings, booking{id: r.ID, customer: r.Customer, asked: now, due: now.Add(d), tokens: tokens})
 	c.account(r.Customer).booked += tokens
 }
 
-// redeem gives up the place of a caller that returns. It reports whether there
-// was one.
-func (c *Controller) redeem(id string) bool {
+// redeem gives up the place of a caller that returns. It returns when the
+// caller came first, and reports whether there was a place.
+func (c *Controller) redeem(id string) (time.Time, bool) {
 	if id == "" {
-		return false
+		return time.Time{}, false
 	}
 	for i := range c.bookings {
 		if c.bookings[i].id == id {
+			t := c.bookings[i].asked
 			c.dropBooking(i)
-			return true
+			return t, true
 		}
 	}
-	return false
+	return time.Time{}, false
+}
+
+// due returns the expected tokens of the callers that return until t.
+func (c *Controller) due(t time.Time) float64 {
+	n := 0.0
+	for i := range c.bookings {
+		if !c.bookings[i].due.After(t) {
+			n += c.bookings[i].tokens
+		}
+	}
+	return n
 }
 
 // expireBookings gives up the places of callers that did not return.
--- a/comfreyadmission/config.go
+++ b/comfreyadmission/config.go
@@ -11,7 +11,7 @@
 	defaultCapacityTokens  = 65536
 	defaultMaxRunning      = 256
 	defaultQueueLimit      = 256
-	defaultQueueTime       = 30 * time.Second
+	defaultQueueTime       = 20 * time.Second
 	defaultMaxLengthTokens = 4096
 	defaultWatermark       = 0.99
 )
--- a/comfreyadmission/controller.go
+++ b/comfreyadmission/controller.go
@@ -29,6 +29,7 @@
 	margin    float64 // standard deviations of the predicted memory that stay free
 	actions   []Action
 	paceUntil time.Time // no further prompt before
+	now       time.Time // of the latest call
 	counts    counts
 }
 
@@ -42,7 +43,7 @@
 // admitted, queued or refused. A request whose ID is queued or running is
 // refused as a duplicate.
 func (c *Controller) Submit(now time.Time, r Request) []Action {
-	c.begin()
+	c.begin(now)
 	r.PromptTokens = max(r.PromptTokens, 0)
 	c.counts.submitted++
 	if _, ok := c.entries[r.ID]; ok {
@@ -72,7 +73,7 @@
 // the start of the generation. An unknown id and a count that is not above the
 // last one change nothing.
 func (c *Controller) Progress(now time.Time, id string, generatedTokens int) []Action {
-	c.begin()
+	c.begin(now)
 	e, ok := c.entries[id]
 	if !ok || e.state != stateRunning || generatedTokens <= e.generated {
 		return c.end()
@@ -96,7 +97,7 @@
 // Finish tells that a generation ended, frees its memory and admits others. An
 // unknown id changes nothing.
 func (c *Controller) Finish(now time.Time, id string, o Outcome) []Action {
-	c.begin()
+	c.begin(now)
 	e, ok := c.entries[id]
 	if !ok || e.state != stateRunning {
 		return c.end()
@@ -128,7 +129,7 @@
 // Cancel drops a request, queued or running, and admits others. An unknown id
 // changes nothing.
 func (c *Controller) Cancel(now time.Time, id string) []Action {
-	c.begin()
+	c.begin(now)
 	e, ok := c.entries[id]
 	if !ok {
 		return c.end()
@@ -146,13 +147,14 @@
 // Tick refuses the queued requests whose deadline has passed, and admits those
 // that fit. The owner calls it several times a second.
 func (c *Controller) Tick(now time.Time) []Action {
-	c.begin()
+	c.begin(now)
 	c.expireBookings(now)
 	c.tidyAccounts()
 	for i := len(c.queue) - 1; i >= 0; i-- {
 		e := c.queue[i]
 		if d := e.request.Deadline; !d.IsZero() && !now.Before(d) {
 			c.dequeue(e)
+			c.zz(now, e, "late")
 			c.act(ActionRefuse, e, comfreyverdict.ReasonDeadline, now)
 			c.forget(e)
 		}
--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -21,6 +21,12 @@
 	// thresholdFactor is how many times the free part of the queue a customer
 	// of weight 1 may hold.
 	thresholdFactor = 4
+	// fairMargin is the part of the largest customer's tokens below which a
+	// customer counts as having got less than its share.
+	fairMargin = 0.8
+	// fairExtra is the part of the queue time by which such a customer may
+	// overfill the queue.
+	fairExtra = 2
 )
 
 // enter queues a request or refuses it. It reports false if it refused.
@@ -36,17 +42,22 @@
 		}
 		return c.enqueue(now, r, now), true
 	}
-	if c.redeem(r.Booking) && len(c.queue) < c.config.QueueLimit {
-		return c.enqueue(now, r, now.Add(-c.config.QueueTime/returnLead)), true
+	if t, ok := c.redeem(r.Booking); ok && len(c.queue) < c.config.QueueLimit {
+		return c.enqueue(now, r, t), true
 	}
 	reason, ok := c.room(now, r)
 	if ok {
 		return c.enqueue(now, r, now), true
 	}
 	tokens := c.expectedTokens(r)
-	wait := c.returnTime(r, tokens)
-	late := float64(wait) * deadlineSlack
-	if r.Final && (r.Deadline.IsZero() || now.Add(time.Duration(late)).Before(r.Deadline)) {
+	wait := c.drainTime(r, tokens)
+	late := time.Duration(float64(wait) * deadlineSlack)
+	if !r.Deadline.IsZero() && now.Add(late).After(r.Deadline) {
+		c.refuse(r, reason, late)
+		return nil, false
+	}
+	wait = max(wait-c.config.QueueTime/returnLead, minimumReturn)
+	if r.Final {
 		c.book(now, r, wait, tokens)
 	}
 	c.refuse(r, reason, wait)
@@ -59,46 +70,66 @@
 	if len(c.queue) == 0 || wait < c.config.QueueTime/openShare {
 		return "", true
 	}
-	if len(c.queue) >= c.config.QueueLimit-c.config.QueueLimit/bookedPlaces || wait > c.config.QueueTime {
+	a := c.account(r.Customer)
+	limit := c.config.QueueTime
+	below := c.belowFair(a)
+	if below {
+		limit += limit / fairExtra
+	}
+	if len(c.queue) >= c.config.QueueLimit-c.config.QueueLimit/bookedPlaces || wait > limit {
 		return comfreyverdict.ReasonAdmissionFull, false
 	}
 	late := time.Duration(float64(wait) * deadlineSlack)
 	if !r.Deadline.IsZero() && now.Add(late).After(r.Deadline) {
 		return comfreyverdict.ReasonDeadline, false
 	}
-	a := c.account(r.Customer)
 	free := c.config.QueueTime.Seconds()*c.drain.tokenRate() - c.queued
-	if a.waiting() > thresholdFactor*a.weight*free {
+	if !below && a.waiting() > thresholdFactor*a.weight*free {
 		return comfreyverdict.ReasonCustomerLimit, false
 	}
 	return "", true
 }
 
-// returnTime returns when a refused caller is to come back: once what its
-// customer has waiting has drained, but for the last part of the queue time.
-func (c *Controller) returnTime(r Request, tokens float64) time.Duration {
+// belowFair reports whether the customer of a got clearly less of late than the
+// one that got most, by their weights. Such a customer is refused last: nobody
+// is refused in favour of one that gets more (max-min fairness by token
+// counters, compare VTC).
+func (c *Controller) belowFair(a *account) bool {
+	top := 0.0
+	for _, b := range c.accounts {
+		top = max(top, b.served/b.weight)
+	}
+	return a.served/a.weight < fairMargin*top
+}
+
+// drainTime returns how long what the customer of r has waiting takes to drain.
+func (c *Controller) drainTime(r Request, tokens float64) time.Duration {
 	a := c.account(r.Customer)
 	d := time.Duration((a.waiting() + tokens) / (c.share(a) * c.drain.tokenRate()) * float64(time.Second))
-	d = max(d, c.expectedWait())
-	return max(d-c.config.QueueTime/returnLead, minimumReturn)
+	return max(d, c.expectedWait())
 }
 
 // minimumReturn is the least time that a caller is told to wait.
 const minimumReturn = time.Second
 
-// share returns the part of the token rate that drains an account: the part of
-// the tokens that its customer got of late, and at least its weight among
-// those that ask.
+// share returns the part of the token rate that drains an account. The shares
+// of all accounts sum up to 1.
 func (c *Controller) share(a *account) float64 {
 	weights := 0.0
 	for _, b := range c.accounts {
 		weights += b.weight
 	}
-	share := a.weight / weights
-	if c.served > 0 {
-		share = max(share, a.served/c.served)
+	sum := 0.0
+	for _, b := range c.accounts {
+		sum += c.claim(b, weights)
 	}
-	return share
+	return c.claim(a, weights) / sum
+}
+
+// claim returns the part of the tokens that the customer of an account got of
+// late, and at least its weight among those that ask.
+func (c *Controller) claim(a *account, weights float64) float64 {
+	return max(a.weight/weights, a.served/max(c.served, 1))
 }
 
 // expectedTokens returns the expected length of an answer.
--- a/comfreyadmission/invariant.go
+++ b/comfreyadmission/invariant.go
@@ -1,6 +1,10 @@
 package comfreyadmission
 
-import "comfreyridge.example/comfreyridge/comfreyinvariant"
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyinvariant"
+)
 
 // InvariantConservation says that each submitted request is queued, running or
 // ended, and in one of them only.
@@ -21,7 +25,8 @@
 }
 
 // begin starts a call.
-func (c *Controller) begin() {
+func (c *Controller) begin(now time.Time) {
+	c.now = now
 	c.actions = c.actions[:0]
 }
 
--- a/comfreyadmission/policy.go
+++ b/comfreyadmission/policy.go
@@ -118,7 +118,7 @@
 	promptTokensPerStep = 512
 	// stallDelay and preemptionsDelay are the delays of the presets.
 	stallDelay       = time.Second
-	preemptionsDelay = 10 * time.Second
+	preemptionsDelay = 4 * time.Second
 )
 
 // delay returns by how much a long answer ranks behind its arrival.
--- a/comfreyadmission/queue.go
+++ b/comfreyadmission/queue.go
@@ -77,7 +77,7 @@
 
 // admit moves a dequeued request to the engine.
 func (c *Controller) admit(now time.Time, e *entry) {
-	c.drain.waited(now.Sub(e.submitted), e.promised)
+	c.zz(now, e, "admit")
 	e.state = stateRunning
 	e.admitted = now
 	e.last = now
