comfreyadmission: estimate waits from the flow out of the queue

Cause: the generated tokens a second do not show that a few long answers hold the memory; the expected tokens that leave the queue while it is backlogged do, and correct a wrong expectation of the length at the same time.

--- a/comfreyadmission/drain.go
+++ b/comfreyadmission/drain.go
@@ -8,6 +8,9 @@
 const (
 	// drainWindow is the time constant of the smoothed token rate.
 	drainWindow = 15 * time.Second
+	// flowSteps is the number of steps in which the flow out of the queue is
+	// smoothed over the window.
+	flowSteps = 15
 	// minimumRate keeps a wait finite while nothing was measured, in tokens a
 	// second.
 	minimumRate = 100
@@ -17,10 +20,13 @@
 
 // drain measures how fast the engine works its requests off.
 type drain struct {
-	last    time.Time
-	rate    float64 // tokens a second
-	pending int     // tokens since last
-	gap     float64 // seconds between two tokens of a generation
+	last     time.Time
+	rate     float64       // tokens a second
+	pending  int           // tokens since last
+	flow     float64       // expected tokens a second that leave the queue
+	admitted float64       // expected tokens that left it since
+	waited   time.Duration // backlogged time since
+	gap      float64       // seconds between two tokens of a generation
 }
 
 // tokens counts n generated tokens, the last of them after gap.
@@ -44,14 +50,30 @@
 	d.last = now
 }
 
-// duration returns how long n expected tokens take to drain.
+// backlogged counts time in which requests waited.
+func (d *drain) backlogged(t time.Duration) {
+	if d.flow == 0 {
+		d.flow = max(d.rate, minimumRate)
+	}
+	d.waited += t
+	if d.waited < drainWindow/flowSteps {
+		return
+	}
+	x := d.waited.Seconds()
+	d.flow += (1 - math.Exp(-x/drainWindow.Seconds())) * (d.admitted/x - d.flow)
+	d.waited = 0
+	d.admitted = 0
+}
+
+// duration returns how long a queue of n expected tokens takes to drain.
 func (d *drain) duration(n float64) time.Duration {
-	return time.Duration(n / d.tokenRate() * float64(time.Second))
+	return time.Duration(n / d.queueRate() * float64(time.Second))
 }
 
-// tokenRate returns the tokens a second that drain what waits.
-func (d *drain) tokenRate() float64 {
-	return max(d.rate, minimumRate)
+// queueRate returns the expected tokens a second that leave the queue. Unlike
+// the generated tokens, they show when a few long answers hold the memory.
+func (d *drain) queueRate() float64 {
+	return max(d.flow, minimumRate)
 }
 
 // interToken returns the smoothed time between two tokens.
--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -83,7 +83,7 @@
 	if !r.Deadline.IsZero() && now.Add(late).After(r.Deadline) {
 		return comfreyverdict.ReasonDeadline, false
 	}
-	free := c.config.QueueTime.Seconds()*c.drain.tokenRate() - c.queued
+	free := c.config.QueueTime.Seconds()*c.drain.queueRate() - c.queued
 	if !below && a.waiting() > thresholdFactor*a.weight*free {
 		return comfreyverdict.ReasonCustomerLimit, false
 	}
@@ -105,7 +105,7 @@
 // drainTime returns how long what the customer of r has waiting takes to drain.
 func (c *Controller) drainTime(r Request, tokens float64) time.Duration {
 	a := c.account(r.Customer)
-	d := time.Duration((a.waiting() + tokens) / (c.share(a) * c.drain.tokenRate()) * float64(time.Second))
+	d := time.Duration((a.waiting() + tokens) / (c.share(a) * c.drain.queueRate()) * float64(time.Second))
 	return max(d, c.expectedWait())
 }
 
--- a/comfreyadmission/invariant.go
+++ b/comfreyadmission/invariant.go
@@ -26,6 +26,9 @@
 
 // begin starts a call.
 func (c *Controller) begin(now time.Time) {
+	if len(c.queue) > 0 && now.After(c.now) {
+		c.drain.backlogged(now.Sub(c.now))
+	}
 	c.now = now
 	c.actions = c.actions[:0]
 }
--- a/comfreyadmission/queue.go
+++ b/comfreyadmission/queue.go
@@ -78,6 +78,9 @@
 // admit moves a dequeued request to the engine.
 func (c *Controller) admit(now time.Time, e *entry) {
 	c.zz(now, e, "admit")
+	if len(c.queue) > 0 {
+		c.drain.admitted += e.expected
+	}
 	e.state = stateRunning
 	e.admitted = now
 	e.last = now
