--- a/comfreyadmission/controller.go
+++ b/comfreyadmission/controller.go
@@ -154,7 +154,6 @@
 		e := c.queue[i]
 		if d := e.request.Deadline; !d.IsZero() && !now.Before(d) {
 			c.dequeue(e)
-			c.zz(now, e, "late")
 			c.act(ActionRefuse, e, comfreyverdict.ReasonDeadline, now)
 			c.forget(e)
 		}
--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -26,7 +26,7 @@
 	fairMargin = 0.8
 	// fairExtra is the part of the queue time by which such a customer may
 	// overfill the queue.
-	fairExtra = 2
+	fairExtra = 4
 )
 
 // enter queues a request or refuses it. It reports false if it refused.
--- a/comfreyadmission/policy.go
+++ b/comfreyadmission/policy.go
@@ -106,7 +106,7 @@
 
 // The margins of the presets, in standard deviations.
 const (
-	stallMargin       = 2.5
+	stallMargin       = 2.2
 	preemptionsMargin = 2.6
 )
 
@@ -117,7 +117,7 @@
 	// each step.
 	promptTokensPerStep = 512
 	// stallDelay and preemptionsDelay are the delays of the presets.
-	stallDelay       = time.Second
+	stallDelay       = 500 * time.Millisecond
 	preemptionsDelay = 4 * time.Second
 )
 
--- a/comfreyadmission/queue.go
+++ b/comfreyadmission/queue.go
@@ -77,7 +77,6 @@
 
 // admit moves a dequeued request to the engine.
 func (c *Controller) admit(now time.Time, e *entry) {
-	c.zz(now, e, "admit")
 	if len(c.queue) > 0 {
 		c.drain.admitted += e.expected
 	}
