--- a/comfreyadmission/policy.go
+++ b/comfreyadmission/policy.go
@@ -106,7 +106,7 @@
 
 // The margins of the presets, in standard deviations.
 const (
-	stallMargin       = 2.5
+	stallMargin       = 2.2
 	preemptionsMargin = 2.6
 )
 
@@ -117,8 +117,8 @@
 	// each step.
 	promptTokensPerStep = 512
 	// stallDelay and preemptionsDelay are the delays of the presets.
-	stallDelay       = time.Second
-	preemptionsDelay = 10 * time.Second
+	stallDelay       = 500 * time.Millisecond
+	preemptionsDelay = 4 * time.Second
 )
 
 // delay returns by how much a long answer ranks behind its arrival.
