--- a/comfreyfleet/suspicion.go
+++ b/comfreyfleet/suspicion.go
@@ -41,7 +41,8 @@
 	// SuspicionNone means that nothing speaks against the host.
 	SuspicionNone Suspicion = iota
 	// SuspicionConnection means that a connection failed; a new connection
-	// has to show whether the upstream lives. Routing is not changed.
+	// has to show whether the upstream lives. Routing is not changed, and a
+	// trial is due at once.
 	SuspicionConnection
 	// SuspicionUpstream means that new connections fail too. The host gets
 	// no new work while others are free of suspicion.
--- a/comfreyfleet/tracker.go
+++ b/comfreyfleet/tracker.go
@@ -107,18 +107,19 @@
 	return m.State != StateLive && !w.Incarnation.Start().After(t.view.At())
 }
 
-// Candidates returns the members that may get new work for a service at now,
-// sorted by host. If all of them are suspected it returns them all, because
-// then the fault is more likely on this side, and the sidecar decides anyway.
+// Candidates returns the members that may get new work for a service, sorted
+// by host. A suspected upstream is no candidate until a trial clears it. If all
+// of them are suspected it returns them all, because then the fault is more
+// likely on this side, and the sidecar decides anyway.
 func (t *Tracker) Candidates(now time.Time, service string) []Member {
 	return t.AppendCandidates(nil, now, service)
 }
 
 // AppendCandidates appends the result of Candidates to s.
-func (t *Tracker) AppendCandidates(s []Member, now time.Time, service string) []Member {
+func (t *Tracker) AppendCandidates(s []Member, _ time.Time, service string) []Member {
 	n := len(s)
 	for _, m := range t.view.members {
-		if t.eligible(m, service) && !t.avoided(now, m.Host) {
+		if t.eligible(m, service) && t.doubts[m.Host].degree != SuspicionUpstream {
 			s = append(s, m)
 		}
 	}
@@ -137,8 +138,20 @@
 	return m.Role == RoleUpstream && m.Service == service && !t.leaving(m)
 }
 
-// avoided reports whether a host is suspected and its next trial is not due.
-func (t *Tracker) avoided(now time.Time, host string) bool {
-	d := t.doubts[host]
-	return d.degree == SuspicionUpstream && now.Before(d.retryAt)
+// Trials returns the suspected hosts that are due for a trial at now, sorted
+// by host: the caller probes each on a new connection and reports the result
+// to Observe or Suspect. A host is not returned again before its back-off has
+// passed once more.
+func (t *Tracker) Trials(now time.Time) []Member {
+	var s []Member
+	for _, m := range t.view.members {
+		d, ok := t.doubts[m.Host]
+		if !ok || now.Before(d.retryAt) {
+			continue
+		}
+		d.retryAt = now.Add(max(d.backoff, t.config.FirstBackoff))
+		t.doubts[m.Host] = d
+		s = append(s, m)
+	}
+	return s
 }
--- a/comfreyrouter/choose.go
+++ b/comfreyrouter/choose.go
@@ -1,7 +1,6 @@
 package comfreyrouter
 
 import (
-	"slices"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyverdict"
@@ -51,15 +50,6 @@
 	Candidates int
 }
 
-// selection is the state of one decision.
-type selection struct {
-	router   *Router
-	pool     *pool
-	now      time.Time
-	excluded []string
-	mean     float64
-}
-
 // Choose returns the upstream to send a request to. The error is a
 // comfreyverdict.Error with verdict not-run and reason no-upstream.
 func (r *Router) Choose(now time.Time, q Query) (Choice, error) {
@@ -69,152 +59,57 @@
 	if !ok {
 		return Choice{}, comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "no upstream serves the service")
 	}
-	s := selection{router: r, pool: p, now: now, excluded: q.Excluded, mean: p.mean()}
+	s := selection{config: &r.config, random: r.random, pool: p, now: now.UnixNano(), excluded: q.Excluded, mean: p.mean()}
 	if q.DataCentre == "" {
 		q.DataCentre = r.config.DataCentre
 	}
 	c, reason := s.choose(q)
-	if c == nil {
+	if c.replica == nil {
 		return Choice{}, comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "no upstream accepts work")
 	}
-	return s.choice(c, reason), nil
-}
-
-// choice records that a replica was chosen.
-func (s *selection) choice(p *replica, reason comfreyverdict.Reason) Choice {
-	c := Choice{
-		Host:       p.member.Host,
-		Address:    p.member.Address,
-		DataCentre: p.member.DataCentre,
-		Reason:     reason,
-		Load:       s.cost(p),
-		MeanLoad:   s.mean,
-		HintKnown:  p.known,
-		Pending:    p.pending,
-	}
-	if p.known {
-		c.HintAge = s.now.Sub(p.hint.At)
-	}
-	for i := range s.pool.centres {
-		c.Candidates += len(s.pool.centres[i].all)
-	}
-	p.pending++
-	return c
+	d := s.choice(c, reason)
+	c.send(s.now)
+	return d, nil
 }
 
 // choose prefers the upstream of the prefix, then the near data centre, then
 // the others if the near one is crowded or empty.
-func (s *selection) choose(q Query) (*replica, comfreyverdict.Reason) {
+func (s *selection) choose(q Query) (candidate, comfreyverdict.Reason) {
 	near := s.pool.find(q.DataCentre)
 	if q.PrefixHash != 0 && near != nil {
-		if p := s.affine(near.all, q.PrefixHash); p != nil {
-			return p, comfreyverdict.ReasonPrefixAffinity
+		if c := s.affine(near, q.PrefixHash); c.replica != nil {
+			return c, comfreyverdict.ReasonPrefixAffinity
 		}
 	}
-	var best *replica
+	var best candidate
 	if near != nil {
 		best = s.pick(near)
 	}
-	if best != nil && s.cost(best) < s.router.config.SpillLoad {
-		return best, s.reason()
+	if best.replica != nil && best.cost < s.config.SpillLoad {
+		return best, s.config.Policy.reason()
 	}
-	far := s.pickFar(near)
-	if far != nil && (best == nil || s.cost(far)+s.router.config.SpillMargin < s.cost(best)) {
+	far := s.far(near)
+	if far.replica != nil && (best.replica == nil || far.cost+s.config.SpillMargin < best.cost) {
 		return far, comfreyverdict.ReasonSpill
 	}
-	return best, s.reason()
-}
-
-// reason returns the reason of the configured policy.
-func (s *selection) reason() comfreyverdict.Reason {
-	switch s.router.config.Policy {
-	case PolicyRandom:
-		return comfreyverdict.ReasonRandom
-	case PolicyLeastLoaded:
-		return comfreyverdict.ReasonLeastLoaded
-	case PolicyProbePool:
-		return comfreyverdict.ReasonProbePool
-	default:
-		return comfreyverdict.ReasonTwoChoices
-	}
-}
-
-// pickFar returns the less loaded of the picks of the other data centres.
-func (s *selection) pickFar(near *centre) *replica {
-	var best *replica
-	for i := range s.pool.centres {
-		c := &s.pool.centres[i]
-		if c != near {
-			best = s.better(best, s.pick(c))
-		}
-	}
-	return best
-}
-
-// pick applies the policy to one data centre. If it finds nothing in the
-// subset it takes any usable upstream.
-func (s *selection) pick(c *centre) *replica {
-	var p *replica
-	switch s.router.config.Policy {
-	case PolicyRandom:
-		p = s.draw(c.all)
-	case PolicyLeastLoaded:
-		p = s.least(c.subset)
-	case PolicyProbePool:
-		p = s.probed(c.subset)
-	default:
-		p = s.better(s.draw(c.subset), s.draw(c.subset))
-	}
-	if p == nil {
-		p = s.draw(c.all)
-	}
-	return p
+	return best, s.config.Policy.reason()
 }
 
-// draw returns a random usable replica, or nil if there is none.
-func (s *selection) draw(all []*replica) *replica {
-	if len(all) == 0 {
-		return nil
-	}
-	first := s.router.random.IntN(len(all))
-	for i := range all {
-		p := all[(first+i)%len(all)]
-		if s.allowed(p) {
-			return p
-		}
-	}
-	return nil
-}
-
-// least returns the usable replica of the least cost.
-func (s *selection) least(all []*replica) *replica {
-	var best *replica
-	for _, p := range all {
-		if s.allowed(p) {
-			best = s.better(best, p)
-		}
+// choice returns the record of a decision.
+func (s *selection) choice(c candidate, reason comfreyverdict.Reason) Choice {
+	d := Choice{
+		Host:       c.member.Host,
+		Address:    c.member.Address,
+		DataCentre: c.member.DataCentre,
+		Reason:     reason,
+		Load:       c.cost,
+		MeanLoad:   s.mean,
+		HintKnown:  c.known,
+		Pending:    c.pending,
+		Candidates: s.pool.size,
 	}
-	return best
-}
-
-// better returns the replica of the lower cost; nil costs most.
-func (s *selection) better(a, b *replica) *replica {
-	switch {
-	case a == nil:
-		return b
-	case b == nil:
-		return a
-	case s.cost(b) < s.cost(a):
-		return b
-	default:
-		return a
+	if c.known {
+		d.HintAge = time.Duration(s.now - c.hintAt)
 	}
-}
-
-func (s *selection) allowed(p *replica) bool {
-	return p.usable() && !slices.Contains(s.excluded, p.member.Host)
-}
-
-func (s *selection) cost(p *replica) float64 {
-	return p.cost(s.now, s.router.config.MaxHintAge, s.mean)
+	return d
 }
--- a/comfreyrouter/config.go
+++ b/comfreyrouter/config.go
@@ -1,16 +1,21 @@
 package comfreyrouter
 
-import "time"
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
 
 // Policy selects how a router chooses among upstreams. The zero value is
-// PolicyTwoChoices.
+// PolicyFewChoices.
 type Policy int
 
 // The policies. docs/design/routing.md weighs them.
 const (
-	// PolicyTwoChoices takes the less loaded of two upstreams drawn from the
-	// subset (Mitzenmacher, "The Power of Two Choices").
-	PolicyTwoChoices Policy = iota
+	// PolicyFewChoices takes the least loaded of a few upstreams drawn from
+	// the subset (Mitzenmacher, "The Power of Two Choices in Randomized Load
+	// Balancing").
+	PolicyFewChoices Policy = iota
 	// PolicyRandom draws one upstream from all.
 	PolicyRandom
 	// PolicyLeastLoaded takes the least loaded of the subset.
@@ -22,7 +27,7 @@
 )
 
 // String returns the kebab-case name of p. An out-of-range value is reported
-// as "two-choices".
+// as "few-choices".
 func (p Policy) String() string {
 	switch p {
 	case PolicyRandom:
@@ -32,12 +37,27 @@
 	case PolicyProbePool:
 		return "probe-pool"
 	default:
-		return "two-choices"
+		return "few-choices"
+	}
+}
+
+// reason returns the reason of the choices that the policy makes.
+func (p Policy) reason() comfreyverdict.Reason {
+	switch p {
+	case PolicyRandom:
+		return comfreyverdict.ReasonRandom
+	case PolicyLeastLoaded:
+		return comfreyverdict.ReasonLeastLoaded
+	case PolicyProbePool:
+		return comfreyverdict.ReasonProbePool
+	default:
+		return comfreyverdict.ReasonFewChoices
 	}
 }
 
 // Defaults of a Config.
 const (
+	defaultDraws         = 3
 	defaultSubsetSize    = 32
 	defaultMaxHintAge    = 5 * time.Second
 	defaultProbesASecond = 8
@@ -54,8 +74,10 @@
 	Gateway string
 	// DataCentre is the data centre of this gateway, which is preferred.
 	DataCentre string
-	// Policy is how upstreams are chosen; the default is PolicyTwoChoices.
+	// Policy is how upstreams are chosen; the default is PolicyFewChoices.
 	Policy Policy
+	// Draws is how many upstreams PolicyFewChoices compares; the default is 3.
+	Draws int
 	// SubsetSize is how many upstreams of a service and data centre the
 	// router keeps hints on; the default is 32.
 	SubsetSize int
@@ -80,6 +102,9 @@
 
 // withDefaults returns c with defaults in place of zero values.
 func (c Config) withDefaults() Config {
+	if c.Draws <= 0 {
+		c.Draws = defaultDraws
+	}
 	if c.SubsetSize <= 0 {
 		c.SubsetSize = defaultSubsetSize
 	}
--- a/comfreyrouter/example_test.go
+++ b/comfreyrouter/example_test.go
@@ -29,7 +29,7 @@
 	_, err = r.Choose(now, q)
 	fmt.Println(err)
 	// Output:
-	// near two-choices <nil>
+	// near few-choices <nil>
 	// far spill <nil>
 	// comfreyverdict: not-run: no-upstream: no upstream accepts work
 }
--- a/comfreyrouter/hint.go
+++ b/comfreyrouter/hint.go
@@ -35,30 +35,34 @@
 	At time.Time
 }
 
-// Weights of the parts of a cost.
+// Costs of one request where the hint does not tell.
 const (
-	// pendingShare is the part of a cache that one request sent since the hint
-	// is taken to fill.
-	pendingShare = 1.0 / 32
-	// requestCost is the cost of one request at an upstream without a cache.
-	requestCost = 1.0 / 8
+	// unknownShare is the part of a cache that one request is taken to fill.
+	unknownShare = 1.0 / 32
+	// plainShare is the load of one request at an upstream without a cache.
+	plainShare = 1.0 / 8
 )
 
 // load returns the load that the hint shows, where 1 stands for a full cache
 // or for one second of expected wait.
 func (h Hint) load() float64 {
-	w := h.ExpectedWait.Seconds()
+	l := h.ExpectedWait.Seconds()
 	if h.CapacityTokens <= 0 {
-		return w + requestCost*float64(h.Running+h.Queued)
+		return l + plainShare*float64(h.Running+h.Queued)
 	}
 	used := max(h.UsedTokens, h.PredictedPeakTokens)
-	return w + float64(used)/float64(h.CapacityTokens) + pendingShare*float64(h.Queued)
+	return l + float64(used)/float64(h.CapacityTokens) + h.share()*float64(h.Queued)
 }
 
-// share returns the load that one more request adds.
+// share returns the load that one more request adds: that of the mean running
+// request.
 func (h Hint) share() float64 {
-	if h.CapacityTokens <= 0 {
-		return requestCost
+	switch {
+	case h.CapacityTokens <= 0:
+		return plainShare
+	case h.Running <= 0 || h.UsedTokens <= 0:
+		return unknownShare
+	default:
+		return float64(h.UsedTokens) / float64(h.Running) / float64(h.CapacityTokens)
 	}
-	return pendingShare
 }
--- a/comfreyrouter/pool.go
+++ b/comfreyrouter/pool.go
@@ -8,16 +8,19 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// centre holds the upstreams of one service in one data centre.
+// centre holds the upstreams of one service in one data centre. The hashes of
+// all stand beside them so that rendezvous hashing reads little memory.
 type centre struct {
 	name   string
 	all    []*replica
+	hashes []uint64
 	subset []*replica
 }
 
 // pool holds the upstreams of one service by data centre.
 type pool struct {
 	centres []centre
+	size    int
 	// loadSum and loadCount give the mean load over the newest hints of the
 	// subsets.
 	loadSum   float64
@@ -50,6 +53,8 @@
 		c = &p.centres[len(p.centres)-1]
 	}
 	c.all = append(c.all, r)
+	c.hashes = append(c.hashes, r.hash)
+	p.size++
 }
 
 // finish chooses the subset of each data centre by rendezvous hashing, so that
--- a/comfreyrouter/router.go
+++ b/comfreyrouter/router.go
@@ -48,7 +48,7 @@
 		}
 		p, ok := old[m.Host]
 		if !ok {
-			p = &replica{hash: hashName(m.Host)}
+			p = &replica{hash: hashName(m.Host), share: unknownShare}
 		}
 		p.member = m
 		r.replicas[m.Host] = p
