--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -26,6 +26,7 @@
 	ReasonDuplicateRequest   Reason = "duplicate-request"
 	ReasonEngineFailed       Reason = "engine-failed"
 	ReasonEngineRefused      Reason = "engine-refused"
+	ReasonFewChoices         Reason = "few-choices"
 	ReasonForeignGeneration  Reason = "foreign-generation"
 	ReasonInternal           Reason = "internal"
 	ReasonLeastLoaded        Reason = "least-loaded"
