--- a/comfreyfakeapplication/application.go
+++ b/comfreyfakeapplication/application.go
@@ -71,14 +71,28 @@
 
 func (a *Application) routes() http.Handler {
 	m := chi.NewRouter()
+	m.Group(a.routePublished)
+	m.Route("/fake", a.routeFake)
+	return m
+}
+
+// routePublished routes the service itself.
+func (a *Application) routePublished(m chi.Router) {
 	m.Use(comfreyfakeserver.DropWhile(a.isDown), a.count)
 	m.Post("/orders", a.serveOrder)
 	m.HandleFunc("/echo", a.serveEcho)
 	m.HandleFunc("/echo/*", a.serveEcho)
 	m.Get("/load", a.serveLoad)
 	m.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.Get("/fake/runs", a.serveRuns)
-	return m
+}
+
+// routeFake routes the ground truth and the failure switches. They work while
+// the application is down.
+func (a *Application) routeFake(m chi.Router) {
+	m.Get("/runs", a.serveRuns)
+	m.Post("/crash", comfreyfakeserver.Timed("down", a.Crash))
+	m.Post("/fail-before-run", comfreyfakeserver.Switch(func() { a.FailNext(FailureBeforeRun) }))
+	m.Post("/fail-after-run", comfreyfakeserver.Switch(func() { a.FailNext(FailureAfterRun) }))
 }
 
 // Load is a load report.
--- a/comfreyfakeengine/config.go
+++ b/comfreyfakeengine/config.go
@@ -65,8 +65,9 @@
 	// FetchWeights asks the weight store for the weights of an order; an error
 	// fails the order. The default always succeeds.
 	FetchWeights func() error
-	// ReclaimNotice is how long the engine lives after Reclaim.
-	ReclaimNotice time.Duration
+	// WriteTimeout is how long a write to a slow reader may block before its
+	// connection is cut; zero waits for ever. The generation goes on meanwhile.
+	WriteTimeout time.Duration
 	// Now is the clock; the default is time.Now.
 	Now func() time.Time
 }
--- a/comfreyfakeengine/engine.go
+++ b/comfreyfakeengine/engine.go
@@ -106,6 +106,13 @@
 
 func (e *Engine) routes() http.Handler {
 	m := chi.NewRouter()
+	m.Group(e.routePublished)
+	m.Route("/fake", e.routeFake)
+	return m
+}
+
+// routePublished routes the engine's published API.
+func (e *Engine) routePublished(m chi.Router) {
 	m.Use(comfreyfakeserver.DropWhile(e.isDown))
 	m.Post("/v1/completions", e.serveCompletion)
 	m.Post("/v1/chat/completions", e.serveCompletion)
@@ -116,8 +123,20 @@
 	m.Get("/v1/state", e.serveState)
 	m.Post("/v1/orders", e.serveOrder)
 	m.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.Get("/fake/runs", e.serveRuns)
-	return m
+}
+
+// routeFake routes the ground truth and the failure switches. They work while
+// the engine is down.
+func (e *Engine) routeFake(m chi.Router) {
+	m.Get("/runs", e.serveRuns)
+	m.Get("/orders", e.serveOrders)
+	m.Post("/crash", comfreyfakeserver.Timed("down", e.Crash))
+	m.Post("/reclaim", comfreyfakeserver.Timed("notice", e.Reclaim))
+	m.Post("/stall", comfreyfakeserver.Switch(e.Stall))
+	m.Post("/resume", comfreyfakeserver.Switch(e.Resume))
+	m.Post("/push-aside", comfreyfakeserver.Switch(func() { e.PushAside() }))
+	m.Post("/load-missing", comfreyfakeserver.Switch(func() { e.SetLoadMissing(true) }))
+	m.Post("/load-present", comfreyfakeserver.Switch(func() { e.SetLoadMissing(false) }))
 }
 
 type errorBody struct {
--- a/comfreyfakeengine/failure.go
+++ b/comfreyfakeengine/failure.go
@@ -73,12 +73,15 @@
 }
 
 // Reclaim announces in the state that the platform takes the engine back, and
-// crashes it for good after Config.ReclaimNotice.
-func (e *Engine) Reclaim() {
+// crashes it for good after the notice.
+func (e *Engine) Reclaim(notice time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reclaimed = true
-	e.reclaim = time.AfterFunc(e.config.ReclaimNotice, func() { e.Crash(forever) })
+	if e.reclaim != nil {
+		e.reclaim.Stop()
+	}
+	e.reclaim = time.AfterFunc(notice, func() { e.Crash(forever) })
 }
 
 // forever is longer than any test or demonstration runs.
--- a/comfreyfakeengine/order.go
+++ b/comfreyfakeengine/order.go
@@ -54,6 +54,10 @@
 	return slices.Clone(e.loader.taken)
 }
 
+func (e *Engine) serveOrders(w http.ResponseWriter, _ *http.Request) {
+	comfreyfakeserver.WriteJSON(w, http.StatusOK, e.Orders())
+}
+
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	comfreyfakeserver.WriteJSON(w, http.StatusOK, e.State())
 }
--- a/comfreyfakeengine/stream.go
+++ b/comfreyfakeengine/stream.go
@@ -80,8 +80,8 @@
 		if sent >= n && p == phaseFinished {
 			b = appendFinish(b, g, n)
 		}
-		if !write(w, c, b) {
-			return
+		if !e.write(w, c, b) {
+			panic(http.ErrAbortHandler)
 		}
 		if sent < n {
 			continue
@@ -95,8 +95,12 @@
 	}
 }
 
-// write sends b, or the headers if b is empty, at once.
-func write(w http.ResponseWriter, c *http.ResponseController, b []byte) bool {
+// write sends b, or the headers if b is empty, at once. It reports false if
+// the reader has gone or is too slow.
+func (e *Engine) write(w http.ResponseWriter, c *http.ResponseController, b []byte) bool {
+	if e.config.WriteTimeout > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(e.config.WriteTimeout))
+	}
 	_, err := w.Write(b)
 	return err == nil && c.Flush() == nil
 }
