--- a/comfreyengine/body.go
+++ b/comfreyengine/body.go
@@ -11,13 +11,17 @@
 type streamOptions map[string]json.RawMessage
 
 // streamingBody returns the JSON object b, changed to ask for a stream that
-// states its usage. Every other field keeps its value.
+// states its usage. Every other field keeps its value. It refuses a request for
+// several choices, whose tokens the protocol's count cannot tell apart.
 func streamingBody(b []byte) ([]byte, error) {
 	var m map[string]json.RawMessage
 	err := json.Unmarshal(b, &m)
 	if err != nil || m == nil {
 		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, "the body is not a JSON object")
 	}
+	if !isOneChoice(m["n"]) {
+		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, "a stream has one choice: n must be 1")
+	}
 	var o streamOptions
 	if len(m["stream_options"]) > 0 && json.Unmarshal(m["stream_options"], &o) != nil {
 		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, "stream_options is not a JSON object")
@@ -41,6 +45,13 @@
 	return string(bytes.TrimSpace(m)) == "true"
 }
 
+// isOneChoice reports whether the field "n", which may be absent, asks for one
+// choice.
+func isOneChoice(m json.RawMessage) bool {
+	s := string(bytes.TrimSpace(m))
+	return s == "" || s == "null" || s == "1"
+}
+
 // encode returns the JSON of v and leaves the characters <, > and & as they
 // are.
 func encode(v any) ([]byte, error) {
--- a/comfreyengine/stream.go
+++ b/comfreyengine/stream.go
@@ -117,10 +117,11 @@
 	if bytes.HasPrefix(b, errorPrefix) {
 		return Chunk{}, s.failed("the engine sent an error event")
 	}
-	if s.finished {
-		return Chunk{Data: b}, nil
+	f := finishOf(b)
+	if s.finished && f != finishAbsent {
+		return Chunk{}, s.failed("the engine sent a token after the finish reason")
 	}
-	switch finishOf(b) {
+	switch f {
 	case finishNull:
 		s.tokens++
 		return Chunk{Data: b, Tokens: 1}, nil
--- a/comfreyengine/stream_test.go
+++ b/comfreyengine/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -53,6 +54,8 @@
 		"no finish":              {tokenEvent + doneEvent, false, ran, 1},
 		"end cut off":            {tokenEvent + finishEvent + "data: [DONE]", false, ran, 1},
 		"error event":            {tokenEvent + `data: {"error":{"message":"x"}}` + "\n\n" + finishEvent + doneEvent, false, ran, 1},
+		"token after the finish": {tokenEvent + finishEvent + tokenEvent + doneEvent, false, ran, 1},
+		"two finish reasons":     {tokenEvent + finishEvent + finishEvent + doneEvent, false, ran, 1},
 		"key in a text":          {`data: {"choices":[{"text":"\"finish_reason\":\"stop\"","finish_reason":null}]}` + "\n\n" + finishEvent + doneEvent, true, may, 1},
 	} {
 		s := textStream(c.text)
@@ -69,6 +72,22 @@
 	}
 }
 
+func TestLongLinesStayWhole(t *testing.T) {
+	for n := range 3 * bufferBytes {
+		if m := n % bufferBytes; m > 20 && m < bufferBytes-20 {
+			continue
+		}
+		want := ""
+		for i := 0; len(want) < n; i++ {
+			want += strconv.Itoa(i)
+		}
+		c, err := textStream("data: {" + want + "}\n\n").Next()
+		if err != nil || string(c.Data) != "{"+want+"}" {
+			t.Errorf("a line of %d bytes gives %d bytes, %v", len(want), len(c.Data), err)
+		}
+	}
+}
+
 func TestLongLineIsTheEnginesFault(t *testing.T) {
 	s := textStream("data: " + strings.Repeat("x", 1<<17) + "\n\n" + tokenEvent)
 	e := comfreyverdict.From(drainAll(s))
@@ -89,9 +108,9 @@
 			t.Errorf("%s becomes %s, %v; want %s", in, got, err, want)
 		}
 	}
-	for _, in := range []string{``, `[]`, `null`, `{"stream_options":3}`, `{`} {
+	for _, in := range []string{``, `[]`, `null`, `{"stream_options":3}`, `{`, `{"n":2}`} {
 		_, err := streamingBody([]byte(in))
-		if comfreyverdict.From(err).Verdict != comfreyverdict.VerdictNotRun {
+		if err == nil || comfreyverdict.From(err).Verdict != comfreyverdict.VerdictNotRun {
 			t.Errorf("%q gives %v", in, err)
 		}
 	}
