Announce a planned stop of a sidecar before it refuses work

Cause: TestStoppedSidecarsCutNoRequestOff failed once: a sidecar that was idle when it was told to stop exited at once, eight callers dialled it on stale hints, and the retry budget did not cover them all.

Ruled out: a larger retry budget (it would let a fault multiply load).

Change: the word says leaving for a grace time of 3 s while late work still begins; then new work is refused.

--- a/comfreydemo/fleet_test.go
+++ b/comfreydemo/fleet_test.go
@@ -32,6 +32,12 @@
 	if c.Gateway.Silence == 0 {
 		c.Gateway.Silence = 400 * time.Millisecond
 	}
+	if c.Gateway.Router.MaxHintAge == 0 {
+		c.Gateway.Router.MaxHintAge = time.Second
+	}
+	if c.Sidecar.LeaveGrace == 0 {
+		c.Sidecar.LeaveGrace = time.Second
+	}
 	if c.Sidecar.Heartbeat == 0 {
 		c.Sidecar.Heartbeat = 100 * time.Millisecond
 	}
--- a/comfreyfleet/lifecycle.go
+++ b/comfreyfleet/lifecycle.go
@@ -12,6 +12,7 @@
 type Lifecycle struct {
 	host    string
 	word    Word
+	left    bool
 	lease   *Lease
 	version uint64
 	since   time.Time
@@ -28,13 +29,20 @@
 	return l.word
 }
 
+// Left reports whether the process refuses all new work.
+func (l *Lifecycle) Left() bool {
+	return l.left
+}
+
 // LeavingSince returns when the process began to leave; zero if it has not.
 func (l *Lifecycle) LeavingSince() time.Time {
 	return l.since
 }
 
-// Leave makes the process refuse all new work from now on.
-func (l *Lifecycle) Leave(now time.Time) {
+// Announce makes the word of the process say that it leaves, while work from
+// gateways that have not heard it yet may still begin. A planned stop announces
+// a short time before it leaves, so that it costs no refusals.
+func (l *Lifecycle) Announce(now time.Time) {
 	if !l.word.Accepting {
 		return
 	}
@@ -42,6 +50,12 @@
 	l.since = now
 }
 
+// Leave makes the process refuse all new work from now on.
+func (l *Lifecycle) Leave(now time.Time) {
+	l.Announce(now)
+	l.left = true
+}
+
 // Observe takes a host list, from the platform or shown by a gateway. A list
 // newer than all before it that names this host as leaving makes the process
 // leave, unless the list is older than the process. It reports whether the
@@ -72,7 +86,7 @@
 // Begin returns nil if work may be handed to the upstream at now. Otherwise
 // it returns a comfreyverdict.Error that proves that the work was not begun.
 func (l *Lifecycle) Begin(now time.Time) error {
-	if !l.word.Accepting {
+	if l.left {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar is leaving")
 	}
 	if !l.lease.Valid(now) {
--- a/comfreysidecar/config.go
+++ b/comfreysidecar/config.go
@@ -21,6 +21,7 @@
 	defaultHeartbeat   = 2 * time.Second
 	defaultOrphanGrace = 10 * time.Second
 	defaultKeepFrames  = 30 * time.Second
+	defaultLeaveGrace  = 3 * time.Second
 )
 
 // Config holds the parts of a Sidecar. Host, Service, Key, Listener, Upstream
@@ -62,6 +63,10 @@
 	// KeepFrames is how long the frames of an ended generation are kept; the
 	// default is 30 s.
 	KeepFrames time.Duration
+	// LeaveGrace is the time between announcing a planned stop and refusing new
+	// work, in which gateways learn of it; the default is 3 s. A negative value
+	// selects none.
+	LeaveGrace time.Duration
 	// DrainLimit bounds a planned stop; the default is that of the service.
 	DrainLimit time.Duration
 	// Incarnation is the life of this process; the default is drawn from the
@@ -84,6 +89,9 @@
 	if c.KeepFrames <= 0 {
 		c.KeepFrames = defaultKeepFrames
 	}
+	if c.LeaveGrace == 0 {
+		c.LeaveGrace = defaultLeaveGrace
+	}
 	if c.Incarnation == 0 {
 		c.Incarnation = comfreyfleet.NewIncarnation(c.Now(), randomUint64())
 	}
--- a/comfreysidecar/drain.go
+++ b/comfreysidecar/drain.go
@@ -20,9 +20,11 @@
 	deliveryLimit = 5 * time.Second
 )
 
-// drain is a planned stop: no new work, what runs ends within the drain limit,
-// and what does not end gets a typed last frame.
+// drain is a planned stop: it is announced, then no new work begins, what runs
+// ends within the drain limit, and what does not end gets a typed last frame.
 func (s *Sidecar) drain(kill context.Context) {
+	s.announce()
+	s.waitUntil(kill, s.config.LeaveGrace, func() bool { return false })
 	s.leave("the process was told to stop")
 	limit := s.drainLimit()
 	if s.waitUntil(kill, limit, s.isIdle) {
@@ -36,6 +38,20 @@
 	s.waitUntil(kill, deliveryLimit, s.isIdle)
 }
 
+// announce tells gateways, on every message to them, to send no new work.
+func (s *Sidecar) announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lifecycle.Announce(s.config.Now())
+}
+
+// accepts reports whether gateways may send new work.
+func (s *Sidecar) accepts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lifecycle.Word().Accepting
+}
+
 func (s *Sidecar) drainLimit() time.Duration {
 	if s.config.DrainLimit > 0 {
 		return s.config.DrainLimit
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -94,6 +94,9 @@
 	if _, ok := s.config.service(); !ok {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "the service is not configured")
 	}
+	if !s.accepts() {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar is leaving")
+	}
 	return s.begin()
 }
 
@@ -156,10 +159,11 @@
 // the sidecar refuse new work.
 func (s *Sidecar) ObserveView(v comfreyfleet.View) {
 	s.mu.Lock()
-	was := s.lifecycle.Word().Accepting
-	leaving := s.lifecycle.Observe(s.config.Now(), v)
+	was := s.lifecycle.Left()
+	s.lifecycle.Observe(s.config.Now(), v)
+	now := s.lifecycle.Left()
 	s.mu.Unlock()
-	if was && leaving {
+	if now && !was {
 		s.leave("the host list names this host as leaving")
 	}
 }
