--- a/cmd/comfreyridge/main.go
+++ b/cmd/comfreyridge/main.go
@@ -14,6 +14,8 @@
 	"github.com/alexflint/go-arg"
 
 	"comfreyridge.example/comfreyridge/comfreydemo"
+	"comfreyridge.example/comfreyridge/comfreyreplay"
+	"comfreyridge.example/comfreyridge/comfreysettings"
 )
 
 // Exit codes of the command.
@@ -25,8 +27,15 @@
 
 // commands are the subcommands and their settings.
 type commands struct {
-	Demo    *comfreydemo.Options `arg:"subcommand:demo" help:"run a whole fleet on loopback with embedded stand-ins"`
-	Version *struct{}            `arg:"subcommand:version" help:"print the version"`
+	Gateway *comfreysettings.Gateway     `arg:"subcommand:gateway" help:"run a gateway on an entry host"`
+	Sidecar *comfreysettings.Sidecar     `arg:"subcommand:sidecar" help:"run the sidecar beside an upstream"`
+	Config  *configCommand               `arg:"subcommand:config" help:"check, show and compare configuration folders"`
+	Call    *callCommand                 `arg:"subcommand:call" help:"send one request to a gateway, as a caller would"`
+	Explain *explainCommand              `arg:"subcommand:explain" help:"tell what happened to a request, across processes"`
+	Replay  *comfreyreplay.ReplayOptions `arg:"subcommand:replay" help:"replay a trace over the decision packages, policies side by side"`
+	Demo    *comfreydemo.Options         `arg:"subcommand:demo" help:"run a whole fleet on loopback with embedded stand-ins"`
+	Fake    *fakeCommand                 `arg:"subcommand:fake" help:"run a stand-in of the platform, an engine or an application"`
+	Version *struct{}                    `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description is the head of the help page.
@@ -45,30 +54,69 @@
 	if err != nil {
 		panic("comfreyridge: " + err.Error())
 	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
+	err = p.Parse(args)
+	if errors.Is(err, arg.ErrHelp) {
 		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
 		return exitOK
-	case err != nil:
+	}
+	if err == nil && p.Subcommand() == nil {
+		err = errors.New("a subcommand is needed")
+	}
+	if err != nil {
 		fmt.Fprintln(stderr, "comfreyridge:", err)
 		_ = p.WriteUsageForSubcommand(stderr, p.SubcommandNames()...)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := dispatch(ctx, c, stdout); err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitFailed
+	return dispatch(c, stdout, stderr)
+}
+
+// signals returns a context that the first stop signal ends, and one that the
+// second ends.
+func signals() (ctx, kill context.Context, release func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	s := make(chan os.Signal, 2)
+	signal.Notify(s, os.Interrupt, syscall.SIGTERM)
+	wait := newSignalGroup(s, stop, end)
+	return ctx, kill, func() {
+		signal.Stop(s)
+		close(s)
+		wait()
+		end()
 	}
-	return exitOK
 }
 
-func dispatch(ctx context.Context, c commands, w io.Writer) error {
+func dispatch(c commands, stdout, stderr io.Writer) int {
+	ctx, kill, release := signals()
+	defer release()
 	switch {
+	case c.Gateway != nil:
+		return runGateway(ctx, kill, *c.Gateway, stderr)
+	case c.Sidecar != nil:
+		return runSidecar(ctx, kill, *c.Sidecar, stderr)
+	case c.Config != nil:
+		return c.Config.run(stdout, stderr)
+	case c.Call != nil:
+		return report(c.Call.run(ctx, stdout), stderr)
+	case c.Explain != nil:
+		return report(c.Explain.run(ctx, stdout), stderr)
+	case c.Replay != nil:
+		return comfreyreplay.RunReplay(stdout, *c.Replay)
 	case c.Demo != nil:
-		return comfreydemo.Run(ctx, *c.Demo, w)
+		return report(comfreydemo.Run(ctx, *c.Demo, stdout), stderr)
+	case c.Fake != nil:
+		return c.Fake.run(ctx, stdout, stderr)
 	default:
-		fmt.Fprintln(w, version())
-		return nil
+		fmt.Fprintln(stdout, version())
+		return exitOK
+	}
+}
+
+// report prints an error and returns the exit code that it means.
+func report(err error, stderr io.Writer) int {
+	if err == nil {
+		return exitOK
 	}
+	fmt.Fprintln(stderr, err)
+	return exitFailed
 }
--- a/comfreyadmission/account.go
+++ b/comfreyadmission/account.go
@@ -39,14 +39,20 @@
 	if ok {
 		return a
 	}
-	a = &account{weight: c.config.Weights(customer)}
-	if a.weight <= 0 {
-		a.weight = 1
-	}
+	a = &account{weight: c.weight(customer)}
 	c.accounts[customer] = a
 	return a
 }
 
+// weight returns the configured weight of a customer, or 1 without one.
+func (c *Controller) weight(customer string) float64 {
+	w := c.config.Weights(customer)
+	if w <= 0 {
+		return 1
+	}
+	return w
+}
+
 // tidyAccounts fades what was served, and closes the accounts of customers
 // that have nothing waiting.
 func (c *Controller) tidyAccounts() {
--- a/comfreygateway/request.go
+++ b/comfreygateway/request.go
@@ -20,8 +20,8 @@
 const (
 	// requestIDBytes is the size of a request id before its hex form.
 	requestIDBytes = 12
-	// prefixBytes is how much of a prompt identifies a cached prefix.
-	prefixBytes = 256
+	// PrefixBytes is how much of a prompt identifies a cached prefix.
+	PrefixBytes = 256
 	// maxUnroutedBodyBytes bounds a body before its service is known.
 	maxUnroutedBodyBytes = 16 << 20
 )
@@ -136,10 +136,10 @@
 	if len(m.Messages) > 0 {
 		p = m.Messages
 	}
-	if len(p) < prefixBytes {
+	if len(p) < PrefixBytes {
 		return 0
 	}
-	return xxhash.Sum64(p[:prefixBytes])
+	return xxhash.Sum64(p[:PrefixBytes])
 }
 
 // deadline returns when the caller's time ends: that of the service, or less if
--- a/comfreygateway/sessions.go
+++ b/comfreygateway/sessions.go
@@ -78,6 +78,8 @@
 	RequestID string
 	// Customer and Service say whose request it was and what for.
 	Customer, Service string
+	// DataCentre is that of the gateway.
+	DataCentre string
 	// Host ran the request last; empty if none did.
 	Host string
 	// Began is when the request was accepted.
@@ -110,6 +112,7 @@
 		RequestID:   q.id,
 		Customer:    q.customer.Name,
 		Service:     q.route.Service.Name,
+		DataCentre:  s.gateway.config.DataCentre,
 		Host:        s.member.Host,
 		Began:       s.began,
 		Took:        s.gateway.config.Now().Sub(s.began),
--- a/comfreysettings/settings.go
+++ b/comfreysettings/settings.go
@@ -21,6 +21,7 @@
 	Listen      string        `arg:"--listen,env:COMFREY_LISTEN" help:"address to listen on, host:port"`
 	AdminListen string        `arg:"--admin-listen,env:COMFREY_ADMIN_LISTEN" help:"address of health, metrics and debug pages; none if empty"`
 	Platform    string        `arg:"--platform,env:COMFREY_PLATFORM" help:"base URL of the platform's read-and-watch service"`
+	Peers       []string      `arg:"--peers,env:COMFREY_PEERS" help:"internal addresses of processes to ask for the configuration while the platform cannot be reached"`
 	Key         string        `arg:"--key,env:COMFREY_KEY" help:"secret shared by all processes, at least 16 bytes; prefer the environment variable"`
 	DrainLimit  time.Duration `arg:"--drain-limit,env:COMFREY_DRAIN_LIMIT" help:"longest planned stop; the default is 2m, or that of the service"`
 	LogLevel    string        `arg:"--log-level,env:COMFREY_LOG_LEVEL" default:"info" help:"error, warning, info or debug"`
@@ -29,6 +30,7 @@
 // Gateway holds the settings of a gateway.
 type Gateway struct {
 	Process
+	PeerListen string        `arg:"--peer-listen,env:COMFREY_PEER_LISTEN" help:"address for the other processes of the fleet; the one in the host list"`
 	DrainDelay time.Duration `arg:"--drain-delay,env:COMFREY_DRAIN_DELAY" default:"5s" help:"time for the balancer to notice a planned stop; 0s for none"`
 	TraceOut   string        `arg:"--trace-out,env:COMFREY_TRACE_OUT" help:"file or named pipe that receives a replayable line for each request"`
 }
@@ -93,6 +95,9 @@
 		f.needAddress("--admin-listen", p.AdminListen)
 	}
 	f.needURL("--platform", p.Platform)
+	for _, a := range p.Peers {
+		f.needAddress("--peers", a)
+	}
 	if _, err := comfreyrpc.ParseKey(p.Key); err != nil {
 		f.add("--key: at least %d bytes are needed, and %d are given", comfreyrpc.MinKeyBytes, len(p.Key))
 	}
@@ -106,6 +111,7 @@
 func (g Gateway) Check() error {
 	var f Faults
 	g.check(&f)
+	f.needAddress("--peer-listen", g.PeerListen)
 	f.needDuration("--drain-delay", g.DrainDelay)
 	return f.orNil()
 }
--- a/comfreysidecar/admission.go
+++ b/comfreysidecar/admission.go
@@ -22,6 +22,7 @@
 	admissionSubmit admissionEventKind = iota
 	admissionFinish
 	admissionCancel
+	admissionConfigure
 )
 
 // admissionEvent is one thing that happened to a request.
@@ -30,6 +31,7 @@
 	id      string
 	request comfreyadmission.Request
 	outcome comfreyadmission.Outcome
+	config  comfreyadmission.Config
 }
 
 // admission is the duty that owns the admission controller. Other goroutines
@@ -95,6 +97,8 @@
 		a.apply(a.controller.Finish(now, e.id, e.outcome))
 	case admissionCancel:
 		a.apply(a.controller.Cancel(now, e.id))
+	case admissionConfigure:
+		a.apply(a.controller.Configure(now, e.config))
 	}
 	a.publish()
 }
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -127,6 +127,12 @@
 	return err
 }
 
+// Configure makes the admission follow the settings in force. It is called
+// after each change of them.
+func (s *Sidecar) Configure() {
+	s.admission.send(s.group.Context(), admissionEvent{kind: admissionConfigure, config: s.config.admissionConfig()})
+}
+
 // begin returns nil if work may be handed to the upstream now.
 func (s *Sidecar) begin() error {
 	s.mu.Lock()
