--- a/comfreyconfig/bench_test.go
+++ b/comfreyconfig/bench_test.go
@@ -108,3 +108,16 @@
 		s.Route("c77", "template", "/v1/completions")
 	}
 }
+
+// BenchmarkHear measures one digest of a peer that has nothing newer.
+func BenchmarkHear(b *testing.B) {
+	n := comfreyconfig.NewNode(comfreyconfig.NodeConfig{Seed: 1})
+	n.Tick(testStart)
+	n.HostsAnswered(testStart, comfreyconfig.HostsAnswer{Failed: true})
+	read(n, testStart, testStart, 1, content("a"))
+	d := n.Digest()
+	b.ReportAllocs()
+	for b.Loop() {
+		n.Hear(testStart, testPeer, d)
+	}
+}
--- a/comfreyconfig/fleet_test.go
+++ b/comfreyconfig/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"text/tabwriter"
@@ -200,7 +199,8 @@
 // fleet, at 3,100 changes a day, and bounds it.
 func TestFleetCosts(t *testing.T) {
 	sizes := []int{100, 300, 1260}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "processes\tplatform calls/s\tcalls in the busiest second of a cold start\tcontrol bytes/s and process\tworst bytes/s\tslowest change\t")
 	var calls []float64
 	for _, size := range sizes {
@@ -212,6 +212,7 @@
 		}
 	}
 	w.Flush()
+	t.Logf("\n%s", &b)
 	if last := len(sizes) - 1; calls[last]/calls[0] > 0.5*float64(sizes[last])/float64(sizes[0]) {
 		t.Errorf("calls grow almost as fast as the fleet: %v at %v", calls, sizes)
 	}
--- a/comfreyplatform/agent_test.go
+++ b/comfreyplatform/agent_test.go
@@ -4,17 +4,22 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyfakeplatform"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyplatform"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
 // fast is a timing for tests on the wall clock. No test asserts how long
@@ -62,14 +67,20 @@
 
 // start starts an agent under an address.
 func (f *fleet) start(address string, seed uint64, seeds ...string) *comfreyplatform.Agent {
+	return f.startObserved(address, seed, nil, seeds...)
+}
+
+// startObserved starts an agent whose actions observe receives.
+func (f *fleet) startObserved(address string, seed uint64, observe func(comfreyconfig.Action), seeds ...string) *comfreyplatform.Agent {
 	self := comfreyconfig.Peer{Address: address, DataCentre: "ruwi"}
 	n := comfreyconfig.NodeConfig{Self: self, Timing: fast, Seed: seed}
 	for _, s := range seeds {
 		n.Seeds = append(n.Seeds, comfreyconfig.Peer{Address: s, DataCentre: "ruwi"})
 	}
 	a := comfreyplatform.NewAgent(comfreyplatform.AgentConfig{
-		Node:   n,
-		Client: comfreyplatform.New(comfreyplatform.Config{URL: f.url}),
+		Node:    n,
+		Client:  comfreyplatform.New(comfreyplatform.Config{URL: f.url}),
+		Observe: observe,
 		Exchange: func(_ context.Context, p comfreyconfig.Peer, d comfreyconfig.Digest) (comfreyconfig.Digest, error) {
 			to, err := f.peer(p)
 			if err != nil {
@@ -176,7 +187,10 @@
 func TestAgentRefusesInvalidAndConflictingRevisions(t *testing.T) {
 	f := newFleet(t)
 	f.platform.Publish(folder("a"))
-	a := f.start("a", 1)
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	d := comfreydecision.New(comfreydecision.Config{Process: "a", Logger: l})
+	a := f.startObserved("a", 1, comfreyplatform.RecordTo(d))
 	f.expect(1, a)
 	f.platform.PublishRaw(2, comfreyconfig.NewFolder(comfreyconfig.File{Name: "10-services.yaml", Content: []byte("services:\n  reports:\n    colour: red\n")}))
 	f.until("invalid revision", func() bool { return a.Stats().Invalid > 0 })
@@ -189,6 +203,14 @@
 	}
 	r := prometheus.NewPedanticRegistry()
 	r.MustRegister(a.Collector())
+	var reasons []comfreyverdict.Reason
+	for _, x := range d.About("") {
+		reasons = append(reasons, x.Reason)
+	}
+	want := []comfreyverdict.Reason{comfreyverdict.ReasonConfigTaken, comfreyverdict.ReasonConfigInvalid, comfreyverdict.ReasonConfigConflict, comfreyverdict.ReasonConfigTaken}
+	if !slices.Equal(reasons, want) {
+		t.Errorf("decisions %v", reasons)
+	}
 	if m, err := r.Gather(); len(m) != 8 || err != nil {
 		t.Errorf("%d metrics, %v", len(m), err)
 	}
--- /dev/null
+++ b/comfreyplatform/record.go
@@ -0,0 +1,34 @@
+package comfreyplatform
+
+import (
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// RecordTo returns a function for AgentConfig.Observe that records each
+// revision that is taken or refused as a decision.
+func RecordTo(r *comfreydecision.Recorder) func(a comfreyconfig.Action) {
+	return func(a comfreyconfig.Action) {
+		switch a.Kind {
+		case comfreyconfig.ActionInForce:
+			r.Record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigTaken, map[string]any{
+				"revision": a.Revision.Number, "hash": a.Revision.Hash.Short(), "files": len(a.Revision.Files),
+			})
+		case comfreyconfig.ActionReport:
+			r.Record("", comfreydecision.KindRevision, a.Outcome.Reason(), reportFigures(a))
+		default:
+		}
+	}
+}
+
+// reportFigures returns the figures of a revision that was not taken, with the
+// first of its faults.
+func reportFigures(a comfreyconfig.Action) map[string]any {
+	m := map[string]any{"revision": a.Number, "hash": a.Hash.Short()}
+	if len(a.Faults) > 0 {
+		m["faults"] = len(a.Faults)
+		m["first-fault"] = a.Faults[0].String()
+	}
+	return m
+}
