comfreyadmission: queue time by preset, 30 s for stall time and 12 s for preemptions

Cause: a caller that is refused and returns waits longer than one that stays in the queue, since the time it is told is an estimate with slack.

--- a/comfreyadmission/config.go
+++ b/comfreyadmission/config.go
@@ -11,7 +11,6 @@
 	defaultCapacityTokens  = 65536
 	defaultMaxRunning      = 256
 	defaultQueueLimit      = 256
-	defaultQueueTime       = 20 * time.Second
 	defaultMaxLengthTokens = 4096
 	defaultWatermark       = 0.99
 )
@@ -30,7 +29,8 @@
 	// QueueLimit bounds the requests that wait in the controller.
 	QueueLimit int
 	// QueueTime is the longest wait that a request is queued for; one that is
-	// expected to wait longer is refused at once and told when to return.
+	// expected to wait longer is refused at once and told when to return. The
+	// default is what Preset asks for.
 	QueueTime time.Duration
 	// MaxLengthTokens is the answer length that PolicyReservation assumes for a
 	// request whose MaxTokens is unknown.
@@ -58,7 +58,7 @@
 		c.Watermark = defaultWatermark
 	}
 	if c.QueueTime <= 0 {
-		c.QueueTime = defaultQueueTime
+		c.QueueTime = c.Preset.queueTime()
 	}
 	if c.Weights == nil {
 		c.Weights = func(string) float64 { return 1 }
--- a/comfreyadmission/policy.go
+++ b/comfreyadmission/policy.go
@@ -119,6 +119,10 @@
 	// stallDelay and preemptionsDelay are the delays of the presets.
 	stallDelay       = 500 * time.Millisecond
 	preemptionsDelay = 4 * time.Second
+	// stallQueueTime and preemptionsQueueTime are the queue times of the
+	// presets.
+	stallQueueTime       = 30 * time.Second
+	preemptionsQueueTime = 12 * time.Second
 )
 
 // delay returns by how much a long answer ranks behind its arrival.
@@ -128,3 +132,11 @@
 	}
 	return stallDelay
 }
+
+// queueTime returns the longest wait that a request is queued for.
+func (p Preset) queueTime() time.Duration {
+	if p == PresetPreemptions {
+		return preemptionsQueueTime
+	}
+	return stallQueueTime
+}
