--- a/comfreyadmission/config.go
+++ b/comfreyadmission/config.go
@@ -10,7 +10,7 @@
 const (
 	defaultCapacityTokens  = 65536
 	defaultMaxRunning      = 256
-	defaultQueueLimit      = 256
+	defaultQueueLimit      = 512
 	defaultMaxLengthTokens = 4096
 	defaultWatermark       = 0.99
 )
--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -8,8 +8,9 @@
 
 const (
 	// bookedPlaces is the part of the queue that is kept for callers that
-	// return as they were told.
-	bookedPlaces = 4
+	// return as they were told. As much again is kept for customers that got
+	// less than their share.
+	bookedPlaces = 8
 	// returnLead is the part of the queue time that a caller who returns is
 	// expected to wait then. It absorbs errors of the estimate.
 	returnLead = 2
@@ -24,9 +25,11 @@
 	// fairMargin is the part of the largest customer's tokens below which a
 	// customer counts as having got less than its share.
 	fairMargin = 0.8
-	// fairExtra is the part of the queue time by which such a customer may
-	// overfill the queue.
-	fairExtra = 4
+	// fairExtra is the time by which such a customer may overfill the queue.
+	fairExtra = 10 * time.Second
+	// returnShare is the part of its tokens of late that the returns of a
+	// customer which got most may take. The rest goes to those that got less.
+	returnShare = 0.8
 )
 
 // enter queues a request or refuses it. It reports false if it refused.
@@ -71,12 +74,13 @@
 		return "", true
 	}
 	a := c.account(r.Customer)
-	limit := c.config.QueueTime
+	limit, places := c.config.QueueTime, c.config.QueueLimit-2*c.config.QueueLimit/bookedPlaces
 	below := c.belowFair(a)
 	if below {
-		limit += limit / fairExtra
+		limit += fairExtra
+		places = c.config.QueueLimit - c.config.QueueLimit/bookedPlaces
 	}
-	if len(c.queue) >= c.config.QueueLimit-c.config.QueueLimit/bookedPlaces || wait > limit {
+	if len(c.queue) >= places || wait > limit {
 		return comfreyverdict.ReasonAdmissionFull, false
 	}
 	late := time.Duration(float64(wait) * deadlineSlack)
@@ -113,7 +117,7 @@
 const minimumReturn = time.Second
 
 // share returns the part of the token rate that drains an account. The shares
-// of all accounts sum up to 1.
+// of all accounts sum up to at most 1.
 func (c *Controller) share(a *account) float64 {
 	weights := 0.0
 	for _, b := range c.accounts {
@@ -123,7 +127,11 @@
 	for _, b := range c.accounts {
 		sum += c.claim(b, weights)
 	}
-	return c.claim(a, weights) / sum
+	share := c.claim(a, weights) / sum
+	if c.belowFair(a) {
+		return share
+	}
+	return share * returnShare
 }
 
 // claim returns the part of the tokens that the customer of an account got of
