--- a/comfreyadmission/queue.go
+++ b/comfreyadmission/queue.go
@@ -77,7 +77,9 @@
 
 // admit moves a dequeued request to the engine.
 func (c *Controller) admit(now time.Time, e *entry) {
-	c.drain.waited(now.Sub(e.submitted), e.promised)
+	if len(c.queue) > 0 {
+		c.drain.admitted += e.expected
+	}
 	e.state = stateRunning
 	e.admitted = now
 	e.last = now
