Wire crash records, witnesses and retry tokens into gateway and sidecar

Ruled out: crash records carried by gateways alone; two gateways learn of a crash only after their next exchange.

A refused caller gets Comfrey-Retry-Token; sent back, it books its place at the upstream that refused.

--- a/comfreydemo/fleet.go
+++ b/comfreydemo/fleet.go
@@ -144,6 +144,7 @@
 	Gateways     []*Node
 	Relays       []*comfreyrelay.Relay
 	gateways     []*comfreygateway.Gateway
+	sidecars     []*comfreysidecar.Sidecar
 	members      []comfreyfleet.Member
 	upstreams    []string
 	version      uint64
@@ -186,12 +187,12 @@
 			return err
 		}
 	}
-	f.version++
 	for i := range f.config.Gateways {
 		if err := f.startGateway(ctx, i); err != nil {
 			return err
 		}
 	}
+	f.Publish(nil)
 	return nil
 }
 
@@ -241,13 +242,15 @@
 		f.Relays = append(f.Relays, r)
 		address = r.Addr()
 	}
-	f.Sidecars = append(f.Sidecars, f.newSidecar(ctx, l, host, service, upstream))
+	n, s := f.newSidecar(ctx, l, host, service, upstream)
+	f.Sidecars = append(f.Sidecars, n)
+	f.sidecars = append(f.sidecars, s)
 	f.upstreams = append(f.upstreams, upstream)
 	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: "north", Address: address, Service: service})
 	return nil
 }
 
-func (f *Fleet) newSidecar(ctx context.Context, l net.Listener, host, service, upstream string) *Node {
+func (f *Fleet) newSidecar(ctx context.Context, l net.Listener, host, service, upstream string) (*Node, *comfreysidecar.Sidecar) {
 	c := f.config.Sidecar
 	c.Host = host
 	c.Service = service
@@ -259,7 +262,7 @@
 	s := comfreysidecar.New(ctx, c)
 	n := f.run("sidecar "+host, l, c.Recorder, s.Run)
 	n.ready = s.Ready
-	return n
+	return n, s
 }
 
 func (f *Fleet) startGateway(ctx context.Context, i int) error {
@@ -280,7 +283,6 @@
 	c.Settings = f.settings
 	c.Recorder = comfreydecision.New(comfreydecision.Config{Process: "gateway/" + host, Logger: f.config.Logger})
 	g := comfreygateway.New(ctx, c)
-	g.ObserveView(comfreyfleet.NewView(f.version, time.Now(), f.members))
 	f.gateways = append(f.gateways, g)
 	n := f.run(host, l, c.Recorder, g.Run)
 	n.ready = g.Ready
@@ -288,7 +290,7 @@
 	return nil
 }
 
-// Publish lists the hosts as they are now to every gateway. The function edit
+// Publish lists the hosts as they are now to every process. The function edit
 // may change a copy of each member; nil changes none.
 func (f *Fleet) Publish(edit func(m comfreyfleet.Member) comfreyfleet.Member) {
 	f.version++
@@ -303,6 +305,9 @@
 	for _, g := range f.gateways {
 		g.ObserveView(v)
 	}
+	for _, s := range f.sidecars {
+		s.ObserveView(v)
+	}
 }
 
 // ReplaceSidecar starts a new process beside upstream i, which must have
@@ -313,7 +318,7 @@
 		return fmt.Errorf("comfreydemo: %w", err)
 	}
 	m := f.members[i]
-	f.Sidecars[i] = f.newSidecar(ctx, l, m.Host, m.Service, f.upstreams[i])
+	f.Sidecars[i], f.sidecars[i] = f.newSidecar(ctx, l, m.Host, m.Service, f.upstreams[i])
 	f.members[i].Address = l.Addr().String()
 	f.Publish(nil)
 	return nil
--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -150,6 +150,7 @@
 // take handles one frame; done means that the answer is complete.
 func (s *session) take(f *comfreyproto.Frame) (done bool, err error) {
 	s.gateway.fleet.observe(s.member.Host, f.Load)
+	s.gateway.crashes.merge(f.Crashes)
 	switch f.Kind {
 	case comfreyproto.FrameKind_FRAME_KIND_ACCEPTED:
 		return false, s.identify(f)
--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -28,6 +28,7 @@
 	limits       *customerLimits
 	budgets      *retryBudgets
 	sessions     *sessions
+	crashes      *crashes
 	conservation comfreystream.Conservation
 	metrics      *metrics
 	group        *comfreygroup.Group
@@ -53,6 +54,7 @@
 		limits:   newCustomerLimits(),
 		budgets:  newRetryBudgets(),
 		sessions: newSessions(),
+		crashes:  newCrashes(c.Host, c.Now),
 		group:    comfreygroup.New(context.WithoutCancel(ctx)),
 	}
 	g.stopped, g.stop = context.WithCancelCause(context.Background())
--- a/comfreygateway/report.go
+++ b/comfreygateway/report.go
@@ -99,6 +99,7 @@
 		Renewals:    r.renewals,
 		Digest:      g.config.Digest(),
 		Listed:      g.fleet.listed(r.member.Host),
+		Crashes:     g.crashes.export(),
 	})
 	if err != nil {
 		g.metrics.reportFailures.Inc()
@@ -106,5 +107,6 @@
 		return
 	}
 	g.fleet.observe(r.member.Host, reply.Load)
+	g.crashes.merge(reply.Crashes)
 	g.config.LearnDigest(reply.Digest)
 }
--- a/comfreygateway/request.go
+++ b/comfreygateway/request.go
@@ -45,6 +45,7 @@
 	maxTokens int
 	prefix    uint64
 	deadline  time.Time
+	retry     retryToken
 }
 
 // generationBody holds the members of a body that decide its way. All others
@@ -126,6 +127,7 @@
 	}
 	q.body, q.stream, q.maxTokens, q.route = b, m.Stream, n, route
 	q.prefix = prefixHash(m)
+	q.retry = parseRetryToken(r.Header.Get(HeaderRetryToken))
 	q.deadline, err = g.deadline(r, route.Service)
 	return q, err
 }
--- a/comfreygateway/resume.go
+++ b/comfreygateway/resume.go
@@ -48,7 +48,7 @@
 		return
 	}
 	q := generationRequest{id: id, customer: c, stream: true, route: comfreyconfig.Route{Service: v}, deadline: g.config.Now().Add(v.Deadline)}
-	s := &session{gateway: g, request: q, output: g.newOutput(w, q), began: g.config.Now(), lastWrite: g.config.Now(), member: m}
+	s := &session{gateway: g, request: q, output: g.newOutput(w, q), header: w.Header(), began: g.config.Now(), lastWrite: g.config.Now(), member: m}
 	s.delivered = e.Seq
 	s.resumedAfter = e.Seq
 	s.sequencer = comfreystream.NewSequencer(e.Generation, e.Seq)
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -26,6 +26,7 @@
 	gateway   *Gateway
 	request   generationRequest
 	output    output
+	header    http.Header
 	began     time.Time
 	attempt   uint32
 	excluded  []string
@@ -87,7 +88,7 @@
 
 // runSession serves an accepted request to its end.
 func (g *Gateway) runSession(w http.ResponseWriter, r *http.Request, q generationRequest) {
-	s := &session{gateway: g, request: q, output: g.newOutput(w, q), began: g.config.Now(), lastWrite: g.config.Now()}
+	s := &session{gateway: g, request: q, output: g.newOutput(w, q), header: w.Header(), began: g.config.Now(), lastWrite: g.config.Now()}
 	ctx, cancel := g.requestContext(r.Context(), q.deadline)
 	defer cancel()
 	g.conservation.Accept(q.id, q.deadline)
@@ -203,8 +204,11 @@
 		return err
 	}
 	s.member = comfreyfleet.Member{Host: c.Host, Address: c.Address}
+	if m, ok := g.fleet.find(q.retry.host); ok && s.attempt == 0 && m.Service == q.route.Service.Name {
+		s.member = m
+	}
 	g.recorder.Record(q.id, comfreydecision.KindRoute, c.Reason, routeFigures(c, s.attempt))
-	stream, err := g.client.Start(ctx, c.Address, s.startRequest())
+	stream, err := g.client.Start(ctx, s.member.Address, s.startRequest())
 	if err != nil {
 		s.suspect(err)
 		return err
@@ -237,6 +241,8 @@
 		Attempt:       s.attempt,
 		Digest:        g.config.Digest(),
 		Listed:        g.fleet.listed(s.member.Host),
+		Crashes:       g.crashes.about(q),
+		Booking:       s.booking(),
 	}
 }
 
@@ -262,6 +268,7 @@
 		if e.Reason == comfreyverdict.ReasonCallerGone || e.Reason == comfreyverdict.ReasonCancelled {
 			o = comfreystream.OutcomeCancelled
 		}
+		s.offerRetry(e)
 		s.output.fail(e)
 		s.abandon(e)
 	}
--- /dev/null
+++ b/comfreyrpc/crash.go
@@ -0,0 +1,56 @@
+package comfreyrpc
+
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
+)
+
+// CrashesOf converts crash records for the wire. The expiry travels as the time
+// left, because the clocks of two processes differ.
+func CrashesOf(s []comfreyquarantine.Record, now time.Time) []*comfreyproto.CrashRecord {
+	var records []*comfreyproto.CrashRecord
+	for _, r := range s {
+		m := &comfreyproto.CrashRecord{
+			Host:          r.Crash.Host,
+			Incarnation:   r.Crash.Incarnation,
+			Number:        r.Crash.Number,
+			ExpiresMillis: Millis(r.Expiry.Sub(now)),
+		}
+		for _, x := range r.Suspects {
+			m.Suspects = append(m.Suspects, &comfreyproto.CrashSuspect{Fingerprint: x.Fingerprint[:], Convicted: x.IsConvicted, Cleared: x.IsCleared})
+		}
+		records = append(records, m)
+	}
+	return records
+}
+
+// CrashRecords converts crash records from the wire. Malformed suspects are
+// left out.
+func CrashRecords(s []*comfreyproto.CrashRecord, now time.Time) []comfreyquarantine.Record {
+	var records []comfreyquarantine.Record
+	for _, m := range s {
+		r := comfreyquarantine.Record{
+			Crash:  comfreyquarantine.CrashID{Host: m.Host, Incarnation: m.Incarnation, Number: m.Number},
+			Expiry: now.Add(Duration(m.ExpiresMillis)),
+		}
+		for _, x := range m.Suspects {
+			if f, ok := FingerprintOf(x.Fingerprint); ok {
+				r.Suspects = append(r.Suspects, comfreyquarantine.Suspect{Fingerprint: f, IsConvicted: x.Convicted, IsCleared: x.Cleared})
+			}
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+// FingerprintOf returns the fingerprint with the given bytes. It reports false
+// if there are too few or too many.
+func FingerprintOf(b []byte) (f comfreyquarantine.Fingerprint, ok bool) {
+	if len(b) != len(f) {
+		return f, false
+	}
+	copy(f[:], b)
+	return f, true
+}
--- a/comfreysidecar/accept.go
+++ b/comfreysidecar/accept.go
@@ -18,6 +18,7 @@
 // comfreyverdict.Error; not-run means that the attempt is fenced and a late
 // copy of it cannot run either.
 func (s *Sidecar) accept(m *comfreyproto.StartRequest) (*generation, error) {
+	s.quarantine.merge(m.Crashes)
 	now := s.config.Now()
 	key := fenceKey(m.RequestId, m.Attempt)
 	if !s.table.fence(key, now) {
@@ -51,6 +52,7 @@
 		PromptTokens: len(m.Body) / bytesPerToken,
 		MaxTokens:    int(m.MaxTokens),
 		Deadline:     g.deadline,
+		Booking:      m.Booking,
 	}})
 	return g, nil
 }
@@ -58,6 +60,7 @@
 // finish ends a generation with its last frame, once.
 func (s *Sidecar) finish(g *generation, f *comfreyproto.Frame, o comfreystream.Outcome) {
 	f.Load = s.Load()
+	f.Crashes = s.quarantine.export()
 	if !g.end(f, s.config.Now()) {
 		return
 	}
--- a/comfreysidecar/generation.go
+++ b/comfreysidecar/generation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreystream"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
@@ -19,6 +20,8 @@
 	request  *comfreyproto.StartRequest
 	accepted time.Time
 	deadline time.Time
+	// fingerprint identifies all copies of the request.
+	fingerprint comfreyquarantine.Fingerprint
 	// changed signals the attached reader that frames were appended.
 	changed chan struct{}
 
@@ -44,14 +47,15 @@
 
 func newGeneration(id comfreystream.GenerationID, r *comfreyproto.StartRequest, now time.Time, deadline time.Time) *generation {
 	return &generation{
-		id:       id,
-		key:      fenceKey(r.RequestId, r.Attempt),
-		request:  r,
-		accepted: now,
-		deadline: deadline,
-		changed:  make(chan struct{}, 1),
-		replay:   comfreystream.NewReplay(comfreystream.ReplayConfig{}),
-		lastSeen: now,
+		id:          id,
+		key:         fenceKey(r.RequestId, r.Attempt),
+		request:     r,
+		accepted:    now,
+		deadline:    deadline,
+		fingerprint: comfreyquarantine.NewFingerprint(r.Customer, r.Service, r.Body),
+		changed:     make(chan struct{}, 1),
+		replay:      comfreystream.NewReplay(comfreystream.ReplayConfig{}),
+		lastSeen:    now,
 	}
 }
 
@@ -124,6 +128,7 @@
 	g.frame.Tokens = uint32(g.tokens)
 	g.frame.Outcome = f.Outcome
 	g.frame.Load = f.Load
+	g.frame.Crashes = f.Crashes
 	g.appendFrame(true)
 	g.request.Body = nil
 	g.mu.Unlock()
--- a/comfreysidecar/metrics.go
+++ b/comfreysidecar/metrics.go
@@ -8,7 +8,8 @@
 
 // metrics holds the collectors of a sidecar beside the decision counters.
 type metrics struct {
-	tokens prometheus.Counter
+	tokens          prometheus.Counter
+	witnessFailures prometheus.Counter
 }
 
 func newMetrics(r *prometheus.Registry, s *Sidecar) *metrics {
@@ -17,12 +18,17 @@
 			Name: "comfrey_sidecar_tokens_total",
 			Help: "Tokens received from the upstream.",
 		}),
+		witnessFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "comfrey_sidecar_witness_failures_total",
+			Help: "Calls to the witness of a request that had no answer.",
+		}),
 	}
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f)
 	}
 	r.MustRegister(
 		m.tokens,
+		m.witnessFailures,
 		s.recorder.Counter(),
 		comfreyinvariant.Violations,
 		gauge("comfrey_sidecar_running", "Generations that the upstream runs.", func() float64 { return float64(s.admission.load.Load().Running) }),
--- /dev/null
+++ b/comfreysidecar/quarantine.go
@@ -0,0 +1,239 @@
+package comfreysidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyfleet"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+const (
+	// witnessTimeout bounds a question to a witness. Without an answer the
+	// sidecar decides by its own records.
+	witnessTimeout = 100 * time.Millisecond
+	// witnessLease is how long a run counts as open without a renewal.
+	witnessLease = time.Minute
+	// witnessRenewal is how often a run is renewed.
+	witnessRenewal = 20 * time.Second
+	// suspectRetry is when a caller may send a request again that may not run
+	// beside another suspect.
+	suspectRetry = 2 * time.Second
+	// sharedRecords bounds the crash records on one message.
+	sharedRecords = 4
+)
+
+// quarantine holds what a sidecar knows of requests that crash upstreams. It is
+// safe for concurrent use.
+type quarantine struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	table   *comfreyquarantine.Table
+	witness *comfreyquarantine.Witness
+	// addresses are the sidecars of the service by host.
+	addresses map[string]string
+}
+
+func newQuarantine(host string, i comfreyfleet.Incarnation, now func() time.Time) *quarantine {
+	t := comfreyquarantine.NewTable(comfreyquarantine.Config{Host: host, Incarnation: uint64(i)})
+	w := comfreyquarantine.NewWitness(comfreyquarantine.WitnessConfig{Lease: witnessLease}, t)
+	return &quarantine{now: now, table: t, witness: w, addresses: map[string]string{}}
+}
+
+// list takes the hosts of the service from which witnesses are chosen.
+func (q *quarantine) list(v comfreyfleet.View, service string) {
+	a := map[string]string{}
+	for _, m := range v.Members() {
+		if m.Service == service {
+			a[m.Host] = m.Address
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.addresses = a
+}
+
+// witnessOf returns the host that witnesses a request and its address.
+func (q *quarantine) witnessOf(f comfreyquarantine.Fingerprint) (host, address string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	hosts := make([]string, 0, len(q.addresses))
+	for h := range q.addresses {
+		hosts = append(hosts, h)
+	}
+	s := comfreyquarantine.WitnessHosts(f, hosts, 1)
+	if len(s) == 0 {
+		return "", ""
+	}
+	return s[0], q.addresses[s[0]]
+}
+
+// export returns records to pass on.
+func (q *quarantine) export() []*comfreyproto.CrashRecord {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	return comfreyrpc.CrashesOf(q.table.Export(now, sharedRecords), now)
+}
+
+// merge takes the records of another process.
+func (q *quarantine) merge(s []*comfreyproto.CrashRecord) {
+	if len(s) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	q.table.Merge(now, comfreyrpc.CrashRecords(s, now))
+}
+
+// serve takes one event as the witness of a request.
+func (q *quarantine) serve(e comfreyproto.WitnessEvent, f comfreyquarantine.Fingerprint, host string) comfreyquarantine.Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	switch e {
+	case comfreyproto.WitnessEvent_WITNESS_EVENT_ASK:
+		return q.witness.Ask(now, f, host)
+	case comfreyproto.WitnessEvent_WITNESS_EVENT_RENEW:
+		q.witness.Renew(now, f, host)
+	default:
+		q.witness.Done(now, f, host, e == comfreyproto.WitnessEvent_WITNESS_EVENT_COMPLETED)
+	}
+	return comfreyquarantine.DecisionAllow
+}
+
+// start joins the witness's decision with the sidecar's own and notes the run
+// if it may begin.
+func (q *quarantine) start(f comfreyquarantine.Fingerprint, d comfreyquarantine.Decision) (comfreyquarantine.RunID, comfreyquarantine.Decision) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	d = max(d, q.table.Decide(now, f))
+	if d == comfreyquarantine.DecisionIsolate {
+		d = q.table.Isolate(now, f)
+	}
+	if d > comfreyquarantine.DecisionIsolate {
+		return 0, d
+	}
+	return q.table.Start(f, d), d
+}
+
+// finish notes that a run has left the upstream.
+func (q *quarantine) finish(id comfreyquarantine.RunID, completed bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.Finish(id, completed)
+}
+
+// crash notes that the upstream died. It reports false if the crash was noted
+// before.
+func (q *quarantine) crash() (comfreyquarantine.Record, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Crash(q.now())
+}
+
+// sweep forgets the leases that were not renewed.
+func (q *quarantine) sweep() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.witness.Sweep(q.now())
+}
+
+// Witness implements the twirp service.
+func (s *Sidecar) Witness(_ context.Context, r *comfreyproto.WitnessRequest) (*comfreyproto.WitnessReply, error) {
+	s.quarantine.merge(r.Crashes)
+	f, ok := comfreyrpc.FingerprintOf(r.Fingerprint)
+	if !ok {
+		return &comfreyproto.WitnessReply{}, nil
+	}
+	d := s.quarantine.serve(r.Event, f, r.Host)
+	return &comfreyproto.WitnessReply{Decision: comfreyproto.WitnessDecision(d), Crashes: s.quarantine.export()}, nil
+}
+
+// tellWitness sends one event to the witness of a request. Without an answer
+// the result is DecisionAllow, which leaves the decision to the own records.
+func (s *Sidecar) tellWitness(ctx context.Context, e comfreyproto.WitnessEvent, f comfreyquarantine.Fingerprint) comfreyquarantine.Decision {
+	host, address := s.quarantine.witnessOf(f)
+	if host == "" || host == s.config.Host {
+		return s.quarantine.serve(e, f, s.config.Host)
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	r, err := s.peers.Sidecar(address).Witness(ctx, &comfreyproto.WitnessRequest{Event: e, Fingerprint: f[:], Host: s.config.Host, Crashes: s.quarantine.export()})
+	if err != nil {
+		s.metrics.witnessFailures.Inc()
+		return comfreyquarantine.DecisionAllow
+	}
+	s.quarantine.merge(r.Crashes)
+	return comfreyquarantine.Decision(r.Decision)
+}
+
+// clear decides whether a request may run here beside what crashes are known.
+// The error is a comfreyverdict.Error with verdict not-run.
+func (s *Sidecar) clear(ctx context.Context, g *generation) (comfreyquarantine.RunID, error) {
+	id, d := s.quarantine.start(g.fingerprint, s.tellWitness(ctx, comfreyproto.WitnessEvent_WITNESS_EVENT_ASK, g.fingerprint))
+	switch d {
+	case comfreyquarantine.DecisionAllow:
+		return id, nil
+	case comfreyquarantine.DecisionIsolate:
+		s.recorder.Record(g.request.RequestId, comfreydecision.KindSuspect, comfreyverdict.ReasonAccepted, map[string]any{"fingerprint": g.fingerprint, "decision": d})
+		return id, nil
+	}
+	s.recorder.Record(g.request.RequestId, comfreydecision.KindSuspect, comfreyverdict.ReasonSuspectRequest, map[string]any{"fingerprint": g.fingerprint, "decision": d})
+	if d == comfreyquarantine.DecisionWait {
+		return 0, comfreyverdict.NotRun(comfreyverdict.ReasonSuspectBusy, "the request may have crashed an upstream, and another such request is running").WithRetryAfter(suspectRetry)
+	}
+	return 0, comfreyverdict.NotRun(comfreyverdict.ReasonSuspectRequest, "this request has crashed upstreams; change it before sending it again")
+}
+
+// settle ends a run that clear let begin.
+func (s *Sidecar) settle(g *generation, id comfreyquarantine.RunID, err error) {
+	if err != nil && comfreyverdict.From(err).Reason == comfreyverdict.ReasonEngineFailed {
+		s.noteCrash()
+	}
+	s.quarantine.finish(id, err == nil)
+	e := comfreyproto.WitnessEvent_WITNESS_EVENT_COMPLETED
+	if err != nil {
+		e = comfreyproto.WitnessEvent_WITNESS_EVENT_FAILED
+	}
+	s.group.Go("witness", func(ctx context.Context) error {
+		s.tellWitness(context.WithoutCancel(ctx), e, g.fingerprint)
+		return nil
+	})
+}
+
+// noteCrash records that the engine died with what was in flight.
+func (s *Sidecar) noteCrash() {
+	r, ok := s.quarantine.crash()
+	if !ok {
+		return
+	}
+	s.recorder.Record("", comfreydecision.KindSuspect, comfreyverdict.ReasonEngineFailed, map[string]any{"crash": r.Crash.Number, "suspects": len(r.Suspects), "weight": r.Weight()})
+}
+
+// renewWitnesses keeps the leases of running generations.
+func (s *Sidecar) renewWitnesses(ctx context.Context) error {
+	t := time.NewTicker(witnessRenewal)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+		s.quarantine.sweep()
+		for _, g := range s.table.all() {
+			if g.isRunning() {
+				s.tellWitness(ctx, comfreyproto.WitnessEvent_WITNESS_EVENT_RENEW, g.fingerprint)
+			}
+		}
+	}
+}
--- a/comfreysidecar/run_generation.go
+++ b/comfreysidecar/run_generation.go
@@ -38,7 +38,14 @@
 		s.finish(g, refusedFrame(comfreyverdict.From(err)), comfreystream.OutcomeFailed)
 		return
 	}
-	err := s.relay(ctx, g)
+	id, err := s.clear(ctx, g)
+	if err != nil {
+		s.release(g, comfreyadmission.OutcomeFailed)
+		s.finish(g, refusedFrame(comfreyverdict.From(err)), comfreystream.OutcomeFailed)
+		return
+	}
+	err = engineError(s.relay(ctx, g))
+	s.settle(g, id, err)
 	if err == nil {
 		s.release(g, comfreyadmission.OutcomeCompleted)
 		s.finish(g, &comfreyproto.Frame{Kind: comfreyproto.FrameKind_FRAME_KIND_END}, comfreystream.OutcomeEnded)
@@ -112,17 +119,25 @@
 	return s.engine.Resume(ctx, id, after)
 }
 
+// engineError names the loss of a connection to the engine by its cause: the
+// engine runs on the same host, so that a lost connection means a lost engine.
+func engineError(err error) error {
+	if err == nil {
+		return nil
+	}
+	e := comfreyverdict.From(err)
+	if e.Reason == comfreyverdict.ReasonConnectionLost {
+		e.Reason = comfreyverdict.ReasonEngineFailed
+	}
+	return e
+}
+
 // fail ends a generation whose run did not complete.
 func (s *Sidecar) fail(ctx context.Context, g *generation, err error) {
 	e := comfreyverdict.From(err)
 	if g.generated() > 0 {
 		e.Verdict = comfreyverdict.VerdictRan
 	}
-	if e.Reason == comfreyverdict.ReasonConnectionLost {
-		// The engine runs on the same host, so that a lost connection means a
-		// lost engine.
-		e.Reason = comfreyverdict.ReasonEngineFailed
-	}
 	if r := g.cancelReason(); r != "" {
 		e.Reason = r
 		e.Detail = "the generation was cancelled"
--- a/comfreysidecar/service.go
+++ b/comfreysidecar/service.go
@@ -15,6 +15,7 @@
 func (s *Sidecar) Report(_ context.Context, r *comfreyproto.ReportRequest) (*comfreyproto.ReportReply, error) {
 	s.config.LearnDigest(r.Digest)
 	s.observe(r.Listed)
+	s.quarantine.merge(r.Crashes)
 	if r.Incarnation == uint64(s.config.Incarnation) {
 		for _, n := range r.Renewals {
 			if g := s.table.find(n.Counter); g != nil {
@@ -22,7 +23,7 @@
 			}
 		}
 	}
-	return &comfreyproto.ReportReply{Load: s.Load(), Digest: s.config.Digest()}, nil
+	return &comfreyproto.ReportReply{Load: s.Load(), Digest: s.config.Digest(), Crashes: s.quarantine.export()}, nil
 }
 
 // Cancel implements the twirp service: it ends a generation of the customer.
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -33,6 +33,8 @@
 	admission    *admission
 	conservation comfreystream.Conservation
 	orders       *orders
+	quarantine   *quarantine
+	peers        *comfreyrpc.Client
 	metrics      *metrics
 	group        *comfreygroup.Group
 	server       *http.Server
@@ -46,13 +48,15 @@
 func New(ctx context.Context, c Config) *Sidecar {
 	c = c.withDefaults()
 	s := &Sidecar{
-		config:    c,
-		recorder:  c.Recorder,
-		engine:    comfreyengine.New(comfreyengine.Config{BaseURL: c.Upstream}),
-		upstream:  newUpstreamClient(c.Upstream),
-		table:     newTable(),
-		group:     comfreygroup.New(context.WithoutCancel(ctx)),
-		lifecycle: comfreyfleet.NewLifecycle(c.Host, c.Incarnation, comfreyfleet.LeaseConfig{}),
+		config:     c,
+		recorder:   c.Recorder,
+		engine:     comfreyengine.New(comfreyengine.Config{BaseURL: c.Upstream}),
+		upstream:   newUpstreamClient(c.Upstream),
+		table:      newTable(),
+		quarantine: newQuarantine(c.Host, c.Incarnation, c.Now),
+		peers:      comfreyrpc.NewClient(c.Key, c.Now),
+		group:      comfreygroup.New(context.WithoutCancel(ctx)),
+		lifecycle:  comfreyfleet.NewLifecycle(c.Host, c.Incarnation, comfreyfleet.LeaseConfig{}),
 	}
 	s.admission = newAdmission(c.admissionConfig(), s)
 	s.orders = newOrders(comfreyorder.Config{Host: c.Host, Incarnation: uint64(c.Incarnation)}, c.Now)
@@ -107,6 +111,7 @@
 	s.renew()
 	s.group.Go("admission", s.admission.run)
 	s.group.Go("janitor", s.runJanitor)
+	s.group.Go("renew witnesses", s.renewWitnesses)
 	s.group.Go("serve", func(context.Context) error {
 		err := s.server.Serve(s.config.Listener)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -124,6 +129,7 @@
 	s.group.Stop()
 	err := s.group.Wait()
 	s.engine.Close()
+	s.peers.Close()
 	return err
 }
 
@@ -158,12 +164,18 @@
 	if l.Leaving {
 		m.State = comfreyfleet.StateLeaving
 	}
-	s.ObserveView(comfreyfleet.NewView(l.Version, time.UnixMilli(l.AtUnixMillis), []comfreyfleet.Member{m}))
+	s.observeState(comfreyfleet.NewView(l.Version, time.UnixMilli(l.AtUnixMillis), []comfreyfleet.Member{m}))
 }
 
 // ObserveView takes a host list. A list that names this host as leaving makes
 // the sidecar refuse new work.
 func (s *Sidecar) ObserveView(v comfreyfleet.View) {
+	s.quarantine.list(v, s.config.Service)
+	s.observeState(v)
+}
+
+// observeState takes what a host list says about this host.
+func (s *Sidecar) observeState(v comfreyfleet.View) {
 	s.mu.Lock()
 	was := s.lifecycle.Left()
 	s.lifecycle.Observe(s.config.Now(), v)
--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -47,6 +47,7 @@
 	ReasonSlowReader         Reason = "slow-reader"
 	ReasonSpill              Reason = "spill"
 	ReasonStaleFencingNumber Reason = "stale-fencing-number"
+	ReasonSuspectBusy        Reason = "suspect-busy"
 	ReasonSuspectRequest     Reason = "suspect-request"
 	ReasonTicketBodyDiffers  Reason = "ticket-body-differs"
 	ReasonTicketCustomer     Reason = "ticket-customer"
