Take a valid revision though an invalid one replaced it before it settled

Cause: a revision that is skipped because another followed it was forgotten, also if the follower had faults; the fleet then stayed on the revision before both. Ruled out: taking the first at once when a second shows, which would split a race.

--- a/comfreyconfig/fleet_test.go
+++ b/comfreyconfig/fleet_test.go
@@ -268,3 +268,23 @@
 	}
 	return c
 }
+
+// TestValidRevisionOutlivesAnInvalidFollower publishes a valid revision, and
+// one with faults before the first has settled, under the next or the same
+// number.
+func TestValidRevisionOutlivesAnInvalidFollower(t *testing.T) {
+	bad := append(content("b"), comfreyconfig.File{Name: "30-bad.yaml", Content: []byte("services:\n  template:\n    colour: red\n")})
+	for _, number := range []uint64{2, 3} {
+		for seed := range uint64(20) {
+			s := newSim(t, seed, 30, 3, comfreyconfig.Timing{})
+			s.publish(1, "a")
+			s.startAll()
+			s.run(inForceLimit)
+			r := s.publish(2, "b")
+			s.run(100*time.Millisecond + time.Duration(seed)*100*time.Millisecond)
+			s.platform.publish(number, bad)
+			s.run(inForceLimit)
+			s.expectAll(r, fmt.Sprintf("seed %d: invalid %d", seed, number))
+		}
+	}
+}
--- a/comfreyconfig/node_pending.go
+++ b/comfreyconfig/node_pending.go
@@ -1,6 +1,9 @@
 package comfreyconfig
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // maxFetches bounds how often the blobs of a revision are asked for.
 const maxFetches = 5
@@ -25,6 +28,9 @@
 	confirming bool
 	// followed says that this revision replaced one that was not confirmed.
 	followed bool
+	// fallback is the revision that this one replaced before it settled. It is
+	// taken if this one turns out to be invalid.
+	fallback *Candidate
 }
 
 // next returns when the pending revision needs a Tick.
@@ -136,7 +142,11 @@
 // beginPending fetches the content of r. While the node starts, the content
 // waits until the peers have answered.
 func (n *Node) beginPending(now time.Time, r Revision, followed bool) []Action {
+	old := n.pending
 	n.pending = &pending{revision: r, blobs: map[Hash][]byte{}, seen: now, settle: n.config.Timing.Settle, followed: followed}
+	if old != nil {
+		n.pending.fallback = cmp.Or(old.candidate, old.fallback)
+	}
 	if n.start != nil {
 		n.pending.deadline = now.Add(n.config.Timing.Answer)
 		return nil
@@ -153,8 +163,7 @@
 		return n.checkPending(now)
 	}
 	if p.fetches == maxFetches {
-		n.pending = nil
-		return nil
+		return n.abandon(now)
 	}
 	p.fetches++
 	p.deadline = now.Add(n.config.Timing.Answer)
@@ -167,13 +176,23 @@
 	p := n.pending
 	c, faults, o := n.store.Check(p.revision, p.blobs)
 	if o != OutcomeTaken {
-		n.pending = nil
-		return n.refuse(o, p.revision, faults)
+		return append(n.refuse(o, p.revision, faults), n.abandon(now)...)
 	}
 	p.candidate = &c
 	return n.tickPending(now)
 }
 
+// abandon drops the pending revision in favour of the one that it replaced, if
+// any.
+func (n *Node) abandon(now time.Time) []Action {
+	f := n.pending.fallback
+	n.pending = nil
+	if f == nil {
+		return nil
+	}
+	return n.take(now, *f)
+}
+
 // fetchedFromPlatform adds blobs to the pending revision.
 func (n *Node) fetchedFromPlatform(now time.Time, f FetchAnswer) []Action {
 	p := n.pending
