Add comfreymover: fenced orders to one upstream

Cause: orders to load a model or change a role must not take effect out of order, also at upstreams that ignore fencing numbers and with a sidecar that wakes up after its replacement; and the weight store has a rate limit that no process can account for centrally.

A mover reads the state back, sends one order under a lease on the newest revision, and reads again. Loads start in time slots by the upstream's place in the sorted host list. Ruled out: a random start within hosts/rate seconds, whose starts bunch above the rate, and a budget handed out by a process, which would be shared state. Cost: a single restarted upstream waits half a turn on average, 22.5 s at 900 hosts and 20 loads/s.

Not promised: for upstreams that ignore fencing, a late order stands until the next read back, 10 s by default, and the load that corrects it.

--- /dev/null
+++ b/comfreymover/mover_test.go
@@ -0,0 +1,128 @@
+package comfreymover_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreymover"
+	"comfreyridge.example/comfreyridge/comfreyseed"
+)
+
+var start = time.Unix(1764796800, 0)
+
+func ExampleMover() {
+	t := comfreymover.Target{Model: "template", Version: "2", Role: "generate"}
+	m := comfreymover.NewMover(comfreymover.Config{Incarnation: 7, IsFencingEnforced: true})
+	fmt.Println(m.Next(start).Kind)
+	m.SetTarget(41, t)
+	m.Renew(41, start.Add(15*time.Second))
+	fmt.Println(m.Next(start).Kind)
+	m.Observe(start, comfreymover.Observation{})
+
+	a := m.Next(start)
+	fmt.Println(a.Kind, a.Order.Kind, a.Order.Fence)
+	fmt.Println(m.Confirm(start.Add(time.Minute), a.Order), m.Confirm(start, a.Order))
+	fmt.Println(m.Next(start).Kind)
+	// Output:
+	// revalidate
+	// read-back
+	// send load-model 0000000000000029-0000000000000007-0000000000000001
+	// false true
+	// wait
+}
+
+// testConvergence lets a sidecar and its successors order one upstream through
+// pauses, lost answers and late orders, and wants the upstream to stay at the
+// newest target once the faults are over and every process is awake.
+func testConvergence(t *testing.T, isEnforced bool) {
+	late := 0
+	comfreyseed.Each(t, 1000, func(t *testing.T, r *rand.Rand) {
+		w := newWorld(t, r, isEnforced)
+		for range 600 {
+			w.step()
+		}
+		if isLate := r.IntN(2) == 0; isLate {
+			w.stepUntilSettled()
+		}
+		w.settle()
+		for end := w.now.Add(2 * time.Minute); w.now.Before(end); {
+			w.step()
+		}
+		n := len(w.engine.applied)
+		for end := w.now.Add(time.Minute); w.now.Before(end); {
+			w.step()
+		}
+		if w.engine.state != w.target {
+			t.Fatalf("the state is %+v, want %+v", w.engine.state, w.target)
+		}
+		if len(w.engine.applied) != n {
+			t.Fatalf("%d orders take effect after two quiet minutes", len(w.engine.applied)-n)
+		}
+		late += w.late
+	})
+	t.Logf("%d orders arrived after a newer one", late)
+}
+
+func TestUpstreamThatEnforcesFencingConverges(t *testing.T) {
+	testConvergence(t, true)
+}
+
+func TestUpstreamThatIgnoresFencingConverges(t *testing.T) {
+	testConvergence(t, false)
+}
+
+func TestOrderIsBasedOnAFreshState(t *testing.T) {
+	m := comfreymover.NewMover(comfreymover.Config{Incarnation: 7, IsFencingEnforced: true, Freshness: time.Second})
+	m.SetTarget(41, comfreymover.Target{Model: "template"})
+	m.Renew(41, start.Add(time.Hour))
+	m.Observe(start, comfreymover.Observation{})
+	a := m.Next(start)
+	if m.Confirm(start.Add(time.Second), a.Order) {
+		t.Error("an order is sent on a state that was read a second ago")
+	}
+	if k := m.Next(start.Add(time.Second)).Kind; k != comfreymover.ActionReadBack {
+		t.Errorf("action is %s, want read-back", k)
+	}
+}
+
+func TestMoverThatIsNotTheNewestSendsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		see  func(m *comfreymover.Mover)
+		want comfreymover.ActionKind
+	}{
+		{"newer incarnation", func(m *comfreymover.Mover) { m.SeeIncarnation(8) }, comfreymover.ActionStop},
+		{"newer revision", func(m *comfreymover.Mover) { m.SeeRevision(42) }, comfreymover.ActionRevalidate},
+		{"newer order read back", func(m *comfreymover.Mover) {
+			m.Observe(start, comfreymover.Observation{Fence: comfreymover.Fence{Revision: 41, Incarnation: 8}})
+		}, comfreymover.ActionStop},
+	} {
+		m := comfreymover.NewMover(comfreymover.Config{Incarnation: 7, IsFencingEnforced: true})
+		m.SetTarget(41, comfreymover.Target{Model: "template"})
+		m.SetTarget(40, comfreymover.Target{Model: "old"})
+		m.Renew(41, start.Add(time.Minute))
+		m.Observe(start, comfreymover.Observation{})
+		a := m.Next(start)
+		if a.Kind != comfreymover.ActionSend || a.Order.Target.Model != "template" {
+			t.Fatalf("%s: action is %+v", c.name, a)
+		}
+		c.see(m)
+		if m.Confirm(start, a.Order) || m.Next(start).Kind != c.want {
+			t.Errorf("%s: action is %s, want %s", c.name, m.Next(start).Kind, c.want)
+		}
+	}
+}
+
+func TestFirstOrderWaitsForThePredecessorUnlessFencingIsEnforced(t *testing.T) {
+	for _, isEnforced := range []bool{false, true} {
+		m := comfreymover.NewMover(comfreymover.Config{Incarnation: 1, Start: start, Takeover: time.Minute, IsFencingEnforced: isEnforced})
+		m.SetTarget(1, comfreymover.Target{Model: "template"})
+		m.Renew(1, start.Add(time.Hour))
+		d := firstLoad(m, start).Sub(start)
+		if want := map[bool]time.Duration{false: time.Minute, true: 0}[isEnforced]; d != want {
+			t.Errorf("enforced %t: the first order is sent after %s, want %s", isEnforced, d, want)
+		}
+	}
+}
