--- /dev/null
+++ b/comfreyrouter/choose.go
@@ -0,0 +1,115 @@
+package comfreyrouter
+
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// Query describes a request that needs an upstream.
+type Query struct {
+	// Service is the service that the request is for.
+	Service string
+	// DataCentre is the preferred data centre; empty selects that of the
+	// gateway.
+	DataCentre string
+	// Customer is the customer of the request.
+	Customer string
+	// PrefixHash identifies the start of the prompt; zero means that no cached
+	// prefix is to be looked for.
+	PrefixHash uint64
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// Excluded are the hosts that refused the request before.
+	Excluded []string
+}
+
+// Choice is the upstream chosen for a request and the figures on which it was
+// chosen. It is an immutable value.
+type Choice struct {
+	// Host is the chosen host.
+	Host string
+	// Address is the address of its sidecar.
+	Address string
+	// DataCentre is its data centre.
+	DataCentre string
+	// Reason says by which rule it was chosen.
+	Reason comfreyverdict.Reason
+	// Load is the load expected there, where 1 stands for a full cache or for
+	// one second of wait.
+	Load float64
+	// MeanLoad is the mean load over the hints of the service.
+	MeanLoad float64
+	// HintKnown says whether there was a hint.
+	HintKnown bool
+	// HintAge is the age of the hint, zero without one.
+	HintAge time.Duration
+	// Pending is how many requests were sent there since the hint.
+	Pending int
+	// Candidates is how many upstreams the service has.
+	Candidates int
+}
+
+// Choose returns the upstream to send a request to. The error is a
+// comfreyverdict.Error with verdict not-run and reason no-upstream.
+func (r *Router) Choose(now time.Time, q Query) (Choice, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.pools[q.Service]
+	if !ok {
+		return Choice{}, comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "no upstream serves the service")
+	}
+	s := selection{config: &r.config, random: r.random, pool: p, now: now.UnixNano(), excluded: q.Excluded, mean: p.mean()}
+	if q.DataCentre == "" {
+		q.DataCentre = r.config.DataCentre
+	}
+	c, reason := s.choose(q)
+	if c.replica == nil {
+		return Choice{}, comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "no upstream accepts work")
+	}
+	d := s.choice(c, reason)
+	c.send(s.now)
+	return d, nil
+}
+
+// choose prefers the upstream of the prefix, then the near data centre, then
+// the others if the near one is crowded or empty.
+func (s *selection) choose(q Query) (candidate, comfreyverdict.Reason) {
+	near := s.pool.find(q.DataCentre)
+	if q.PrefixHash != 0 && near != nil {
+		if c := s.affine(near, q.PrefixHash); c.replica != nil {
+			return c, comfreyverdict.ReasonPrefixAffinity
+		}
+	}
+	var best candidate
+	if near != nil {
+		best = s.pick(near)
+	}
+	if best.replica != nil && best.cost < s.config.SpillLoad {
+		return best, s.config.Policy.reason()
+	}
+	far := s.far(near)
+	if far.replica != nil && (best.replica == nil || far.cost+s.config.SpillMargin < best.cost) {
+		return far, comfreyverdict.ReasonSpill
+	}
+	return best, s.config.Policy.reason()
+}
+
+// choice returns the record of a decision.
+func (s *selection) choice(c candidate, reason comfreyverdict.Reason) Choice {
+	d := Choice{
+		Host:       c.member.Host,
+		Address:    c.member.Address,
+		DataCentre: c.member.DataCentre,
+		Reason:     reason,
+		Load:       c.cost,
+		MeanLoad:   s.mean,
+		HintKnown:  c.known,
+		Pending:    c.pending,
+		Candidates: s.pool.size,
+	}
+	if c.known {
+		d.HintAge = time.Duration(s.now - c.hintAt)
+	}
+	return d
+}
