Bound retries through a failed data centre, and leave within seconds

Cause, tracker: the first word of incarnation 0 was joined with an empty word, which says leaving, so that gateways lost every upstream after the fault.

It now refuses for a second after a pause. Gateways show their list to upstreams that do not know that they are leaving.

--- a/comfreyfleet/lifecycle.go
+++ b/comfreyfleet/lifecycle.go
@@ -6,6 +6,11 @@
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
+// settleTime is how long a process that was paused refuses work after it woke,
+// so that the gateways that saw it leave in the meantime can tell it. They do
+// so at least twice as often.
+const settleTime = time.Second
+
 // Lifecycle decides in a sidecar whether new work may begin. It has the last
 // word: whatever a gateway believes, work begins only if Begin returns nil. A
 // Lifecycle is not safe for concurrent use.
@@ -15,6 +20,7 @@
 	lease   *Lease
 	version uint64
 	since   time.Time
+	settled time.Time
 }
 
 // NewLifecycle returns the lifecycle of a process that accepts work as soon
@@ -64,9 +70,14 @@
 }
 
 // Wake records a look at the clock and returns how long the process was
-// paused. After a pause nothing begins until Renew.
+// paused. After a pause nothing begins until Renew, and until the gateways have
+// had a second to say what was missed.
 func (l *Lifecycle) Wake(now time.Time) time.Duration {
-	return l.lease.Wake(now)
+	p := l.lease.Wake(now)
+	if p > 0 {
+		l.settled = now.Add(settleTime)
+	}
+	return p
 }
 
 // Begin returns nil if work may be handed to the upstream at now. Otherwise
@@ -75,7 +86,7 @@
 	if !l.word.Accepting {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar is leaving")
 	}
-	if !l.lease.Valid(now) {
+	if !l.lease.Valid(now) || now.Before(l.settled) {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar was paused and has to look again")
 	}
 	return nil
--- a/comfreyfleet/tracker.go
+++ b/comfreyfleet/tracker.go
@@ -71,7 +71,10 @@
 	if _, ok := t.view.Find(host); !ok {
 		return
 	}
-	t.words[host] = t.words[host].Join(w)
+	if o, ok := t.words[host]; ok {
+		w = o.Join(w)
+	}
+	t.words[host] = w
 }
 
 // Suspect adds evidence against a host and returns the suspicion that results.
@@ -107,6 +110,23 @@
 	return m.State != StateLive && !w.Incarnation.Start().After(t.view.At())
 }
 
+// Unaware returns the upstreams that the list names as leaving and that have
+// not said so themselves, sorted by host. The caller shows its list to their
+// sidecars, because another gateway with an older list may still send them
+// work.
+func (t *Tracker) Unaware() []Member {
+	var s []Member
+	for _, m := range t.view.members {
+		if m.Role != RoleUpstream || m.State == StateLive || !t.leaving(m) {
+			continue
+		}
+		if w, ok := t.words[m.Host]; !ok || w.Accepting {
+			s = append(s, m)
+		}
+	}
+	return s
+}
+
 // Candidates returns the members that may get new work for a service, sorted
 // by host. A suspected upstream is no candidate until a trial clears it. If all
 // of them are suspected it returns them all, because then the fault is more
--- a/comfreyrouter/retry.go
+++ b/comfreyrouter/retry.go
@@ -14,8 +14,8 @@
 
 // Defaults of a RetryConfig.
 const (
-	defaultRetryRatio = 0.1
-	defaultRetryBurst = 10
+	defaultRetryRatio = 0.09
+	defaultRetryBurst = 2
 	// retryUnit is one retry in the integer units of the bucket, which add up
 	// without rounding.
 	retryUnit = 1_000_000
@@ -25,9 +25,10 @@
 // selects its default.
 type RetryConfig struct {
 	// Ratio is how many retries each request earns, from 0 to 1; the default
-	// is 0.1. A negative value allows none.
+	// is 0.09, which leaves room for the burst below a tenth. A negative value
+	// allows none.
 	Ratio float64
-	// Burst is how many retries may be saved up; the default is 10.
+	// Burst is how many retries may be saved up; the default is 2.
 	Burst float64
 }
 
