--- a/cmd/comfreyridge/config.go
+++ b/cmd/comfreyridge/config.go
@@ -5,6 +5,7 @@
 	"io"
 	"io/fs"
 	"os"
+	"path/filepath"
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
 )
@@ -14,17 +15,27 @@
 	Check *folderArguments `arg:"subcommand:check" help:"name every fault of a folder, with file, line and mend"`
 	Show  *folderArguments `arg:"subcommand:show" help:"print the merged result with the file that set each value"`
 	Diff  *diffArguments   `arg:"subcommand:diff" help:"compare the merged results of two folders"`
+	Pack  *packArguments   `arg:"subcommand:pack" help:"write the values that the platform has to publish for a folder"`
 }
 
 type folderArguments struct {
 	Folder string `arg:"positional,required" help:"folder of YAML files"`
 }
 
+type packArguments struct {
+	Folder string `arg:"positional,required" help:"folder of YAML files"`
+	Number uint64 `arg:"--number,required" help:"number of the revision; above every earlier one"`
+	Out    string `arg:"--out,required" help:"folder that receives one file for each value, named after its key"`
+}
+
 type diffArguments struct {
 	Before string `arg:"positional,required" help:"folder of YAML files"`
 	After  string `arg:"positional,required" help:"folder of YAML files"`
 }
 
+// packedFileMode lets everybody read the packed values, which hold no secret.
+const packedFileMode = 0o644
+
 func (c configCommand) run(stdout, stderr io.Writer) int {
 	switch {
 	case c.Check != nil:
@@ -33,8 +44,14 @@
 		return withFolders(stderr, func(s []fs.FS) int { return comfreyconfig.RunShow(stdout, s[0]) }, c.Show.Folder)
 	case c.Diff != nil:
 		return withFolders(stderr, func(s []fs.FS) int { return comfreyconfig.RunDiff(stdout, s[0], s[1]) }, c.Diff.Before, c.Diff.After)
+	case c.Pack != nil:
+		return withFolders(stderr, func(s []fs.FS) int {
+			return comfreyconfig.RunPack(stdout, s[0], c.Pack.Number, func(key string, b []byte) error {
+				return os.WriteFile(filepath.Join(c.Pack.Out, key), b, packedFileMode)
+			})
+		}, c.Pack.Folder, c.Pack.Out)
 	default:
-		fmt.Fprintln(stderr, "comfreyridge config: one of check, show, diff is needed")
+		fmt.Fprintln(stderr, "comfreyridge config: one of check, show, diff, pack is needed")
 		return exitUsage
 	}
 }
--- a/comfreyprocess/process.go
+++ b/comfreyprocess/process.go
@@ -42,6 +42,7 @@
 	peer     *peerService
 	group    *comfreygroup.Group
 	logger   *logrus.Logger
+	record   func(a comfreyconfig.Action)
 	// inForce and hosts are told of each change.
 	inForce func()
 	hosts   func(l comfreyconfig.HostList)
@@ -72,6 +73,7 @@
 		inForce:  func() {},
 		hosts:    func(comfreyconfig.HostList) {},
 	}
+	p.record = comfreyplatform.RecordTo(p.recorder)
 	peer := comfreyconfig.Peer{Address: self, DataCentre: s.DataCentre}
 	p.agent = comfreyplatform.NewAgent(comfreyplatform.AgentConfig{
 		Node:     comfreyconfig.NodeConfig{Self: peer, Seeds: seedPeers(s), Seed: rand.Uint64()},
@@ -95,37 +97,15 @@
 
 // observe takes the agent's reports, one at a time.
 func (p *process) observe(a comfreyconfig.Action) {
+	p.record(a)
 	switch a.Kind {
 	case comfreyconfig.ActionInForce:
-		p.recorder.Record("", comfreydecision.KindRevision, comfreyverdict.ReasonAccepted, map[string]any{"number": a.Revision.Number, "hash": a.Revision.Hash.String()})
 		p.inForce()
 	case comfreyconfig.ActionHostList:
 		p.hosts(a.Hosts)
-	case comfreyconfig.ActionReport:
-		p.recorder.Record("", comfreydecision.KindRevision, revisionReason(a.Outcome), map[string]any{"number": a.Number, "outcome": a.Outcome, "faults": len(a.Faults), "first-fault": firstFault(a.Faults)})
 	}
 }
 
-func revisionReason(o comfreyconfig.Outcome) comfreyverdict.Reason {
-	switch o {
-	case comfreyconfig.OutcomeConflict:
-		return comfreyverdict.ReasonRevisionConflict
-	case comfreyconfig.OutcomeInvalid:
-		return comfreyverdict.ReasonRevisionInvalid
-	case comfreyconfig.OutcomeStale:
-		return comfreyverdict.ReasonRevisionStale
-	default:
-		return comfreyverdict.ReasonRevisionCorrupt
-	}
-}
-
-func firstFault(s []comfreyconfig.Fault) string {
-	if len(s) == 0 {
-		return ""
-	}
-	return s[0].String()
-}
-
 // config returns the settings in force, which are empty before the first
 // revision.
 func (p *process) config() comfreyconfig.Settings {
