Drive upstream orders from the sidecar

The mover's fence is packed into the engine's 64-bit number: revision, second of the incarnation's start, order. A sidecar sends no order in its first 1.5 s, so that two incarnations never share a second. The newest revision is confirmed at the platform, or at peers while the platform does not answer.

--- a/comfreydecision/decision.go
+++ b/comfreydecision/decision.go
@@ -30,6 +30,7 @@
 	KindOrder    Kind = "order"
 	KindFinish   Kind = "finish"
 	KindDrain    Kind = "drain"
+	KindMove     Kind = "move"
 )
 
 // Decision is one decision with the figures it was taken on.
--- a/comfreyfakeengine/order.go
+++ b/comfreyfakeengine/order.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyengine"
@@ -26,7 +27,7 @@
 	l.state.Pending = nil
 	switch p.Kind {
 	case comfreyengine.OrderLoadModel:
-		l.state.Model = p.Value
+		l.load(p.Value)
 	case comfreyengine.OrderLoadAdapter:
 		l.state.Adapter = p.Value
 	case comfreyengine.OrderLoadVersion:
@@ -36,6 +37,17 @@
 	}
 }
 
+// load sets the model, and the version behind an @ sign if there is one. A new
+// model has no adapter.
+func (l *loader) load(value string) {
+	model, version, ok := strings.Cut(value, "@")
+	l.state.Model = model
+	l.state.Adapter = ""
+	if ok {
+		l.state.Version = version
+	}
+}
+
 // State returns what the engine has loaded.
 func (e *Engine) State() comfreyengine.State {
 	e.mu.Lock()
--- a/comfreyprocess/process.go
+++ b/comfreyprocess/process.go
@@ -38,6 +38,8 @@
 	recorder *comfreydecision.Recorder
 	registry *prometheus.Registry
 	client   *comfreyrpc.Client
+	platform *comfreyplatform.Client
+	exchange comfreyplatform.ExchangeFunc
 	agent    *comfreyplatform.Agent
 	peer     *peerService
 	group    *comfreygroup.Group
@@ -75,10 +77,12 @@
 	}
 	p.record = comfreyplatform.RecordTo(p.recorder)
 	peer := comfreyconfig.Peer{Address: self, DataCentre: s.DataCentre}
+	p.platform = comfreyplatform.New(comfreyplatform.Config{URL: s.Platform})
+	p.exchange = exchange(p.client, peer)
 	p.agent = comfreyplatform.NewAgent(comfreyplatform.AgentConfig{
 		Node:     comfreyconfig.NodeConfig{Self: peer, Seeds: seedPeers(s), Seed: rand.Uint64()},
-		Client:   comfreyplatform.New(comfreyplatform.Config{URL: s.Platform}),
-		Exchange: exchange(p.client, peer),
+		Client:   p.platform,
+		Exchange: p.exchange,
 		Fetch:    fetch(p.client),
 		Observe:  p.observe,
 	})
--- a/comfreyprocess/sidecar.go
+++ b/comfreyprocess/sidecar.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreyfleet"
 	"comfreyridge.example/comfreyridge/comfreysettings"
 	"comfreyridge.example/comfreyridge/comfreysidecar"
 )
@@ -38,6 +40,8 @@
 		Recorder:    p.recorder,
 		Registry:    p.registry,
 		DrainLimit:  s.DrainLimit,
+		Confirm:     p.confirm,
+		Fencing:     fencing(s.Fencing),
 	})
 	p.inForce = x.Configure
 	p.hosts = func(l comfreyconfig.HostList) { x.ObserveView(viewOf(l, time.Now())) }
@@ -47,3 +51,35 @@
 	p.logger.WithFields(logrus.Fields{"event": "listening", "for": "gateways", "address": l.Addr().String()}).Info("listening")
 	return p.stop(x.Run(ctx, kill))
 }
+
+func fencing(s string) comfreyfleet.Fencing {
+	if s == comfreyfleet.FencingEnforced.String() {
+		return comfreyfleet.FencingEnforced
+	}
+	return comfreyfleet.FencingIgnored
+}
+
+// confirmPeers is how many peers are asked for the newest revision while the
+// platform does not answer.
+const confirmPeers = 3
+
+// confirm asks the platform, or peers if it does not answer, which revision is
+// the newest.
+func (p *process) confirm(ctx context.Context) (comfreysidecar.Confirmation, bool) {
+	c := comfreysidecar.Confirmation{Revision: p.agent.Digest().Number, Asked: time.Now()}
+	if a := p.platform.Read(ctx); !a.Failed {
+		c.Revision = max(c.Revision, a.Number)
+		return c, true
+	}
+	ok := false
+	hosts := p.agent.Hosts().Peers(p.peer.self.Address)
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	for _, h := range hosts[:min(confirmPeers, len(hosts))] {
+		d, err := p.exchange(ctx, h, p.agent.Digest())
+		if err == nil {
+			c.Revision = max(c.Revision, d.Number)
+			ok = true
+		}
+	}
+	return c, ok
+}
--- a/comfreysettings/settings.go
+++ b/comfreysettings/settings.go
@@ -39,6 +39,7 @@
 type Sidecar struct {
 	Process
 	Service  string `arg:"--service,env:COMFREY_SERVICE" help:"service that the upstream serves"`
+	Fencing  string `arg:"--fencing,env:COMFREY_FENCING" default:"ignored" help:"enforced if the upstream refuses orders with an old fencing number, else ignored"`
 	Upstream string `arg:"--upstream,env:COMFREY_UPSTREAM" help:"base URL of the upstream beside this process"`
 }
 
@@ -122,5 +123,8 @@
 	s.check(&f)
 	f.needText("--service", s.Service)
 	f.needURL("--upstream", s.Upstream)
+	if s.Fencing != "enforced" && s.Fencing != "ignored" {
+		f.add("--fencing: %q is neither enforced nor ignored", s.Fencing)
+	}
 	return f.orNil()
 }
--- a/comfreysettings/settings_test.go
+++ b/comfreysettings/settings_test.go
@@ -7,7 +7,7 @@
 )
 
 func ExampleSidecar_Check() {
-	s := comfreysettings.Sidecar{Service: "quotes", Upstream: "127.0.0.1:8000"}
+	s := comfreysettings.Sidecar{Service: "quotes", Upstream: "127.0.0.1:8000", Fencing: "ignored"}
 	s.Host = "host-1"
 	s.DataCentre = "leuven"
 	s.Listen = "127.0.0.1"
--- a/comfreysidecar/config.go
+++ b/comfreysidecar/config.go
@@ -1,6 +1,7 @@
 package comfreysidecar
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"net"
@@ -48,6 +49,13 @@
 	// LearnDigest is told of a revision that another process has in force; nil
 	// ignores it.
 	LearnDigest func(d *comfreyproto.Digest)
+	// Confirm asks the platform or peers which revision is the newest. It
+	// reports false if nobody answered. Without it no orders are sent to the
+	// upstream.
+	Confirm func(ctx context.Context) (Confirmation, bool)
+	// Fencing says whether the upstream refuses orders with an old fencing
+	// number; the default assumes that it does not.
+	Fencing comfreyfleet.Fencing
 	// Admission overrides parts of the admission's configuration; the
 	// service's settings fill the rest.
 	Admission comfreyadmission.Config
--- /dev/null
+++ b/comfreysidecar/mover.go
@@ -0,0 +1,188 @@
+package comfreysidecar
+
+import (
+	"context"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyengine"
+	"comfreyridge.example/comfreyridge/comfreyfleet"
+	"comfreyridge.example/comfreyridge/comfreymover"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+const (
+	// moverStart is how long after its start a sidecar sends its first order.
+	// It makes the seconds of two incarnations' fencing numbers differ.
+	moverStart = 1500 * time.Millisecond
+	// moverLease is how long a confirmed revision may be acted on.
+	moverLease = 15 * time.Second
+	// moverCallTimeout bounds one call of the mover.
+	moverCallTimeout = 10 * time.Second
+	// maxMoverWait bounds the time until the mover looks again, so that a new
+	// revision is noticed.
+	maxMoverWait = 500 * time.Millisecond
+)
+
+// The bits of the engine's fencing number, from the highest: revision, second
+// of the incarnation's start, order.
+const (
+	fenceRevisionBits = 24
+	fenceSecondBits   = 30
+	fenceCounterBits  = 10
+	// fenceEpoch is the second from which starts are counted.
+	fenceEpoch = 1_600_000_000
+)
+
+// fencingNumber packs a fence into the engine's 64-bit number. The order is
+// kept for 16 million revisions, for starts until 2054 and for 1,024 orders of
+// one revision and incarnation.
+func fencingNumber(f comfreymover.Fence) uint64 {
+	second := uint64(comfreyfleet.Incarnation(f.Incarnation).Start().Unix() - fenceEpoch)
+	n := f.Revision & (1<<fenceRevisionBits - 1)
+	n = n<<fenceSecondBits | second&(1<<fenceSecondBits-1)
+	return n<<fenceCounterBits | f.Counter&(1<<fenceCounterBits-1)
+}
+
+// Confirmation says which revision was the newest one when it was asked for.
+type Confirmation struct {
+	// Revision is the number of the newest revision anybody answered with.
+	Revision uint64
+	// Asked is when the question was sent.
+	Asked time.Time
+}
+
+// runMover keeps the upstream in the state that the configuration asks for,
+// until ctx ends.
+func (s *Sidecar) runMover(ctx context.Context) error {
+	if !sleep(ctx, moverStart) {
+		return nil
+	}
+	m := comfreymover.NewMover(comfreymover.Config{
+		Incarnation:       uint64(s.config.Incarnation),
+		IsFencingEnforced: s.config.Fencing == comfreyfleet.FencingEnforced,
+		Start:             s.config.Incarnation.Start(),
+	})
+	for ctx.Err() == nil {
+		if v, ok := s.config.service(); !ok || v.Kind != comfreyconfig.ServiceKindGeneration {
+			sleep(ctx, maxMoverWait)
+			continue
+		}
+		s.retarget(m)
+		s.move(ctx, m, m.Next(s.config.Now()))
+	}
+	return nil
+}
+
+// retarget hands the settings in force to the mover.
+func (s *Sidecar) retarget(m *comfreymover.Mover) {
+	d := s.config.Digest()
+	u, ok := s.config.Settings().Upstream(s.config.Service)
+	if d == nil || !ok {
+		return
+	}
+	m.SetTarget(d.Number, comfreymover.Target{Model: u.Model, Version: u.Version, Adapter: u.Adapter, Role: u.Role})
+	perSecond := s.config.Settings().Limits().WeightLoadsPerMinute / 60
+	m.SetShare(comfreymover.NewShare(s.config.Host, s.quarantine.hosts(), perSecond))
+}
+
+// move carries out one action of the mover.
+func (s *Sidecar) move(ctx context.Context, m *comfreymover.Mover, a comfreymover.Action) {
+	switch a.Kind {
+	case comfreymover.ActionRevalidate:
+		c, ok := s.config.Confirm(ctx)
+		if !ok {
+			sleep(ctx, maxMoverWait)
+			return
+		}
+		m.SeeRevision(c.Revision)
+		m.Renew(c.Revision, c.Asked.Add(moverLease))
+		if d := s.config.Digest(); d != nil && d.Number < c.Revision {
+			sleep(ctx, maxMoverWait)
+		}
+	case comfreymover.ActionReadBack:
+		s.readBack(ctx, m)
+	case comfreymover.ActionSend:
+		s.sendOrder(ctx, m, a.Order)
+	case comfreymover.ActionWait:
+		sleep(ctx, min(max(a.Until.Sub(s.config.Now()), 0), maxMoverWait))
+	default:
+		<-ctx.Done()
+	}
+}
+
+func (s *Sidecar) readBack(ctx context.Context, m *comfreymover.Mover) {
+	ctx, cancel := context.WithTimeout(ctx, moverCallTimeout)
+	defer cancel()
+	sent := s.config.Now()
+	x, err := s.engine.State(ctx)
+	if err != nil {
+		sleep(ctx, maxMoverWait)
+		return
+	}
+	m.Observe(sent, comfreymover.Observation{
+		State:  comfreymover.Target{Model: x.Model, Version: x.Version, Adapter: x.Adapter, Role: x.Role},
+		IsBusy: x.Pending != nil,
+	})
+}
+
+// sendOrder sends one order if the mover confirms it directly before.
+func (s *Sidecar) sendOrder(ctx context.Context, m *comfreymover.Mover, o comfreymover.Order) {
+	if !m.Confirm(s.config.Now(), o) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, moverCallTimeout)
+	defer cancel()
+	x := engineOrder(o)
+	_, err := s.engine.Order(ctx, x)
+	m.Sent(s.config.Now(), o.Fence)
+	m.Answer(o.Fence, orderResult(err), comfreymover.Fence{})
+	reason := comfreyverdict.ReasonAccepted
+	if err != nil {
+		reason = comfreyverdict.From(err).Reason
+	}
+	s.recorder.Record("", comfreydecision.KindMove, reason, map[string]any{"order": x.Kind, "value": x.Value, "fencing-number": x.FencingNumber, "revision": o.Fence.Revision})
+}
+
+// engineOrder converts an order to the engine's protocol, in which a model
+// carries its version behind an @ sign.
+func engineOrder(o comfreymover.Order) comfreyengine.Order {
+	x := comfreyengine.Order{FencingNumber: fencingNumber(o.Fence)}
+	switch o.Kind {
+	case comfreymover.OrderLoadModel:
+		x.Kind, x.Value = comfreyengine.OrderLoadModel, o.Target.Model+"@"+o.Target.Version
+	case comfreymover.OrderLoadAdapter:
+		x.Kind, x.Value = comfreyengine.OrderLoadAdapter, o.Target.Adapter
+	default:
+		x.Kind, x.Value = comfreyengine.OrderChangeRole, o.Target.Role
+	}
+	return x
+}
+
+func orderResult(err error) comfreymover.Result {
+	if err == nil {
+		return comfreymover.ResultAccepted
+	}
+	e := comfreyverdict.From(err)
+	switch {
+	case e.Reason == comfreyverdict.ReasonStaleFencingNumber:
+		return comfreymover.ResultFenced
+	case e.Verdict == comfreyverdict.VerdictNotRun:
+		return comfreymover.ResultRefused
+	default:
+		return comfreymover.ResultLost
+	}
+}
+
+// sleep waits for d; it reports false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/comfreysidecar/quarantine.go
+++ b/comfreysidecar/quarantine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,8 +38,9 @@
 	mu      sync.Mutex
 	table   *comfreyquarantine.Table
 	witness *comfreyquarantine.Witness
-	// addresses are the sidecars of the service by host.
+	// addresses are the sidecars of the service by host; names are the hosts.
 	addresses map[string]string
+	names     []string
 }
 
 func newQuarantine(host string, i comfreyfleet.Incarnation, now func() time.Time) *quarantine {
@@ -57,23 +60,27 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.addresses = a
+	q.names = slices.Sorted(maps.Keys(a))
 }
 
 // witnessOf returns the host that witnesses a request and its address.
 func (q *quarantine) witnessOf(f comfreyquarantine.Fingerprint) (host, address string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	hosts := make([]string, 0, len(q.addresses))
-	for h := range q.addresses {
-		hosts = append(hosts, h)
-	}
-	s := comfreyquarantine.WitnessHosts(f, hosts, 1)
+	s := comfreyquarantine.WitnessHosts(f, q.hosts(), 1)
 	if len(s) == 0 {
 		return "", ""
 	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	return s[0], q.addresses[s[0]]
 }
 
+// hosts returns the listed hosts of the service, in the order of their names.
+func (q *quarantine) hosts() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.names
+}
+
 // export returns records to pass on.
 func (q *quarantine) export() []*comfreyproto.CrashRecord {
 	q.mu.Lock()
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -112,6 +112,9 @@
 	s.group.Go("admission", s.admission.run)
 	s.group.Go("janitor", s.runJanitor)
 	s.group.Go("renew witnesses", s.renewWitnesses)
+	if s.config.Confirm != nil {
+		s.group.Go("move", s.runMover)
+	}
 	s.group.Go("serve", func(context.Context) error {
 		err := s.server.Serve(s.config.Listener)
 		if errors.Is(err, http.ErrServerClosed) {
