comfreyadmission: more slack towards deadlines

Cause: requests refused after a wait were queued with an estimate of up to two thirds of their patience and met an engine whose memory a few long answers held.

Ruled out: counting the returns within the wait (no change by itself, kept since it costs nothing).

--- a/comfreyadmission/drain.go
+++ b/comfreyadmission/drain.go
@@ -11,6 +11,9 @@
 	// flowSteps is the number of steps in which the flow out of the queue is
 	// smoothed over the window.
 	flowSteps = 15
+	// waitRounds is how often the estimate of a wait is repeated with the
+	// callers that return within it.
+	waitRounds = 3
 	// minimumRate keeps a wait finite while nothing was measured, in tokens a
 	// second.
 	minimumRate = 100
@@ -88,5 +91,8 @@
 		return 0
 	}
 	d := c.drain.duration(c.queued)
-	return d + c.drain.duration(c.due(c.now.Add(d)))
+	for range waitRounds {
+		d = c.drain.duration(c.queued + c.due(c.now.Add(d)))
+	}
+	return d
 }
--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -16,7 +16,7 @@
 	returnLead = 2
 	// deadlineSlack is by how much the estimate of a wait may be short for a
 	// request that is queued until close to its deadline.
-	deadlineSlack = 1.5
+	deadlineSlack = 1.75
 	// openShare is the part of the queue time below which nobody is refused.
 	openShare = 4
 	// thresholdFactor is how many times the free part of the queue a customer
@@ -26,7 +26,7 @@
 	// customer counts as having got less than its share.
 	fairMargin = 0.8
 	// fairExtra is the time by which such a customer may overfill the queue.
-	fairExtra = 10 * time.Second
+	fairExtra = 5 * time.Second
 	// returnShare is the part of its tokens of late that the returns of a
 	// customer which got most may take. The rest goes to those that got less.
 	returnShare = 0.8
