comfreymover: a lease ends by both clocks; measure cut fleets

Cause: a monotonic clock that misses the pause of a machine kept a lease valid. Lease and freshness now have to hold by the wall clock too. No test shows the two clocks apart, as a test cannot set one of them alone.

The simulated fleet of comfreyquarantine can be cut in two, can hold differing host lists and can send several bad requests.

--- a/comfreymover/mover.go
+++ b/comfreymover/mover.go
@@ -14,8 +14,7 @@
 )
 
 // Mover holds what one sidecar knows about the wanted and the actual state of
-// its upstream. Each method takes the time from a clock that keeps running
-// while the process is paused. A Mover is not safe for concurrent use.
+// its upstream. A Mover is not safe for concurrent use.
 type Mover struct {
 	config    Config
 	share     Share
@@ -56,9 +55,10 @@
 	m.share = s
 }
 
-// Renew notes that revision was the newest one at the time at which the question
-// was sent, and that it may be acted on until end. It is ignored if the mover
-// knows a newer revision.
+// Renew notes that revision was the newest one when the platform or a peer was
+// asked, and that it may be acted on until end, which is counted from the time
+// at which the question was sent. It is ignored if the mover knows a newer
+// revision.
 func (m *Mover) Renew(revision uint64, end time.Time) {
 	if m.hasTarget && revision == m.revision && end.After(m.leaseEnd) {
 		m.leaseEnd = end
@@ -93,19 +93,18 @@
 	case !m.isFresh(now):
 		return m.readBack(now)
 	default:
-		m.isInFlight = false
 		return m.approach(now)
 	}
 }
 
 func (m *Mover) hasLease(now time.Time) bool {
-	return m.hasTarget && now.Before(m.leaseEnd)
+	return m.hasTarget && isBefore(now, m.leaseEnd)
 }
 
 // isFresh reports whether the state was read so lately, and after the end of
 // the last order, that an order may be based on it.
 func (m *Mover) isFresh(now time.Time) bool {
-	return !m.seenAt.IsZero() && now.Sub(m.seenAt) < m.config.Freshness && !now.Before(m.seenAt)
+	return !m.seenAt.IsZero() && isBefore(now, m.seenAt.Add(m.config.Freshness)) && !now.Before(m.seenAt)
 }
 
 func (m *Mover) revalidate(now time.Time) Action {
@@ -223,3 +222,9 @@
 		m.counter = f.Counter
 	}
 }
+
+// isBefore reports whether a is before b by both clocks. The monotonic clock
+// can miss a pause of the machine, and the wall clock can be set back.
+func isBefore(a, b time.Time) bool {
+	return a.Before(b) && a.Round(0).Before(b.Round(0))
+}
--- a/comfreyquarantine/fleet_run_test.go
+++ b/comfreyquarantine/fleet_run_test.go
@@ -88,27 +88,28 @@
 // BenchmarkLosses measures upstreams lost to one bad request at the target
 // size. Its seeds are 1 to b.N.
 func BenchmarkLosses(b *testing.B) {
-	target := fleetConfig{hosts: 900, gateways: 360, copies: 1, sends: 40, beside: 20}
+	const short, long = 10 * time.Millisecond, time.Second
 	for _, c := range []struct {
-		name       string
-		pause      time.Duration
-		copies     int
-		hasWitness bool
-		lostAsks   float64
+		name   string
+		change func(c *fleetConfig)
 	}{
-		{"gossip/pause=5s", 5 * time.Second, 1, false, 0},
-		{"gossip/pause=1s", time.Second, 1, false, 0},
-		{"gossip/pause=10ms", 10 * time.Millisecond, 1, false, 0},
-		{"gossip/copies=8", 10 * time.Millisecond, 8, false, 0},
-		{"witness/pause=1s", time.Second, 1, true, 0},
-		{"witness/pause=10ms", 10 * time.Millisecond, 1, true, 0},
-		{"witness/copies=8", 10 * time.Millisecond, 8, true, 0},
-		{"witness/copies=8/lost-asks=20%", 10 * time.Millisecond, 8, true, 0.2},
-		{"witness/copies=8/lost-asks=100%", 10 * time.Millisecond, 8, true, 1},
+		{"gossip/pause=5s", func(c *fleetConfig) { c.hasWitness, c.pause = false, 5*time.Second }},
+		{"gossip/pause=1s", func(c *fleetConfig) { c.hasWitness, c.pause = false, long }},
+		{"gossip/pause=10ms", func(c *fleetConfig) { c.hasWitness = false }},
+		{"gossip/copies=8", func(c *fleetConfig) { c.hasWitness, c.copies = false, 8 }},
+		{"witness/pause=1s", func(c *fleetConfig) { c.pause = long }},
+		{"witness/pause=10ms", func(*fleetConfig) {}},
+		{"witness/copies=8", func(c *fleetConfig) { c.copies = 8 }},
+		{"witness/copies=8/lost-asks=20%", func(c *fleetConfig) { c.copies, c.lostAsks = 8, 0.2 }},
+		{"witness/copies=8/lost-asks=100%", func(c *fleetConfig) { c.copies, c.lostAsks = 8, 1 }},
+		{"witness/copies=8/split", func(c *fleetConfig) { c.copies, c.isSplit = 8, true }},
+		{"witness/copies=8/lists-differ", func(c *fleetConfig) { c.copies, c.haveListsThatDiffer = 8, true }},
+		{"witness/pause=1s/others=4", func(c *fleetConfig) { c.pause, c.others = long, 4 }},
+		{"witness/pause=1s/others=4/hosts=12", func(c *fleetConfig) { c.pause, c.others, c.hosts, c.gateways = long, 4, 12, 6 }},
 	} {
 		b.Run(c.name, func(b *testing.B) {
-			f := target
-			f.pause, f.copies, f.hasWitness, f.lostAsks = c.pause, c.copies, c.hasWitness, c.lostAsks
+			f := fleetConfig{hosts: 900, gateways: 360, hasWitness: true, copies: 1, sends: 40, pause: short, beside: 20}
+			c.change(&f)
 			benchmarkFleet(b, f)
 		})
 	}
--- a/comfreyquarantine/fleet_test.go
+++ b/comfreyquarantine/fleet_test.go
@@ -18,6 +18,13 @@
 	hasWitness bool
 	// lostAsks is the share of questions to the witness that get no answer.
 	lostAsks float64
+	// isSplit cuts the hosts and gateways with even numbers from the others.
+	isSplit bool
+	// haveListsThatDiffer hides the first witness of the bad request from the
+	// hosts with odd numbers.
+	haveListsThatDiffer bool
+	// others is how many other bad requests are sent at the same time.
+	others int
 	// copies is how many copies of the bad request are sent at once, and sends
 	// how many are sent at the most.
 	copies, sends int
@@ -48,6 +55,7 @@
 }
 
 type upstream struct {
+	index     int
 	table     *comfreyquarantine.Table
 	witness   *comfreyquarantine.Witness
 	downUntil time.Time
@@ -89,6 +97,7 @@
 		f.names = append(f.names, fmt.Sprint("host-", i))
 		t := comfreyquarantine.NewTable(comfreyquarantine.Config{Host: f.names[i], Incarnation: 1})
 		u := &upstream{
+			index:   i,
 			table:   t,
 			witness: comfreyquarantine.NewWitness(comfreyquarantine.WitnessConfig{Lease: time.Hour}, t),
 			runs:    map[comfreyquarantine.RunID]run{},
@@ -110,9 +119,8 @@
 			f.start(u, run{call: c, gateway: f.r.IntN(len(f.gateways))}, comfreyquarantine.DecisionAllow)
 		}
 	}
-	bad := comfreyquarantine.NewFingerprint("al-jabal", "report", []byte("bad"))
-	for range f.copies {
-		c := &call{fingerprint: bad, isBad: true}
+	for i := range f.copies + f.others {
+		c := &call{fingerprint: badFingerprint(max(0, i-f.copies+1)), isBad: true}
 		f.after(time.Duration(f.r.Int64N(int64(10*hop))), func() { f.send(c) })
 	}
 	for g := range f.gateways {
@@ -125,6 +133,25 @@
 	}
 }
 
+func badFingerprint(i int) comfreyquarantine.Fingerprint {
+	return comfreyquarantine.NewFingerprint("al-jabal", "report", fmt.Append(nil, "bad ", i))
+}
+
+// canReach reports whether no cut is between two processes.
+func (f *fleet) canReach(i, j int) bool {
+	return !f.isSplit || i%2 == j%2
+}
+
+// draw returns any upstream that runs and that a gateway can reach.
+func (f *fleet) draw(g int) *upstream {
+	for {
+		u := f.upstreams[f.r.IntN(len(f.upstreams))]
+		if f.canReach(g, u.index) && !f.now.Before(u.downUntil) {
+			return u
+		}
+	}
+}
+
 // send carries a request through any gateway to any upstream.
 func (f *fleet) send(c *call) {
 	if c.isBad && c.sends >= f.sends {
@@ -137,10 +164,7 @@
 		f.refuse(c)
 		return
 	}
-	u := f.upstreams[f.r.IntN(len(f.upstreams))]
-	for f.now.Before(u.downUntil) {
-		u = f.upstreams[f.r.IntN(len(f.upstreams))]
-	}
+	u := f.draw(g)
 	f.after(hop, func() { f.arrive(u, c, g) })
 }
 
@@ -150,8 +174,9 @@
 		f.act(u, c, g, nil, d)
 		return
 	}
-	for _, w := range f.witnesses(c.fingerprint) {
-		if f.r.Float64() >= f.lostAsks {
+	for i, w := range f.witnesses(c.fingerprint) {
+		isHidden := f.haveListsThatDiffer && i == 0 && u.index%2 == 1
+		if !isHidden && f.canReach(u.index, w.index) && f.r.Float64() >= f.lostAsks {
 			f.after(hop, func() { f.ask(u, c, g, w) })
 			return
 		}
@@ -237,7 +262,7 @@
 		n := u.runs[id]
 		f.after(hop, func() { f.gateways[n.gateway].Merge(f.now, s) })
 		if f.hasWitness {
-			f.tell(n.call, s)
+			f.tell(u, n.call, s)
 		}
 		f.done(u, n, false)
 		f.after(hop+f.resend(), func() { f.send(n.call) })
@@ -248,9 +273,11 @@
 	clear(u.runs)
 }
 
-func (f *fleet) tell(c *call, s []comfreyquarantine.Record) {
+func (f *fleet) tell(u *upstream, c *call, s []comfreyquarantine.Record) {
 	for _, w := range f.witnesses(c.fingerprint) {
-		f.after(hop, func() { w.table.Merge(f.now, s) })
+		if f.canReach(u.index, w.index) {
+			f.after(hop, func() { w.table.Merge(f.now, s) })
+		}
 	}
 }
 
@@ -280,9 +307,13 @@
 // to ordinary requests do.
 func (f *fleet) exchange(g int) {
 	u := f.upstreams[f.r.IntN(len(f.upstreams))]
+	if !f.canReach(g, u.index) {
+		f.exchangeLater(g)
+		return
+	}
 	f.gateways[g].Merge(f.now, u.table.Export(f.now, 2))
 	u.table.Merge(f.now, f.gateways[g].Export(f.now, 2))
-	if f.now.Before(f.end) || f.badEnded < f.copies {
+	if f.now.Before(f.end) || f.badEnded < f.copies+f.others {
 		f.exchangeLater(g)
 	}
 }
@@ -300,7 +331,7 @@
 }
 
 func (f *fleet) name(u *upstream) string {
-	return f.names[slices.Index(f.upstreams, u)]
+	return f.names[u.index]
 }
 
 func (f *fleet) resend() time.Duration {
