--- a/comfreystream/replay.go
+++ b/comfreystream/replay.go
@@ -94,10 +94,8 @@
 	if seq <= r.acknowledged {
 		return
 	}
-	for _, f := range r.frames[r.start:] {
-		if f.Seq > r.acknowledged && f.Seq <= seq {
-			r.ackedBytes += cost(f)
-		}
+	for n := max(r.acknowledged+1, r.oldest()); n <= seq; n++ {
+		r.ackedBytes += cost(r.frames[r.index(n)])
 	}
 	r.acknowledged = seq
 	r.evict()
@@ -119,7 +117,7 @@
 	if seq < r.oldest() {
 		return s, comfreyverdict.Ran(comfreyverdict.ReasonReplayWindowPassed, fmt.Sprintf("frame %d is asked for and %d is the oldest kept", seq, r.oldest()))
 	}
-	return append(s, r.frames[r.start+int(seq-r.oldest()):]...), nil
+	return append(s, r.frames[r.index(seq):]...), nil
 }
 
 // Next returns the number of the next frame.
@@ -142,6 +140,11 @@
 	return r.next - uint64(len(r.frames)-r.start)
 }
 
+// index returns where frame seq is kept; it must be at least the oldest.
+func (r *Replay) index(seq uint64) int {
+	return r.start + int(seq-r.oldest())
+}
+
 // evict drops the oldest frames until the bounds hold, but never the newest.
 func (r *Replay) evict() {
 	for r.start < len(r.frames)-1 {
