Renew leases once a minute; look at suspicions only while there are any

BenchmarkUpdate: 409 us and 115 KB for 900 members (loaded machine), four times a second without need.

--- a/comfreygateway/config.go
+++ b/comfreygateway/config.go
@@ -16,7 +16,7 @@
 // Defaults of Config.
 const (
 	defaultSilence        = 6 * time.Second
-	defaultReportInterval = 10 * time.Second
+	defaultReportInterval = time.Minute
 	defaultWriteTimeout   = 30 * time.Second
 	defaultDrainDelay     = 5 * time.Second
 	defaultDrainLimit     = 2 * time.Minute
@@ -51,7 +51,7 @@
 	// connection is opened; the default is 6 s, three heartbeats.
 	Silence time.Duration
 	// ReportInterval is how often the leases of running generations are
-	// renewed; the default is 10 s.
+	// renewed; the default is 1 min.
 	ReportInterval time.Duration
 	// WriteTimeout bounds one write to a caller; the default is 30 s.
 	WriteTimeout time.Duration
--- a/comfreygateway/fleet.go
+++ b/comfreygateway/fleet.go
@@ -18,8 +18,14 @@
 
 	mu      sync.Mutex
 	tracker *comfreyfleet.Tracker
+	// suspected is when a host was suspected last.
+	suspected time.Time
 }
 
+// suspicionSpan is how long after the last suspicion hosts may still be waiting
+// to be let back in; it exceeds the longest back-off of a suspicion.
+const suspicionSpan = 30 * time.Second
+
 func newFleet(c comfreyrouter.Config, now func() time.Time) *fleet {
 	return &fleet{
 		now:     now,
@@ -57,7 +63,9 @@
 func (f *fleet) tick() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refresh()
+	if f.now().Sub(f.suspected) < suspicionSpan {
+		f.refresh()
+	}
 }
 
 // observe takes the load that a sidecar reported about itself.
@@ -94,7 +102,8 @@
 func (f *fleet) suspect(host string, e comfreyfleet.Evidence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tracker.Suspect(f.now(), host, e)
+	f.suspected = f.now()
+	f.tracker.Suspect(f.suspected, host, e)
 	f.refresh()
 }
 
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -61,15 +61,15 @@
 	s.admission = newAdmission(c.admissionConfig(), s)
 	s.orders = newOrders(comfreyorder.Config{Host: c.Host, Incarnation: uint64(c.Incarnation)}, c.Now)
 	s.metrics = newMetrics(c.Registry, s)
-	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	return s
 }
 
 // readHeaderTimeout bounds the time in which a connection sends its headers.
 const readHeaderTimeout = 10 * time.Second
 
-// handler returns the signed internal interface.
-func (s *Sidecar) handler() http.Handler {
+// Handler returns the signed internal interface.
+func (s *Sidecar) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST "+comfreyrpc.PathStart, s.serveStart)
 	m.HandleFunc("POST "+comfreyrpc.PathResume, s.serveResume)
