--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -1,7 +1,7 @@
 package comfreyverdict
 
 // Reason names why a decision was taken. The set is closed: a reason appears
-// in logs, counters, headers and bodies, and docs/REASONS.md explains each.
+// in logs, counters, headers and bodies, and docs/operators/reasons.md explains each.
 type Reason string
 
 // The reasons, sorted by value. Every value is kebab case.
