comfreyreplay: a lost replica keeps no place for a caller's return

Cause: a caller whose last refusal came from a lost replica was sent back to it until it gave up; a refused dial also used up one of the gateway's attempts.

--- a/comfreyreplay/route.go
+++ b/comfreyreplay/route.go
@@ -52,6 +52,9 @@
 // refused lets a gateway try another replica, or pass the refusal on.
 func (f *fleet) refused(c *call, n int) {
 	c.tried = append(c.tried, n)
+	if f.replicas[n].down {
+		c.attempts-- // a refused dial costs no attempt
+	}
 	if c.attempts < gatewayAttempts && len(c.tried) < len(f.replicas) {
 		f.route(c)
 		return
@@ -63,6 +66,9 @@
 		return
 	}
 	c.booked = n
+	if f.replicas[n].down {
+		c.booked = -1
+	}
 	f.events.add(event{at: at, kind: eventReturn, call: c})
 }
 
@@ -72,6 +78,11 @@
 	c.returned++
 	c.attempts = gatewayAttempts - 1
 	c.tried = c.tried[:0]
+	if c.booked < 0 {
+		c.attempts = 0
+		f.route(c)
+		return
+	}
 	f.send(c, c.booked)
 }
 
--- a/comfreyreplay/serve.go
+++ b/comfreyreplay/serve.go
@@ -165,6 +165,6 @@
 		return
 	}
 	c.promised = time.Second
-	c.attempts = 0
+	c.attempts = 1
 	f.events.add(event{at: f.now + f.latency(c.gateway, n), kind: eventRefused, call: c, replica: n})
 }
