--- a/comfreyfleet/tracker.go
+++ b/comfreyfleet/tracker.go
@@ -40,7 +40,8 @@
 }
 
 // Update takes a newer host list and forgets what was known of hosts that it
-// no longer holds. It reports false and changes nothing if v is not newer.
+// no longer holds. It reports false and changes nothing if v is not newer; the
+// versions of the platform start from 1.
 func (t *Tracker) Update(v View) bool {
 	if v.Version() <= t.view.Version() {
 		return false
--- a/comfreyrouter/choose.go
+++ b/comfreyrouter/choose.go
@@ -50,6 +50,10 @@
 	Candidates int
 }
 
+// noUpstreamRetryAfter is when a caller may come back that found no upstream:
+// about when the gateway will have learned of another.
+const noUpstreamRetryAfter = 2 * time.Second
+
 // Choose returns the upstream to send a request to. The error is a
 // comfreyverdict.Error with verdict not-run and reason no-upstream.
 func (r *Router) Choose(now time.Time, q Query) (Choice, error) {
@@ -57,7 +61,7 @@
 	defer r.mu.Unlock()
 	p, ok := r.pools[q.Service]
 	if !ok {
-		return Choice{}, comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "no upstream serves the service")
+		return Choice{}, noUpstream("no upstream serves the service")
 	}
 	s := selection{config: &r.config, random: r.random, pool: p, now: now.UnixNano(), excluded: q.Excluded, mean: p.mean()}
 	if q.DataCentre == "" {
@@ -65,13 +69,18 @@
 	}
 	c, reason := s.choose(q)
 	if c.replica == nil {
-		return Choice{}, comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "no upstream accepts work")
+		return Choice{}, noUpstream("no upstream accepts work")
 	}
 	d := s.choice(c, reason)
 	c.send(s.now)
 	return d, nil
 }
 
+func noUpstream(detail string) error {
+	e := comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, detail)
+	return e.WithRetryAfter(noUpstreamRetryAfter)
+}
+
 // choose prefers the upstream of the prefix, then the near data centre, then
 // the others if the near one is crowded or empty.
 func (s *selection) choose(q Query) (candidate, comfreyverdict.Reason) {
