Keep the owners of a prefix, and bound their load by the mean

Cause: the search for the owner of a prefix among 900 replicas in one data centre took 3 to 6 us on the busy machine, with the search for the second owner. The owners of 4096 buckets are now kept until the members change: 0.23 us, the hint that follows included. A pass without branches was no faster (3.7 to 6.3 us) and is gone.

--- a/comfreyrouter/affinity.go
+++ b/comfreyrouter/affinity.go
@@ -1,41 +1,60 @@
 package comfreyrouter
 
-import "math"
+// prefixBits says how many prefixes are told apart: those that share the
+// leading bits of their mixed hash share their owners.
+const prefixBits = 12
 
-// affine returns the replica that a prefix belongs to by rendezvous hashing,
-// or the next in line if that one is loaded beyond the bound (Mirrokni and
-// others, "Consistent Hashing with Bounded Loads"). It returns none if both
-// are.
-func (s *selection) affine(c *centre, prefix uint64) candidate {
-	first := highest(c.hashes, prefix, math.MaxUint64)
-	if first == 0 {
-		return candidate{}
-	}
-	if p := s.bounded(c.all[first&indexMask]); p.replica != nil {
-		return p
+// owners are the two replicas that a prefix belongs to, as indices plus one;
+// zero means that there is none or that they are not worked out yet.
+type owners struct {
+	first, second int32
+}
+
+// owners returns the owners of a prefix by rendezvous hashing. They are kept
+// until the next change of the members, so that only the first request with a
+// prefix pays for the search.
+func (c *centre) owners(prefix uint64) owners {
+	if c.prefixes == nil {
+		c.prefixes = make([]owners, 1<<prefixBits)
 	}
-	second := highest(c.hashes, prefix, first)
-	if second == 0 {
-		return candidate{}
+	bucket := mix(prefix, 0) >> (64 - prefixBits)
+	o := &c.prefixes[bucket]
+	if o.first == 0 {
+		*o = rendezvous(c.all, bucket)
 	}
-	return s.bounded(c.all[second&indexMask])
+	return *o
 }
 
-// indexMask selects the bits of a score that hold the index of its hash, so
-// that the search for the highest needs no branch.
-const indexMask = 1<<16 - 1
+// rendezvous returns the two replicas with the highest scores for a bucket.
+func rendezvous(all []*replica, bucket uint64) owners {
+	var o owners
+	var high, next uint64
+	for i, p := range all {
+		switch h := mix(p.hash, bucket); {
+		case o.first == 0 || h > high:
+			o.second, next = o.first, high
+			o.first, high = int32(i+1), h
+		case o.second == 0 || h > next:
+			o.second, next = int32(i+1), h
+		}
+	}
+	return o
+}
 
-// highest returns the highest score below a limit of any hash for a prefix,
-// or 0 if there is none. Hashes beyond the first 65,536 are passed over.
-func highest(hashes []uint64, prefix, limit uint64) uint64 {
-	var best uint64
-	for i, h := range hashes[:min(len(hashes), indexMask+1)] {
-		m := mix(h, prefix)&^indexMask | uint64(i)
-		if m < limit {
-			best = max(best, m)
+// affine returns the replica that a prefix belongs to, or the next in line if
+// that one is loaded beyond the bound (Mirrokni and others, "Consistent Hashing
+// with Bounded Loads"). It returns none if both are.
+func (s *selection) affine(c *centre, prefix uint64) candidate {
+	o := c.owners(prefix)
+	for _, i := range [...]int32{o.first, o.second} {
+		if i == 0 {
+			break
+		}
+		if p := s.bounded(c.all[i-1]); p.replica != nil {
+			return p
 		}
 	}
-	return best
+	return candidate{}
 }
 
 // bounded returns a replica if it may get more work for its prefix.
--- a/comfreyrouter/config.go
+++ b/comfreyrouter/config.go
@@ -63,7 +63,7 @@
 	defaultProbesASecond = 8
 	defaultSpillLoad     = 1.0
 	defaultSpillMargin   = 0.25
-	defaultBoundFactor   = 1.25
+	defaultBoundFactor   = 1.0
 )
 
 // Config holds the parts of a Router. The zero value of each field selects
@@ -94,7 +94,7 @@
 	// default is 0.25.
 	SpillMargin float64
 	// BoundFactor bounds the load of the upstream that a prefix belongs to, as
-	// a multiple of the mean; the default is 1.25.
+	// a multiple of the mean, to which one request is added; the default is 1.
 	BoundFactor float64
 	// Seed changes the random choices of gateways with the same name.
 	Seed uint64
--- a/comfreyrouter/pool.go
+++ b/comfreyrouter/pool.go
@@ -8,13 +8,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// centre holds the upstreams of one service in one data centre. The hashes of
-// all stand beside them so that rendezvous hashing reads little memory.
+// centre holds the upstreams of one service in one data centre.
 type centre struct {
-	name   string
-	all    []*replica
-	hashes []uint64
-	subset []*replica
+	name     string
+	all      []*replica
+	subset   []*replica
+	prefixes []owners
 }
 
 // pool holds the upstreams of one service by data centre.
@@ -53,7 +52,6 @@
 		c = &p.centres[len(p.centres)-1]
 	}
 	c.all = append(c.all, r)
-	c.hashes = append(c.hashes, r.hash)
 	p.size++
 }
 
--- a/comfreyroutesim/policy_test.go
+++ b/comfreyroutesim/policy_test.go
@@ -108,7 +108,7 @@
 	if !*tables {
 		t.Skip("a table, not a check; run with -tables")
 	}
-	for _, bound := range []float64{0, 1.1, 1.25, 1.5, 1000} {
+	for _, bound := range []float64{0, 0.8, 0.9, 1, 1.1, 1.25, 1000} {
 		c := small()
 		c.Prefixes, c.CachedPrefixes, c.Prefill = 400, 40, 400*time.Millisecond
 		c.Affinity = bound > 0
