--- a/comfreyrouter/affinity.go
+++ b/comfreyrouter/affinity.go
@@ -1,35 +1,60 @@
 package comfreyrouter
 
-// affine returns the replica that a prefix belongs to by rendezvous hashing,
-// or the next in line if that one is loaded beyond the bound (Mirrokni and
-// others, "Consistent Hashing with Bounded Loads"). It returns none if both
-// are.
-func (s *selection) affine(c *centre, prefix uint64) candidate {
-	first := owner(c.hashes, prefix, -1)
-	if first < 0 {
-		return candidate{}
+// prefixBits says how many prefixes are told apart: those that share the
+// leading bits of their mixed hash share their owners.
+const prefixBits = 12
+
+// owners are the two replicas that a prefix belongs to, as indices plus one;
+// zero means that there is none or that they are not worked out yet.
+type owners struct {
+	first, second int32
+}
+
+// owners returns the owners of a prefix by rendezvous hashing. They are kept
+// until the next change of the members, so that only the first request with a
+// prefix pays for the search.
+func (c *centre) owners(prefix uint64) owners {
+	if c.prefixes == nil {
+		c.prefixes = make([]owners, 1<<prefixBits)
 	}
-	if p := s.bounded(c.all[first]); p.replica != nil {
-		return p
+	bucket := mix(prefix, 0) >> (64 - prefixBits)
+	o := &c.prefixes[bucket]
+	if o.first == 0 {
+		*o = rendezvous(c.all, bucket)
 	}
-	second := owner(c.hashes, prefix, first)
-	if second < 0 {
-		return candidate{}
+	return *o
+}
+
+// rendezvous returns the two replicas with the highest scores for a bucket.
+func rendezvous(all []*replica, bucket uint64) owners {
+	var o owners
+	var high, next uint64
+	for i, p := range all {
+		switch h := mix(p.hash, bucket); {
+		case o.first == 0 || h > high:
+			o.second, next = o.first, high
+			o.first, high = int32(i+1), h
+		case o.second == 0 || h > next:
+			o.second, next = int32(i+1), h
+		}
 	}
-	return s.bounded(c.all[second])
+	return o
 }
 
-// owner returns the index of the hash with the highest score for a prefix,
-// other than the one to skip, or -1 if there is none.
-func owner(hashes []uint64, prefix uint64, skip int) int {
-	best := -1
-	var high uint64
-	for i, h := range hashes {
-		if m := mix(h, prefix); m >= high && i != skip {
-			best, high = i, m
+// affine returns the replica that a prefix belongs to, or the next in line if
+// that one is loaded beyond the bound (Mirrokni and others, "Consistent Hashing
+// with Bounded Loads"). It returns none if both are.
+func (s *selection) affine(c *centre, prefix uint64) candidate {
+	o := c.owners(prefix)
+	for _, i := range [...]int32{o.first, o.second} {
+		if i == 0 {
+			break
+		}
+		if p := s.bounded(c.all[i-1]); p.replica != nil {
+			return p
 		}
 	}
-	return best
+	return candidate{}
 }
 
 // bounded returns a replica if it may get more work for its prefix.
