--- a/cmd/comfreyridge/process.go
+++ b/cmd/comfreyridge/process.go
@@ -30,7 +30,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
-	return report(comfreyprocess.RunGateway(ctx, kill, s, stderr), stderr)
+	return report(comfreyprocess.RunGateway(ctx, kill, s, comfreyprocess.Options{Log: stderr}), stderr)
 }
 
 func runSidecar(ctx, kill context.Context, s comfreysettings.Sidecar, stderr io.Writer) int {
@@ -38,5 +38,5 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
-	return report(comfreyprocess.RunSidecar(ctx, kill, s, stderr), stderr)
+	return report(comfreyprocess.RunSidecar(ctx, kill, s, comfreyprocess.Options{Log: stderr}), stderr)
 }
--- a/comfreydemo/demo.go
+++ b/comfreydemo/demo.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycaller"
-	"comfreyridge.example/comfreyridge/comfreyfakeengine"
-	"comfreyridge.example/comfreyridge/comfreygateway"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -34,38 +32,35 @@
 	{"How far may a 20 mm overhang reach without a bracket?", 16},
 }
 
-// Run starts the demo fleet and either sends the samples or serves until ctx
+// Run starts the demo system and either sends the samples or serves until ctx
 // ends.
 func Run(ctx context.Context, o Options, w io.Writer) error {
-	f, err := StartFleet(ctx, FleetConfig{
-		Listen:  o.Listen,
-		Engine:  comfreyfakeengine.Config{StepTime: demoStep},
-		Gateway: comfreygateway.Config{DrainDelay: -1},
-	})
+	s, err := StartSystem(ctx, o.Listen)
 	if err != nil {
 		return err
 	}
-	defer f.Stop()
-	fmt.Fprintf(w, "gateway: %s\nsecond gateway: %s\nsample key: %s\n", f.URL(0), f.URL(1), SampleKey)
+	defer s.Stop()
+	fmt.Fprintf(w, "gateway: %s\nsecond gateway: %s\nsample key: %s\n", s.Gateways[0], s.Gateways[1], SampleKey)
 	if !o.Once {
-		printTry(w, f.URL(0))
+		printTry(w, s)
 		<-ctx.Done()
 		return nil
 	}
-	return runOnce(ctx, f, w)
+	return runOnce(ctx, s, w)
 }
 
-func printTry(w io.Writer, url string) {
-	fmt.Fprintf(w, "try: curl -N %s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"prompt\":\"Hello\",\"stream\":true}'\n", url, SampleKey, GenerationService)
+func printTry(w io.Writer, s *System) {
+	fmt.Fprintf(w, "try: curl -N %s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"prompt\":\"Hello\",\"stream\":true}'\n", s.Gateways[0], SampleKey, GenerationService)
+	fmt.Fprintf(w, "then: comfreyridge explain --admin %s REQUEST-ID\n", s.Admins[0])
 	fmt.Fprintln(w, "stop with an interrupt")
 }
 
 // runOnce sends the samples and one order.
-func runOnce(ctx context.Context, f *Fleet, w io.Writer) error {
+func runOnce(ctx context.Context, s *System, w io.Writer) error {
 	c := comfreycaller.Caller{Key: SampleKey}
-	for i, s := range samples {
-		fmt.Fprintf(w, "\n> %s\n", s.prompt)
-		r := c.Stream(ctx, f.URL(i%2), comfreycaller.Body(GenerationService, s.prompt, s.maxTokens), "", func(e comfreycaller.Event) {
+	for i, x := range samples {
+		fmt.Fprintf(w, "\n> %s\n", x.prompt)
+		r := c.Stream(ctx, s.Gateways[i%2], comfreycaller.Body(GenerationService, x.prompt, x.maxTokens), "", func(e comfreycaller.Event) {
 			fmt.Fprint(w, comfreycaller.Text(e.Data))
 		})
 		fmt.Fprintln(w)
@@ -75,28 +70,28 @@
 		fmt.Fprintf(w, "first-token=%s tokens=%d stall=%s took=%s verdict=%s request=%s\n",
 			r.FirstToken.Round(time.Millisecond), r.Tokens, r.Stall.Round(time.Millisecond), r.Took.Round(time.Millisecond), comfreyverdict.VerdictRan, r.RequestID)
 	}
-	return order(ctx, c, f, w)
+	return order(ctx, c, s, w)
 }
 
 // order places one order twice, through two gateways, and shows that it ran
 // once.
-func order(ctx context.Context, c comfreycaller.Caller, f *Fleet, w io.Writer) error {
+func order(ctx context.Context, c comfreycaller.Caller, s *System, w io.Writer) error {
 	fmt.Fprintf(w, "\n> one order, put twice through two gateways\n")
-	t, err := c.Mint(ctx, f.URL(0), OrderService)
+	t, err := c.Mint(ctx, s.Gateways[0], OrderService)
 	if err != nil {
 		return fmt.Errorf("comfreydemo: mint: %w", err)
 	}
 	body := []byte(`{"part":"compressor","count":1}`)
 	for i := range 2 {
 		began := time.Now()
-		o := c.Order(ctx, http.MethodPut, f.URL(i), OrderService, t, body)
+		o := c.Order(ctx, http.MethodPut, s.Gateways[i], OrderService, t, body)
 		if o.Status != http.StatusCreated {
 			return fmt.Errorf("comfreydemo: order: status %d: %w", o.Status, o.Error)
 		}
 		fmt.Fprintf(w, "gateway=%d status=%d state=%s verdict=%s took=%s answer=%s\n", i, o.Status, o.State, o.Error.Verdict, time.Since(began).Round(time.Millisecond), o.Body)
 	}
 	runs := 0
-	for _, a := range f.Applications {
+	for _, a := range s.Applications {
 		for _, r := range a.Runs() {
 			runs += r.Began
 		}
--- a/comfreydemo/fleet.go
+++ b/comfreydemo/fleet.go
@@ -7,7 +7,6 @@
 	"embed"
 	"errors"
 	"fmt"
-	"io/fs"
 	"net"
 	"net/http"
 	"time"
@@ -39,6 +38,8 @@
 	GenerationService = "quotes"
 	// OrderService is the demo's plain service.
 	OrderService = "parts"
+	// dataCentre is where everything of the demo stands.
+	dataCentre = "north"
 	// fleetKey signs the requests between the demo's processes.
 	fleetKey = "demo-fleet-shared-key"
 )
@@ -81,7 +82,7 @@
 	c.Applications = count(c.Applications, defaultApplications)
 	c.Gateways = count(c.Gateways, defaultGateways)
 	if c.Listen == "" {
-		c.Listen = "127.0.0.1:0"
+		c.Listen = anyPort
 	}
 	if c.Logger == nil {
 		c.Logger = discardLogger()
@@ -105,13 +106,9 @@
 // EmbeddedSettings returns the checked settings of the embedded folder. It
 // panics if the folder has faults, which a test rules out.
 func EmbeddedSettings() comfreyconfig.Settings {
-	sub, err := fs.Sub(folder, "folder")
+	f, err := embeddedFolder()
 	if err != nil {
-		panic("comfreydemo: " + err.Error())
-	}
-	f, err := comfreyconfig.LoadFolder(sub)
-	if err != nil {
-		panic("comfreydemo: " + err.Error())
+		panic(err.Error())
 	}
 	s, faults := comfreyconfig.Check(f)
 	if len(faults) > 0 {
@@ -198,28 +195,31 @@
 
 // startUpstream serves a stand-in and starts the sidecar beside it.
 func (f *Fleet) startUpstream(ctx context.Context, host, service string, h http.Handler) error {
-	l, err := f.serve(h)
+	l, err := serveStandIn(f.group, h)
 	if err != nil {
 		return err
 	}
 	return f.startSidecar(ctx, host, service, "http://"+l.Addr().String())
 }
 
-// serve serves a stand-in until the fleet stops.
-func (f *Fleet) serve(h http.Handler) (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// serveStandIn serves a stand-in until the group stops.
+func serveStandIn(g *comfreygroup.Group, h http.Handler) (net.Listener, error) {
+	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return nil, fmt.Errorf("comfreydemo: %w", err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	f.group.Go("serve stand-in", func(context.Context) error { return ignoreClosed(s.Serve(l)) })
-	f.group.Go("close stand-in", func(ctx context.Context) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	g.Go("serve stand-in", func(context.Context) error { return ignoreClosed(s.Serve(l)) })
+	g.Go("close stand-in", func(ctx context.Context) error {
 		<-ctx.Done()
 		return s.Close()
 	})
 	return l, nil
 }
 
+// readHeaderTimeout bounds the time in which a connection sends its headers.
+const readHeaderTimeout = 10 * time.Second
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -229,7 +229,7 @@
 
 // startSidecar starts the sidecar beside an upstream and lists its host.
 func (f *Fleet) startSidecar(ctx context.Context, host, service, upstream string) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return fmt.Errorf("comfreydemo: %w", err)
 	}
@@ -246,7 +246,7 @@
 	f.Sidecars = append(f.Sidecars, n)
 	f.sidecars = append(f.sidecars, s)
 	f.upstreams = append(f.upstreams, upstream)
-	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: "north", Address: address, Service: service})
+	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: dataCentre, Address: address, Service: service})
 	return nil
 }
 
@@ -266,7 +266,7 @@
 }
 
 func (f *Fleet) startGateway(ctx context.Context, i int) error {
-	address := "127.0.0.1:0"
+	address := anyPort
 	if i == 0 {
 		address = f.config.Listen
 	}
@@ -277,7 +277,7 @@
 	host := fmt.Sprintf("gateway-%d", i)
 	c := f.config.Gateway
 	c.Host = host
-	c.DataCentre = "north"
+	c.DataCentre = dataCentre
 	c.Key = comfreyrpc.Key(fleetKey)
 	c.Listener = l
 	c.Settings = f.settings
@@ -313,7 +313,7 @@
 // ReplaceSidecar starts a new process beside upstream i, which must have
 // ended, and lists it. The new one knows nothing of the old one.
 func (f *Fleet) ReplaceSidecar(ctx context.Context, i int) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return fmt.Errorf("comfreydemo: %w", err)
 	}
--- a/comfreygateway/fleet.go
+++ b/comfreygateway/fleet.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// isListed reports whether a host list is known.
+func (f *fleet) isListed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.View().Version() > 0
+}
+
 // update takes a newer host list.
 func (f *fleet) update(v comfreyfleet.View) {
 	f.mu.Lock()
--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -101,6 +101,9 @@
 	if len(g.config.Settings().Services()) == 0 {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "no configuration is in force")
 	}
+	if !g.fleet.isListed() {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "no host list is known")
+	}
 	return nil
 }
 
--- a/comfreyprocess/gateway.go
+++ b/comfreyprocess/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net"
 	"time"
 
@@ -19,17 +17,17 @@
 )
 
 // RunGateway runs a gateway until ctx ends, and then stops it gracefully; the
-// end of kill stops it at once. Log lines go to w.
-func RunGateway(ctx, kill context.Context, s comfreysettings.Gateway, w io.Writer) error {
-	callers, err := net.Listen("tcp", s.Listen)
+// end of kill stops it at once.
+func RunGateway(ctx, kill context.Context, s comfreysettings.Gateway, o Options) error {
+	callers, err := o.listen(s.Listen)
 	if err != nil {
-		return fmt.Errorf("comfreyprocess: %w", err)
+		return err
 	}
-	peers, err := net.Listen("tcp", s.PeerListen)
+	peers, err := o.listen(s.PeerListen)
 	if err != nil {
-		return fmt.Errorf("comfreyprocess: %w", err)
+		return err
 	}
-	p, err := newProcess(s.Process, "gateway", peers.Addr().String(), w)
+	p, err := newProcess(s.Process, o, "gateway", peers.Addr().String())
 	if err != nil {
 		return err
 	}
--- a/comfreyprocess/process.go
+++ b/comfreyprocess/process.go
@@ -31,9 +31,30 @@
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
+// Options holds what a process takes from its surroundings. The zero value of
+// each field selects its default.
+type Options struct {
+	// Log receives the log lines; the default drops them.
+	Log io.Writer
+	// Listen opens a listener on an address; the default is net.Listen on TCP.
+	Listen func(address string) (net.Listener, error)
+}
+
+func (o Options) listen(address string) (net.Listener, error) {
+	if o.Listen != nil {
+		return o.Listen(address)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("comfreyprocess: %w", err)
+	}
+	return l, nil
+}
+
 // process holds what gateways and sidecars share.
 type process struct {
 	settings comfreysettings.Process
+	options  Options
 	key      comfreyrpc.Key
 	recorder *comfreydecision.Recorder
 	registry *prometheus.Registry
@@ -51,7 +72,7 @@
 }
 
 // newProcess prepares a process whose internal address is self.
-func newProcess(s comfreysettings.Process, role, self string, w io.Writer) (*process, error) {
+func newProcess(s comfreysettings.Process, o Options, role, self string) (*process, error) {
 	key, err := comfreyrpc.ParseKey(s.Key)
 	if err != nil {
 		return nil, err
@@ -61,11 +82,15 @@
 		return nil, fmt.Errorf("comfreyprocess: %w", err)
 	}
 	l := logrus.New()
-	l.SetOutput(w)
+	l.SetOutput(io.Discard)
+	if o.Log != nil {
+		l.SetOutput(o.Log)
+	}
 	l.SetLevel(level)
 	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	p := &process{
 		settings: s,
+		options:  o,
 		key:      key,
 		logger:   l,
 		recorder: comfreydecision.New(comfreydecision.Config{Process: role + "/" + s.Host, Logger: l}),
@@ -126,9 +151,9 @@
 	if p.settings.AdminListen == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", p.settings.AdminListen)
+	l, err := p.options.listen(p.settings.AdminListen)
 	if err != nil {
-		return fmt.Errorf("comfreyprocess: %w", err)
+		return err
 	}
 	p.serve("admin", l, comfreyadmin.NewHandler(comfreyadmin.Config{Recorder: p.recorder, Registry: p.registry, Ready: ready, Explain: p.explain}))
 	p.logger.WithFields(logrus.Fields{"event": "listening", "for": "admin", "address": l.Addr().String()}).Info("listening")
--- a/comfreyprocess/sidecar.go
+++ b/comfreyprocess/sidecar.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,13 +14,13 @@
 )
 
 // RunSidecar runs a sidecar until ctx ends, and then stops it gracefully; the
-// end of kill stops it at once. Log lines go to w.
-func RunSidecar(ctx, kill context.Context, s comfreysettings.Sidecar, w io.Writer) error {
-	l, err := net.Listen("tcp", s.Listen)
+// end of kill stops it at once.
+func RunSidecar(ctx, kill context.Context, s comfreysettings.Sidecar, o Options) error {
+	l, err := o.listen(s.Listen)
 	if err != nil {
-		return fmt.Errorf("comfreyprocess: %w", err)
+		return err
 	}
-	p, err := newProcess(s.Process, "sidecar", l.Addr().String(), w)
+	p, err := newProcess(s.Process, o, "sidecar", l.Addr().String())
 	if err != nil {
 		return err
 	}
