--- a/comfreygateway/plain.go
+++ b/comfreygateway/plain.go
@@ -22,6 +22,7 @@
 	id       string
 	customer comfreyconfig.Customer
 	service  comfreyconfig.Service
+	route    comfreyconfig.Route
 	method   string
 	path     string
 	headers  []*comfreyproto.Header
@@ -89,7 +90,7 @@
 	if err != nil {
 		return q, err
 	}
-	q.customer, q.service, q.body = c, route.Service, b
+	q.customer, q.service, q.route, q.body = c, route.Service, route, b
 	q.path = upstreamPath(r)
 	q.headers = comfreyrpc.HeadersOf(r.Header)
 	q.safe = r.Method == http.MethodGet || r.Method == http.MethodHead || route.Service.Idempotent
@@ -152,7 +153,13 @@
 	var excluded []string
 	verdict := comfreyverdict.VerdictNotRun
 	for attempt := 1; ; attempt++ {
-		c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{Service: q.service.Name, Customer: q.customer.Name, Excluded: excluded})
+		c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{
+			Service:     q.service.Name,
+			DataCentres: q.route.DataCentres,
+			IsConfined:  !q.route.Spill,
+			Customer:    q.customer.Name,
+			Excluded:    excluded,
+		})
 		if err != nil {
 			e := comfreyverdict.From(err)
 			e.Verdict = verdict.Join(e.Verdict)
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -195,10 +195,12 @@
 	q := s.request
 	s.sequencer = nil
 	c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{
-		Service:    q.route.Service.Name,
-		Customer:   q.customer.Name,
-		PrefixHash: q.prefix,
-		Excluded:   s.excluded,
+		Service:     q.route.Service.Name,
+		DataCentres: q.route.DataCentres,
+		IsConfined:  !q.route.Spill,
+		Customer:    q.customer.Name,
+		PrefixHash:  q.prefix,
+		Excluded:    s.excluded,
 	})
 	if err != nil {
 		return err
--- a/comfreyrouter/choose.go
+++ b/comfreyrouter/choose.go
@@ -13,6 +13,13 @@
 	// DataCentre is the preferred data centre; empty selects that of the
 	// gateway.
 	DataCentre string
+	// DataCentres are the preferred data centres in the order in which they are
+	// tried, in place of DataCentre; a later one is taken if those before it are
+	// crowded or empty.
+	DataCentres []string
+	// IsConfined keeps the request in the preferred data centres even if they
+	// are crowded or empty.
+	IsConfined bool
 	// Customer is the customer of the request.
 	Customer string
 	// PrefixHash identifies the start of the prompt; zero means that no cached
@@ -81,20 +88,21 @@
 	return e.WithRetryAfter(noUpstreamRetryAfter)
 }
 
-// choose prefers the upstream of the prefix, then the near data centre, then
-// the others if the near one is crowded or empty.
+// choose prefers the upstream of the prefix, then the preferred data centres,
+// then the others if the preferred ones are crowded or empty.
 func (s *selection) choose(q Query) (candidate, comfreyverdict.Reason) {
-	near := s.pool.find(q.DataCentre)
+	names := q.DataCentres
+	if len(names) == 0 {
+		names = []string{q.DataCentre}
+	}
+	near := s.pool.find(names[0])
 	if q.PrefixHash != 0 && near != nil {
 		if c := s.affine(near, q.PrefixHash); c.replica != nil {
 			return c, comfreyverdict.ReasonPrefixAffinity
 		}
 	}
-	var best candidate
-	if near != nil {
-		best = s.pick(near)
-	}
-	if best.replica != nil && best.cost < s.config.SpillLoad {
+	best := s.preferred(names)
+	if q.IsConfined || best.replica != nil && best.cost < s.config.SpillLoad {
 		return best, s.config.Policy.reason()
 	}
 	far := s.far(near)
@@ -104,6 +112,24 @@
 	return best, s.config.Policy.reason()
 }
 
+// preferred returns the choice in the first of the named data centres that is
+// not crowded, or the least loaded choice if all are.
+func (s *selection) preferred(names []string) candidate {
+	var best candidate
+	for _, n := range names {
+		c := s.pool.find(n)
+		if c == nil {
+			continue
+		}
+		p := s.pick(c)
+		if p.replica != nil && p.cost < s.config.SpillLoad {
+			return p
+		}
+		best = better(best, p)
+	}
+	return best
+}
+
 // choice returns the record of a decision.
 func (s *selection) choice(c candidate, reason comfreyverdict.Reason) Choice {
 	d := Choice{
