--- a/comfreyadmission/account.go
+++ b/comfreyadmission/account.go
@@ -13,10 +13,11 @@
 
 // account is what a customer has waiting, in expected answer tokens.
 type account struct {
-	queued float64
-	booked float64
-	served float64 // faded tokens that its answers got
-	weight float64
+	customer string
+	queued   float64
+	booked   float64
+	served   float64 // faded tokens that its answers got
+	weight   float64
 }
 
 // waiting returns the expected tokens of everything that waits.
@@ -39,11 +40,12 @@
 	if ok {
 		return a
 	}
-	a = &account{weight: c.config.Weights(customer)}
+	a = &account{customer: customer, weight: c.config.Weights(customer)}
 	if a.weight <= 0 {
 		a.weight = 1
 	}
 	c.accounts[customer] = a
+	c.open = append(c.open, a)
 	return a
 }
 
@@ -51,13 +53,18 @@
 // that have nothing waiting.
 func (c *Controller) tidyAccounts() {
 	c.served = 0
-	for n, a := range c.accounts {
+	kept := c.open[:0]
+	for _, a := range c.open {
 		a.served *= servedFade
 		c.served += a.served
 		if a.waiting() < 1 && a.served < 1 {
-			delete(c.accounts, n)
+			delete(c.accounts, a.customer)
+			continue
 		}
+		kept = append(kept, a)
 	}
+	clear(c.open[len(kept):])
+	c.open = kept
 }
 
 // book keeps a place for the return of a refused caller.
--- a/comfreyadmission/controller.go
+++ b/comfreyadmission/controller.go
@@ -20,6 +20,7 @@
 	free      []*entry
 	used      int
 	reserved  int
+	open      []*account // the accounts in the order in which they were opened
 	accounts  map[string]*account
 	bookings  []booking
 	queued    float64 // expected tokens that wait in the queue
--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -26,7 +26,7 @@
 	// customer counts as having got less than its share.
 	fairMargin = 0.8
 	// fairExtra is the time by which such a customer may overfill the queue.
-	fairExtra = 5 * time.Second
+	fairExtra = 10 * time.Second
 	// returnShare is the part of its tokens of late that the returns of a
 	// customer which got most may take. The rest goes to those that got less.
 	returnShare = 0.8
@@ -100,7 +100,7 @@
 // counters, compare VTC).
 func (c *Controller) belowFair(a *account) bool {
 	top := 0.0
-	for _, b := range c.accounts {
+	for _, b := range c.open {
 		top = max(top, b.served/b.weight)
 	}
 	return a.served/a.weight < fairMargin*top
@@ -120,11 +120,11 @@
 // of all accounts sum up to at most 1.
 func (c *Controller) share(a *account) float64 {
 	weights := 0.0
-	for _, b := range c.accounts {
+	for _, b := range c.open {
 		weights += b.weight
 	}
 	sum := 0.0
-	for _, b := range c.accounts {
+	for _, b := range c.open {
 		sum += c.claim(b, weights)
 	}
 	share := c.claim(a, weights) / sum
--- /dev/null
+++ b/comfreyadmission/policy_test.go
@@ -0,0 +1,130 @@
+package comfreyadmission
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyinvariant"
+	"comfreyridge.example/comfreyridge/comfreylength"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+func TestNamesParseBack(t *testing.T) {
+	for _, p := range Policies {
+		if got, err := ParsePolicy(p.String()); err != nil || got != p {
+			t.Errorf("policy %s: got %s, %v", p, got, err)
+		}
+	}
+	for _, p := range []Preset{PresetStallTime, PresetPreemptions} {
+		if got, err := ParsePreset(p.String()); err != nil || got != p {
+			t.Errorf("preset %s: got %s, %v", p, got, err)
+		}
+	}
+	if _, err := ParsePolicy("fastest"); err == nil {
+		t.Error("unknown policy accepted")
+	}
+}
+
+// TestPredictionSeesGrowth fills the memory half with answers that are known
+// to become long. Greedy admits more; the prediction does not.
+func TestPredictionSeesGrowth(t *testing.T) {
+	m := comfreylength.New(comfreylength.Config{})
+	for range 200 {
+		m.Curve(comfreylength.Key{}).Observe(800)
+	}
+	for _, p := range []Policy{PolicyGreedy, PolicyPredictedPeak} {
+		c := New(Config{Policy: p, CapacityTokens: 10000, Lengths: m})
+		now := epoch
+		for i := range 30 {
+			now = now.Add(time.Second)
+			c.Submit(now, Request{ID: strconv.Itoa(i), PromptTokens: 200})
+		}
+		got := c.Load().Running
+		if p == PolicyGreedy && got != 30 {
+			t.Errorf("greedy runs %d, want 30", got)
+		}
+		if p == PolicyPredictedPeak && (got < 7 || got > 10) {
+			t.Errorf("predicted-peak runs %d, want 7 to 10 of 1000 tokens each", got)
+		}
+	}
+}
+
+// overloaded returns a controller whose engine is full and whose queue is
+// about to refuse the customer "large".
+func overloaded(t *testing.T) (*Controller, time.Time, Action) {
+	t.Helper()
+	c := New(Config{CapacityTokens: 5000, QueueTime: 40 * time.Second})
+	now := epoch
+	for i := range 500 {
+		now = now.Add(10 * time.Millisecond)
+		a := c.Submit(now, Request{ID: "l" + strconv.Itoa(i), Customer: "large", PromptTokens: 400, Final: true})
+		if k := a[len(a)-1]; k.Kind == ActionRefuse {
+			return c, now, k
+		}
+		for j := range 10 {
+			c.Progress(now, "l"+strconv.Itoa(j), i+1)
+		}
+	}
+	t.Fatal("nothing was refused")
+	return nil, now, Action{}
+}
+
+func TestRefusedCallerIsServedWhenItReturns(t *testing.T) {
+	c, now, a := overloaded(t)
+	if a.RetryAfter <= 0 {
+		t.Fatalf("got %+v", a)
+	}
+	now = now.Add(a.RetryAfter)
+	got := c.Submit(now, Request{ID: a.ID, Customer: "large", PromptTokens: 400, Booking: a.ID, Final: true})
+	if k := got[len(got)-1].Kind; k == ActionRefuse {
+		t.Errorf("the caller that returned was refused: %+v", got)
+	}
+}
+
+func TestCrowdingCustomerIsRefusedBeforeOthers(t *testing.T) {
+	c, now, a := overloaded(t)
+	if a.Reason != comfreyverdict.ReasonCustomerLimit {
+		t.Errorf("refused for %s", a.Reason)
+	}
+	got := c.Submit(now, Request{ID: "s", Customer: "small", PromptTokens: 400, Final: true})
+	if k := got[len(got)-1].Kind; k == ActionRefuse {
+		t.Errorf("small customer: %+v", got)
+	}
+}
+
+func TestShortAnswerPassesLongOneButNotForEver(t *testing.T) {
+	m := comfreylength.New(comfreylength.Config{})
+	for range 200 {
+		m.Curve(comfreylength.Key{Customer: "desk"}).Observe(50)
+		m.Curve(comfreylength.Key{Customer: "crew"}).Observe(1500)
+	}
+	for _, late := range []time.Duration{time.Second, time.Minute} {
+		c := New(Config{Preset: PresetPreemptions, CapacityTokens: 4000, QueueTime: 5 * time.Minute, Lengths: m})
+		c.Submit(epoch, Request{ID: "running", Customer: "crew", PromptTokens: 3000})
+		c.Submit(epoch, Request{ID: "report", Customer: "crew", PromptTokens: 3000})
+		c.Submit(epoch.Add(late), Request{ID: "check", Customer: "desk", PromptTokens: 3000})
+		got := c.Finish(epoch.Add(late), "running", OutcomeCompleted)
+		want := "check"
+		if late == time.Minute {
+			want = "report"
+		}
+		if len(got) == 0 || got[0].ID != want {
+			t.Errorf("after %s: got %+v, want %s first", late, got, want)
+		}
+	}
+}
+
+func TestInvariantsFire(t *testing.T) {
+	var seen []comfreyinvariant.Name
+	defer comfreyinvariant.Observe(func(n comfreyinvariant.Name, _ string) { seen = append(seen, n) })()
+	c := New(Config{})
+	c.Submit(epoch, Request{ID: "a", PromptTokens: 10})
+	c.used++
+	c.audit()
+	c.counts.ended++
+	c.end()
+	if len(seen) != 2 || seen[0] != InvariantMemory || seen[1] != InvariantConservation {
+		t.Errorf("saw %v", seen)
+	}
+}
--- a/comfreylength/model_test.go
+++ b/comfreylength/model_test.go
@@ -88,10 +88,10 @@
 	for i := range 1000 {
 		c.Observe(i)
 	}
-	b.ReportMetric(float64(unsafe.Sizeof(*c)), "B/customer")
 	for i := 0; b.Loop(); i++ {
 		c.Survival(i&1023, 128)
 	}
+	b.ReportMetric(float64(unsafe.Sizeof(*c)), "B/customer")
 }
 
 func ExampleCurve_Survival() {
