Let a renewal notice the pause before it

Cause: Renew moved the time of the last look, so that a duty that renewed without calling Wake hid the pause and began work at once. Renew includes Wake.

--- a/comfreyfleet/leaving_test.go
+++ b/comfreyfleet/leaving_test.go
@@ -121,7 +121,6 @@
 
 // duty is the periodic work of a sidecar, its own look at the list included.
 func (l *leaving) duty(u *upstream) {
-	u.life.Wake(l.now)
 	if !u.toldAt.IsZero() {
 		u.life.Leave(l.now)
 	}
--- a/comfreyfleet/lifecycle.go
+++ b/comfreyfleet/lifecycle.go
@@ -64,8 +64,11 @@
 	return !l.word.Accepting
 }
 
-// Renew records that at now the process has looked for orders to stop.
+// Renew records that the process has looked for orders to stop. The caller
+// reads now before it looks, so that a pause in between counts as one. It
+// includes Wake.
 func (l *Lifecycle) Renew(now time.Time) {
+	l.Wake(now)
 	l.lease.Renew(now)
 }
 
--- a/comfreyrouter/choose.go
+++ b/comfreyrouter/choose.go
@@ -13,12 +13,14 @@
 	// DataCentre is the preferred data centre; empty selects that of the
 	// gateway.
 	DataCentre string
-	// Customer is the customer of the request.
+	// Customer is the customer of the request. It does not change the choice:
+	// fairness among customers is decided in the sidecar.
 	Customer string
 	// PrefixHash identifies the start of the prompt; zero means that no cached
 	// prefix is to be looked for.
 	PrefixHash uint64
-	// PromptTokens is the length of the prompt.
+	// PromptTokens is the length of the prompt. It does not change the choice
+	// yet.
 	PromptTokens int
 	// Excluded are the hosts that refused the request before.
 	Excluded []string
--- a/comfreyrouter/pool.go
+++ b/comfreyrouter/pool.go
@@ -20,8 +20,7 @@
 type pool struct {
 	centres []centre
 	size    int
-	// loadSum and loadCount give the mean load over the newest hints of the
-	// subsets.
+	// loadSum and loadCount give the mean load over the newest hints.
 	loadSum   float64
 	loadCount int
 }
