--- a/comfreygateway/plain.go
+++ b/comfreygateway/plain.go
@@ -157,7 +157,6 @@
 			Service:     q.service.Name,
 			DataCentres: q.route.DataCentres,
 			IsConfined:  !q.route.Spill,
-			Customer:    q.customer.Name,
 			Excluded:    excluded,
 		})
 		if err != nil {
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -198,7 +198,6 @@
 		Service:     q.route.Service.Name,
 		DataCentres: q.route.DataCentres,
 		IsConfined:  !q.route.Spill,
-		Customer:    q.customer.Name,
 		PrefixHash:  q.prefix,
 		Excluded:    s.excluded,
 	})
--- a/comfreyrouter/choose.go
+++ b/comfreyrouter/choose.go
@@ -20,13 +20,9 @@
 	// IsConfined keeps the request in the preferred data centres even if they
 	// are crowded or empty.
 	IsConfined bool
-	// Customer is the customer of the request.
-	Customer string
 	// PrefixHash identifies the start of the prompt; zero means that no cached
 	// prefix is to be looked for.
 	PrefixHash uint64
-	// PromptTokens is the length of the prompt.
-	PromptTokens int
 	// Excluded are the hosts that refused the request before.
 	Excluded []string
 }
