Attach anew to a silent stream, on a connection of its own

Cause: a connection to the engine that goes silent for good while new ones work held its stream until the request's deadline, and a pooled one swallowed the next request; the sidecar resumes a stream only after an error.

Each stream has its own connection now, and a stream that is silent for Config.SilenceTime (5 s) is resumed on a new one from the token that was read last.

--- a/comfreyengine/client.go
+++ b/comfreyengine/client.go
@@ -18,7 +18,8 @@
 	defaultDialTimeout  = 2 * time.Second
 	defaultIdleTime     = 10 * time.Second
 	defaultMaxLineBytes = 1 << 20
-	defaultMaxIdle      = 512
+	defaultSilenceTime  = 5 * time.Second
+	maxIdleConnections  = 8
 )
 
 // Config holds the settings of a Client. The zero value of each field but
@@ -28,17 +29,26 @@
 	BaseURL string
 	// DialTimeout bounds the set-up of a connection; the default is 2 seconds.
 	DialTimeout time.Duration
-	// IdleTime is how long an unused connection is kept; the default is 10
-	// seconds.
+	// IdleTime is how long an unused connection for reports and orders is kept;
+	// the default is 10 seconds.
 	IdleTime time.Duration
+	// SilenceTime is how long a stream may stay silent before its reader
+	// attaches to the generation anew, on a new connection; it does so after one
+	// to two of these times. The default is 5 seconds. A negative time never
+	// does.
+	SilenceTime time.Duration
 	// MaxLineBytes bounds a line of a stream; the default is 1 MiB.
 	MaxLineBytes int
 }
 
 // Client talks to one engine. It is safe for concurrent use.
 type Client struct {
-	config    Config
-	transport *http.Transport
+	config Config
+	// streams opens a new connection for each stream, since a pooled one may
+	// have gone silent. It also sends no request twice on its own.
+	streams *http.Transport
+	// reports pools its connections.
+	reports *http.Transport
 }
 
 // New returns a client. It opens no connection.
@@ -52,21 +62,29 @@
 	if c.MaxLineBytes <= 0 {
 		c.MaxLineBytes = defaultMaxLineBytes
 	}
+	if c.SilenceTime == 0 {
+		c.SilenceTime = defaultSilenceTime
+	}
 	c.BaseURL = strings.TrimRight(c.BaseURL, "/")
 	d := &net.Dialer{Timeout: c.DialTimeout}
-	t := &http.Transport{
+	s := &http.Transport{
+		DialContext:        dialProved(d.DialContext),
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+	r := &http.Transport{
 		DialContext:         dialProved(d.DialContext),
 		IdleConnTimeout:     c.IdleTime,
-		MaxIdleConns:        defaultMaxIdle,
-		MaxIdleConnsPerHost: defaultMaxIdle,
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: maxIdleConnections,
 		DisableCompression:  true,
 	}
-	return &Client{config: c, transport: t}
+	return &Client{config: c, streams: s, reports: r}
 }
 
 // Close closes the unused connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.reports.CloseIdleConnections()
 }
 
 // Request is one completion request.
@@ -94,15 +112,16 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("X-Request-Id", r.ID)
 	h.Set("X-Priority", strconv.Itoa(r.Priority))
-	return c.open(ctx, call{method: http.MethodPost, path: r.Path, header: h, body: b})
+	return c.open(ctx, call{transport: c.streams, method: http.MethodPost, path: r.Path, header: h, body: b})
 }
 
 // Resume continues the stream of a generation after its first tokens. The
-// context bounds the rest of the stream. The error says may-have-run, for it
-// speaks of the request that Start sent.
+// context bounds the rest of the stream. The event with the finish reason comes
+// again if it was read before. The error says may-have-run, for it speaks of the
+// request that Start sent.
 func (c *Client) Resume(ctx context.Context, generationID string, after int) (*Stream, error) {
 	p := "/v1/generations/" + escape(generationID) + "?after=" + strconv.Itoa(after)
-	s, err := c.open(ctx, call{method: http.MethodGet, path: p})
+	s, err := c.open(ctx, call{transport: c.streams, method: http.MethodGet, path: p, limit: c.config.SilenceTime})
 	if err != nil {
 		return nil, mayHaveRun(err)
 	}
@@ -114,7 +133,7 @@
 // exists is no error.
 func (c *Client) Cancel(ctx context.Context, generationID string) error {
 	p := "/v1/generations/" + escape(generationID)
-	res, cancel, err := c.do(ctx, call{method: http.MethodDelete, path: p})
+	res, cancel, err := c.do(ctx, call{transport: c.reports, method: http.MethodDelete, path: p})
 	if err != nil && isUnknown(err) {
 		return nil
 	}
@@ -127,10 +146,13 @@
 
 // call is one HTTP request to the engine.
 type call struct {
-	method string
-	path   string
-	header http.Header
-	body   []byte
+	transport *http.Transport
+	method    string
+	path      string
+	header    http.Header
+	body      []byte
+	// limit bounds the time until the answer's headers; zero or below does not.
+	limit time.Duration
 }
 
 // request returns the HTTP request of c.
--- a/comfreyengine/control.go
+++ b/comfreyengine/control.go
@@ -15,18 +15,18 @@
 
 // Load returns the engine's latest load report.
 func (c *Client) Load(ctx context.Context) (Load, error) {
-	return fetch[Load](ctx, c, call{method: http.MethodGet, path: "/v1/load"})
+	return fetch[Load](ctx, c, call{transport: c.reports, method: http.MethodGet, path: "/v1/load"})
 }
 
 // State returns what the engine has loaded.
 func (c *Client) State(ctx context.Context) (State, error) {
-	return fetch[State](ctx, c, call{method: http.MethodGet, path: "/v1/state"})
+	return fetch[State](ctx, c, call{transport: c.reports, method: http.MethodGet, path: "/v1/state"})
 }
 
 // CacheEvents returns the published cache events after a sequence number.
 func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
 	p := "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
-	e, err := fetch[CacheEvents](ctx, c, call{method: http.MethodGet, path: p})
+	e, err := fetch[CacheEvents](ctx, c, call{transport: c.reports, method: http.MethodGet, path: p})
 	return e.Events, err
 }
 
@@ -39,12 +39,12 @@
 		return State{}, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, err.Error())
 	}
 	h := http.Header{"Content-Type": {"application/json"}}
-	return fetch[State](ctx, c, call{method: http.MethodPost, path: "/v1/orders", header: h, body: b})
+	return fetch[State](ctx, c, call{transport: c.reports, method: http.MethodPost, path: "/v1/orders", header: h, body: b})
 }
 
 // Healthy returns nil if the engine answers its health check.
 func (c *Client) Healthy(ctx context.Context) error {
-	res, cancel, err := c.do(ctx, call{method: http.MethodGet, path: "/healthz"})
+	res, cancel, err := c.do(ctx, call{transport: c.reports, method: http.MethodGet, path: "/healthz"})
 	if err != nil {
 		return err
 	}
--- a/comfreyengine/exchange.go
+++ b/comfreyengine/exchange.go
@@ -26,7 +26,11 @@
 		cancel()
 		return nil, nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, err.Error())
 	}
-	res, err := c.transport.RoundTrip(r)
+	if l.limit > 0 {
+		t := time.AfterFunc(l.limit, cancel)
+		defer t.Stop()
+	}
+	res, err := l.transport.RoundTrip(r)
 	if err != nil {
 		cancel()
 		return nil, nil, sendError(ctx, p, err)
@@ -46,10 +50,14 @@
 		return nil, err
 	}
 	s := &Stream{
+		client: c,
 		ctx:    ctx,
-		cancel: cancel,
-		body:   res.Body,
-		reader: newLineReader(res.Body, c.config.MaxLineBytes),
+		connection: connection{
+			cancel:   cancel,
+			body:     res.Body,
+			reader:   newLineReader(res.Body, c.config.MaxLineBytes),
+			watchdog: newWatchdog(c.config.SilenceTime, cancel),
+		},
 	}
 	s.generation = res.Header.Get("X-Generation-Id")
 	n, err := strconv.Atoi(res.Header.Get("X-Prompt-Tokens"))
--- a/comfreyengine/stream.go
+++ b/comfreyengine/stream.go
@@ -20,17 +20,33 @@
 	Finish bool
 }
 
+// connection is what a stream reads from until it attaches anew.
+type connection struct {
+	cancel   context.CancelFunc
+	body     io.Closer
+	reader   *lineReader
+	watchdog *watchdog
+}
+
+// close ends the reading.
+func (c connection) close() error {
+	c.watchdog.stop()
+	c.cancel()
+	return c.body.Close()
+}
+
 // Stream is the answer to one request. It is used by one goroutine at a time;
-// Close may be called from any.
+// the end of its context ends it from another.
 type Stream struct {
+	client       *Client
 	ctx          context.Context
-	cancel       context.CancelFunc
-	body         io.Closer
-	reader       *lineReader
+	connection   connection
 	generation   string
 	promptTokens int
 	tokens       int
 	finished     bool
+	replayed     bool
+	attachments  int
 	err          error
 }
 
@@ -52,6 +68,11 @@
 	return s.tokens
 }
 
+// Attachments returns how often the stream attached anew because it was silent.
+func (s *Stream) Attachments() int {
+	return s.attachments
+}
+
 // Next returns the next event. It returns io.EOF only after the engine has
 // stated a finish reason and the end of the stream. Any other end is a
 // comfreyverdict.Error, with the verdict ran if a token was read.
@@ -60,13 +81,9 @@
 		return Chunk{}, s.err
 	}
 	for {
-		b, err := s.reader.next()
+		b, err := s.line()
 		if err != nil {
-			return Chunk{}, s.end(s.lost(err))
-		}
-		b, ok := data(b)
-		if !ok {
-			continue
+			return Chunk{}, s.end(err)
 		}
 		if string(b) == "[DONE]" {
 			return Chunk{}, s.end(s.complete())
@@ -75,15 +92,68 @@
 		if err != nil {
 			return Chunk{}, s.end(err)
 		}
-		return c, nil
+		if c.Data != nil {
+			return c, nil
+		}
 	}
 }
 
+// line returns the value of the next data line. It attaches anew each time that
+// the stream has been silent for too long.
+func (s *Stream) line() ([]byte, error) {
+	for {
+		s.connection.watchdog.enter()
+		b, err := s.readData()
+		s.connection.watchdog.leave()
+		if err == nil {
+			return b, nil
+		}
+		if !s.connection.watchdog.isSilent() || s.ctx.Err() != nil {
+			return nil, s.lost(err)
+		}
+		err = s.attach()
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readData returns the value of the next data line of the connection.
+func (s *Stream) readData() ([]byte, error) {
+	for {
+		b, err := s.connection.reader.next()
+		if err != nil {
+			return nil, err
+		}
+		v, ok := data(b)
+		if ok {
+			return v, nil
+		}
+		if len(b) > 0 {
+			s.connection.watchdog.feed()
+		}
+	}
+}
+
+// attach continues the generation on a new connection.
+func (s *Stream) attach() error {
+	_ = s.connection.close()
+	n, err := s.client.Resume(s.ctx, s.generation, s.tokens)
+	if err != nil {
+		e := comfreyverdict.From(err)
+		e.Verdict = s.verdict()
+		return e
+	}
+	s.connection = n.connection
+	s.replayed = s.finished
+	s.attachments++
+	return nil
+}
+
 // Close ends the reading. The engine keeps the generation for a short while
 // unless it is cancelled.
 func (s *Stream) Close() error {
-	s.cancel()
-	return s.body.Close()
+	return s.connection.close()
 }
 
 // end closes the stream, and returns err now and for every later call.
@@ -98,26 +168,20 @@
 	if !s.finished {
 		return s.failed("the stream ended without a finish reason")
 	}
-	s.drain()
 	return io.EOF
 }
 
-// drain reads the end of the body, so that the connection can be used again.
-func (s *Stream) drain() {
-	for {
-		_, err := s.reader.next()
-		if err != nil {
-			return
-		}
-	}
-}
-
-// chunk classifies one event.
+// chunk classifies one event. It returns none for the event with the finish
+// reason that comes again after a new attachment.
 func (s *Stream) chunk(b []byte) (Chunk, error) {
 	if bytes.HasPrefix(b, errorPrefix) {
 		return Chunk{}, s.failed("the engine sent an error event")
 	}
 	f := finishOf(b)
+	if s.replayed && f == finishStated {
+		s.replayed = false
+		return Chunk{}, nil
+	}
 	if s.finished && f != finishAbsent {
 		return Chunk{}, s.failed("the engine sent a token after the finish reason")
 	}
--- a/comfreyengine/stream_test.go
+++ b/comfreyengine/stream_test.go
@@ -14,10 +14,13 @@
 // textStream returns a stream that reads from text.
 func textStream(text string) *Stream {
 	return &Stream{
-		ctx:    context.Background(),
-		cancel: func() {},
-		body:   io.NopCloser(nil),
-		reader: newLineReader(strings.NewReader(text), 1<<16),
+		ctx: context.Background(),
+		connection: connection{
+			cancel:   func() {},
+			body:     io.NopCloser(nil),
+			reader:   newLineReader(strings.NewReader(text), 1<<16),
+			watchdog: newWatchdog(defaultSilenceTime, func() {}),
+		},
 	}
 }
 
