--- a/comfreyfakeengine/batch_test.go
+++ b/comfreyfakeengine/batch_test.go
@@ -140,18 +140,18 @@
 }
 
 func TestOrderTakesTimeAndWeights(t *testing.T) {
-	now := time.Unix(1000, 0)
+	var k clock
 	var limit error
 	e, c := serve(t, comfreyfakeengine.Config{
 		LoadTime:     time.Minute,
-		Now:          func() time.Time { return now },
+		Now:          k.now,
 		FetchWeights: func() error { return limit },
 	})
 	s, err := c.Order(context.Background(), comfreyengine.Order{Kind: comfreyengine.OrderLoadVersion, Value: "v2", FencingNumber: 1})
 	if err != nil || s.Pending == nil || s.Version != "" {
 		t.Errorf("just after the order: %+v, %v", s, err)
 	}
-	now = now.Add(time.Minute)
+	k.advance(time.Minute)
 	if s := e.State(); s.Pending != nil || s.Version != "v2" {
 		t.Errorf("after the load time: %+v", s)
 	}
--- a/comfreyfakeengine/failure_test.go
+++ b/comfreyfakeengine/failure_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,22 @@
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
+// clock is a clock that tests move.
+type clock struct {
+	elapsed atomic.Int64
+}
+
+// epoch is where each clock begins.
+var epoch = time.Unix(1000, 0)
+
+func (c *clock) now() time.Time {
+	return epoch.Add(time.Duration(c.elapsed.Load()))
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.elapsed.Add(int64(d))
+}
+
 // next reads n events.
 func next(t *testing.T, s *comfreyengine.Stream, n int) {
 	t.Helper()
@@ -132,8 +149,8 @@
 }
 
 func TestLoadReportsLagAndGoMissing(t *testing.T) {
-	now := time.Unix(1000, 0)
-	e, c := serve(t, comfreyfakeengine.Config{LoadLag: 10 * time.Second, Now: func() time.Time { return now }})
+	var k clock
+	e, c := serve(t, comfreyfakeengine.Config{LoadLag: 10 * time.Second, Now: k.now})
 	e.Stall()
 	if _, err := c.Load(context.Background()); err != nil {
 		t.Fatal(err)
@@ -141,11 +158,11 @@
 	start(t, c, request("r", 5))
 	for range 3 {
 		l, err := c.Load(context.Background())
-		old := now.Before(time.Unix(1010, 0))
-		if err != nil || old && l.Waiting != 0 || !old && l.AsOf.After(now.Add(-10*time.Second)) {
-			t.Errorf("at %v: %+v, %v", now, l, err)
+		old := k.now().Before(epoch.Add(10 * time.Second))
+		if err != nil || old && l.Waiting != 0 || !old && l.AsOf.After(k.now().Add(-10*time.Second)) {
+			t.Errorf("at %v: %+v, %v", k.now(), l, err)
 		}
-		now = now.Add(9 * time.Second)
+		k.advance(9 * time.Second)
 	}
 	e.SetLoadMissing(true)
 	_, err := c.Load(context.Background())
@@ -155,8 +172,8 @@
 }
 
 func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
-	now := time.Unix(1000, 0)
-	e, c := serve(t, comfreyfakeengine.Config{LoadLag: time.Second, CacheEventGap: 3, Now: func() time.Time { return now }})
+	var k clock
+	_, c := serve(t, comfreyfakeengine.Config{LoadLag: time.Second, CacheEventGap: 3, Now: k.now})
 	r := request("r", 1)
 	r.Body = []byte(`{"prompt":"` + prompt500() + `","fake_length":1}`)
 	_ = read(t, start(t, c, r))
@@ -164,8 +181,7 @@
 	if err != nil || len(early) != 0 {
 		t.Errorf("early events %v, %v", early, err)
 	}
-	_ = e.Identity() // Orders the change of now after the step.
-	now = now.Add(time.Second)
+	k.advance(time.Second)
 	late, err := c.CacheEvents(context.Background(), 1)
 	if err != nil || len(late) != 4 || late[0].Sequence != 2 || late[1].Sequence != 4 {
 		t.Errorf("late events %v, %v", late, err)
@@ -176,3 +192,18 @@
 func prompt500() string {
 	return strings.Repeat("stone", 100)
 }
+
+func TestSwitchesByHTTP(t *testing.T) {
+	e := comfreyfakeengine.New(comfreyfakeengine.Config{})
+	defer e.Close()
+	for _, p := range []string{"/fake/stall", "/fake/resume", "/fake/push-aside", "/fake/load-missing", "/fake/load-present", "/fake/reclaim?notice=1h", "/fake/crash?down=1h", "/fake/crash"} {
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, p, nil))
+		if w.Code != http.StatusNoContent {
+			t.Errorf("%s gives status %d", p, w.Code)
+		}
+	}
+	if !e.State().Reclaimed || e.Crashes() != 2 {
+		t.Errorf("%+v after %d crashes", e.State(), e.Crashes())
+	}
+}
