--- a/comfreyconfig/fleet_test.go
+++ b/comfreyconfig/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"text/tabwriter"
@@ -200,7 +199,8 @@
 // fleet, at 3,100 changes a day, and bounds it.
 func TestFleetCosts(t *testing.T) {
 	sizes := []int{100, 300, 1260}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "processes\tplatform calls/s\tcalls in the busiest second of a cold start\tcontrol bytes/s and process\tworst bytes/s\tslowest change\t")
 	var calls []float64
 	for _, size := range sizes {
@@ -212,6 +212,7 @@
 		}
 	}
 	w.Flush()
+	t.Logf("\n%s", &b)
 	if last := len(sizes) - 1; calls[last]/calls[0] > 0.5*float64(sizes[last])/float64(sizes[0]) {
 		t.Errorf("calls grow almost as fast as the fleet: %v at %v", calls, sizes)
 	}
@@ -267,3 +268,23 @@
 	}
 	return c
 }
+
+// TestValidRevisionOutlivesAnInvalidFollower publishes a valid revision, and
+// one with faults before the first has settled, under the next or the same
+// number.
+func TestValidRevisionOutlivesAnInvalidFollower(t *testing.T) {
+	bad := append(content("b"), comfreyconfig.File{Name: "30-bad.yaml", Content: []byte("services:\n  template:\n    colour: red\n")})
+	for _, number := range []uint64{2, 3} {
+		for seed := range uint64(20) {
+			s := newSim(t, seed, 30, 3, comfreyconfig.Timing{})
+			s.publish(1, "a")
+			s.startAll()
+			s.run(inForceLimit)
+			r := s.publish(2, "b")
+			s.run(100*time.Millisecond + time.Duration(seed)*100*time.Millisecond)
+			s.platform.publish(number, bad)
+			s.run(inForceLimit)
+			s.expectAll(r, fmt.Sprintf("seed %d: invalid %d", seed, number))
+		}
+	}
+}
--- a/comfreydemo/fleet.go
+++ b/comfreydemo/fleet.go
@@ -7,7 +7,6 @@
 	"embed"
 	"errors"
 	"fmt"
-	"io/fs"
 	"net"
 	"net/http"
 	"time"
@@ -39,6 +38,8 @@
 	GenerationService = "quotes"
 	// OrderService is the demo's plain service.
 	OrderService = "parts"
+	// dataCentre is where everything of the demo stands.
+	dataCentre = "north"
 	// fleetKey signs the requests between the demo's processes.
 	fleetKey = "demo-fleet-shared-key"
 )
@@ -81,7 +82,7 @@
 	c.Applications = count(c.Applications, defaultApplications)
 	c.Gateways = count(c.Gateways, defaultGateways)
 	if c.Listen == "" {
-		c.Listen = "127.0.0.1:0"
+		c.Listen = anyPort
 	}
 	if c.Logger == nil {
 		c.Logger = discardLogger()
@@ -105,13 +106,9 @@
 // EmbeddedSettings returns the checked settings of the embedded folder. It
 // panics if the folder has faults, which a test rules out.
 func EmbeddedSettings() comfreyconfig.Settings {
-	sub, err := fs.Sub(folder, "folder")
+	f, err := embeddedFolder()
 	if err != nil {
-		panic("comfreydemo: " + err.Error())
-	}
-	f, err := comfreyconfig.LoadFolder(sub)
-	if err != nil {
-		panic("comfreydemo: " + err.Error())
+		panic(err.Error())
 	}
 	s, faults := comfreyconfig.Check(f)
 	if len(faults) > 0 {
@@ -144,6 +141,7 @@
 	Gateways     []*Node
 	Relays       []*comfreyrelay.Relay
 	gateways     []*comfreygateway.Gateway
+	sidecars     []*comfreysidecar.Sidecar
 	members      []comfreyfleet.Member
 	upstreams    []string
 	version      uint64
@@ -186,39 +184,42 @@
 			return err
 		}
 	}
-	f.version++
 	for i := range f.config.Gateways {
 		if err := f.startGateway(ctx, i); err != nil {
 			return err
 		}
 	}
+	f.Publish(nil)
 	return nil
 }
 
 // startUpstream serves a stand-in and starts the sidecar beside it.
 func (f *Fleet) startUpstream(ctx context.Context, host, service string, h http.Handler) error {
-	l, err := f.serve(h)
+	l, err := serveStandIn(f.group, h)
 	if err != nil {
 		return err
 	}
 	return f.startSidecar(ctx, host, service, "http://"+l.Addr().String())
 }
 
-// serve serves a stand-in until the fleet stops.
-func (f *Fleet) serve(h http.Handler) (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// serveStandIn serves a stand-in until the group stops.
+func serveStandIn(g *comfreygroup.Group, h http.Handler) (net.Listener, error) {
+	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return nil, fmt.Errorf("comfreydemo: %w", err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	f.group.Go("serve stand-in", func(context.Context) error { return ignoreClosed(s.Serve(l)) })
-	f.group.Go("close stand-in", func(ctx context.Context) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	g.Go("serve stand-in", func(context.Context) error { return ignoreClosed(s.Serve(l)) })
+	g.Go("close stand-in", func(ctx context.Context) error {
 		<-ctx.Done()
 		return s.Close()
 	})
 	return l, nil
 }
 
+// readHeaderTimeout bounds the time in which a connection sends its headers.
+const readHeaderTimeout = 10 * time.Second
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -228,7 +229,7 @@
 
 // startSidecar starts the sidecar beside an upstream and lists its host.
 func (f *Fleet) startSidecar(ctx context.Context, host, service, upstream string) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return fmt.Errorf("comfreydemo: %w", err)
 	}
@@ -241,13 +242,15 @@
 		f.Relays = append(f.Relays, r)
 		address = r.Addr()
 	}
-	f.Sidecars = append(f.Sidecars, f.newSidecar(ctx, l, host, service, upstream))
+	n, s := f.newSidecar(ctx, l, host, service, upstream)
+	f.Sidecars = append(f.Sidecars, n)
+	f.sidecars = append(f.sidecars, s)
 	f.upstreams = append(f.upstreams, upstream)
-	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: "north", Address: address, Service: service})
+	f.members = append(f.members, comfreyfleet.Member{Host: host, DataCentre: dataCentre, Address: address, Service: service})
 	return nil
 }
 
-func (f *Fleet) newSidecar(ctx context.Context, l net.Listener, host, service, upstream string) *Node {
+func (f *Fleet) newSidecar(ctx context.Context, l net.Listener, host, service, upstream string) (*Node, *comfreysidecar.Sidecar) {
 	c := f.config.Sidecar
 	c.Host = host
 	c.Service = service
@@ -259,11 +262,11 @@
 	s := comfreysidecar.New(ctx, c)
 	n := f.run("sidecar "+host, l, c.Recorder, s.Run)
 	n.ready = s.Ready
-	return n
+	return n, s
 }
 
 func (f *Fleet) startGateway(ctx context.Context, i int) error {
-	address := "127.0.0.1:0"
+	address := anyPort
 	if i == 0 {
 		address = f.config.Listen
 	}
@@ -274,13 +277,12 @@
 	host := fmt.Sprintf("gateway-%d", i)
 	c := f.config.Gateway
 	c.Host = host
-	c.DataCentre = "north"
+	c.DataCentre = dataCentre
 	c.Key = comfreyrpc.Key(fleetKey)
 	c.Listener = l
 	c.Settings = f.settings
 	c.Recorder = comfreydecision.New(comfreydecision.Config{Process: "gateway/" + host, Logger: f.config.Logger})
 	g := comfreygateway.New(ctx, c)
-	g.ObserveView(comfreyfleet.NewView(f.version, time.Now(), f.members))
 	f.gateways = append(f.gateways, g)
 	n := f.run(host, l, c.Recorder, g.Run)
 	n.ready = g.Ready
@@ -288,7 +290,7 @@
 	return nil
 }
 
-// Publish lists the hosts as they are now to every gateway. The function edit
+// Publish lists the hosts as they are now to every process. The function edit
 // may change a copy of each member; nil changes none.
 func (f *Fleet) Publish(edit func(m comfreyfleet.Member) comfreyfleet.Member) {
 	f.version++
@@ -303,17 +305,20 @@
 	for _, g := range f.gateways {
 		g.ObserveView(v)
 	}
+	for _, s := range f.sidecars {
+		s.ObserveView(v)
+	}
 }
 
 // ReplaceSidecar starts a new process beside upstream i, which must have
 // ended, and lists it. The new one knows nothing of the old one.
 func (f *Fleet) ReplaceSidecar(ctx context.Context, i int) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return fmt.Errorf("comfreydemo: %w", err)
 	}
 	m := f.members[i]
-	f.Sidecars[i] = f.newSidecar(ctx, l, m.Host, m.Service, f.upstreams[i])
+	f.Sidecars[i], f.sidecars[i] = f.newSidecar(ctx, l, m.Host, m.Service, f.upstreams[i])
 	f.members[i].Address = l.Addr().String()
 	f.Publish(nil)
 	return nil
--- a/comfreygateway/request.go
+++ b/comfreygateway/request.go
@@ -20,8 +20,8 @@
 const (
 	// requestIDBytes is the size of a request id before its hex form.
 	requestIDBytes = 12
-	// prefixBytes is how much of a prompt identifies a cached prefix.
-	prefixBytes = 256
+	// PrefixBytes is how much of a prompt identifies a cached prefix.
+	PrefixBytes = 256
 	// maxUnroutedBodyBytes bounds a body before its service is known.
 	maxUnroutedBodyBytes = 16 << 20
 )
@@ -45,6 +45,7 @@
 	maxTokens int
 	prefix    uint64
 	deadline  time.Time
+	retry     retryToken
 }
 
 // generationBody holds the members of a body that decide its way. All others
@@ -126,6 +127,7 @@
 	}
 	q.body, q.stream, q.maxTokens, q.route = b, m.Stream, n, route
 	q.prefix = prefixHash(m)
+	q.retry = parseRetryToken(r.Header.Get(HeaderRetryToken))
 	q.deadline, err = g.deadline(r, route.Service)
 	return q, err
 }
@@ -136,10 +138,10 @@
 	if len(m.Messages) > 0 {
 		p = m.Messages
 	}
-	if len(p) < prefixBytes {
+	if len(p) < PrefixBytes {
 		return 0
 	}
-	return xxhash.Sum64(p[:prefixBytes])
+	return xxhash.Sum64(p[:PrefixBytes])
 }
 
 // deadline returns when the caller's time ends: that of the service, or less if
