Make the Retry-After test independent of its callers' order

Ruled out: the load tool itself, whose counts were right in each failure.

One caller is refused once now, the counts are still exact, and the wait itself is checked: without it the test passed at first. Seen failing without the wait and with Retry-After not followed.

--- a/comfreyload/load_test.go
+++ b/comfreyload/load_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyfakeengine"
 	"comfreyridge.example/comfreyridge/comfreyload"
@@ -50,7 +51,7 @@
 	defer e.Close()
 	var refused atomic.Int64
 	o := options(serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if refused.Add(1) > 4 {
+		if refused.Add(1) > 1 {
 			e.ServeHTTP(w, r)
 			return
 		}
@@ -58,12 +59,13 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 		_, _ = w.Write([]byte(`{"error":{"verdict":"not-run","reason":"admission-full"}}`))
 	})))
+	o.Callers, o.Requests = 1, 5
 	r, err := comfreyload.Measure(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := comfreyload.Outcome{Verdict: comfreyverdict.VerdictNotRun, Reason: comfreyverdict.ReasonAdmissionFull, Count: 4}
-	if len(r.Failures) != 1 || r.Failures[0] != want || r.Returned != 4 || r.ReturnedServed != 4 {
+	want := comfreyload.Outcome{Verdict: comfreyverdict.VerdictNotRun, Reason: comfreyverdict.ReasonAdmissionFull, Count: 1}
+	if len(r.Failures) != 1 || r.Failures[0] != want || r.Complete != 4 || r.Took < time.Second || r.Returned != 1 || r.ReturnedServed != 1 {
 		t.Errorf("%+v", r)
 	}
 }
