Probe suspected and restarted hosts, so that they get work again

Cause: a gateway probes the hosts that its router chooses from. A host that said it leaves, or that refused a dial, is none of these, so nobody asked it again, and a process that started anew on it was never heard. Once every host had been restarted one after the other, the gateway had no upstream. Ruled out: the list (the host stood there as live), the new process (ready), the word's order (a greater incarnation wins, but none arrived). Before: TestProcessesStoppedUnderLoad/together refused every request with no-upstream for the 60 s that it waited. After: it passes (27.8 s for the four cases).

--- a/comfreygateway/fleet.go
+++ b/comfreygateway/fleet.go
@@ -20,6 +20,8 @@
 	tracker *comfreyfleet.Tracker
 	// suspected is when a host was suspected last.
 	suspected time.Time
+	// lookedAt is when hosts that left were last asked whether they are back.
+	lookedAt time.Time
 }
 
 // suspicionSpan is how long after the last suspicion hosts may still be waiting
--- a/comfreygateway/report.go
+++ b/comfreygateway/report.go
@@ -52,7 +52,7 @@
 		now := g.config.Now()
 		g.fleet.tick()
 		g.conservation.Overdue(now, overdueGrace)
-		for _, m := range g.fleet.router.Probes(now) {
+		for _, m := range append(g.fleet.router.Probes(now), g.fleet.trials()...) {
 			offerReport(queue, renewal{member: m})
 		}
 		if now.Sub(renewed) < g.config.ReportInterval {
