Serve copies of a harmless request; leave abandoned streams to the grace time

Cause 1: twelve copies of one request, sent at once: 7 were refused as suspect-busy although nothing had crashed.

Cause 2: a gateway that was frozen and woke up cancelled the generation that its caller had resumed at another gateway (process_freeze_test, "ran: cancelled"). A streamed generation is not cancelled by the gateway any more; the sidecar's grace time ends it if nobody reads it.

--- a/comfreydemo/crash_test.go
+++ b/comfreydemo/crash_test.go
@@ -76,3 +76,18 @@
 		}
 	}
 }
+
+func TestCopiesOfAHarmlessRequestAreServed(t *testing.T) {
+	f := startFleet(t, FleetConfig{Engines: 6})
+	c := newCaller(t)
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() {
+			r := c.Stream(t.Context(), f.URL(i%2), lengthBody(t, 700, true), "", nil)
+			if !r.Complete {
+				t.Errorf("copy %d: %+v", i, r.Error)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -267,13 +267,11 @@
 	return e
 }
 
-// abandon tells the sidecar that nobody will read the rest. A streaming caller
-// that went away may come back, so its generation is left to the grace time.
+// abandon tells the sidecar that nobody will read the rest of an answer that is
+// not streamed. A stream is left to the sidecar's grace time: its caller may
+// have resumed it at another gateway while this process was paused.
 func (s *session) abandon(e comfreyverdict.Error) {
-	if s.sequencer == nil || s.sequencer.Complete() {
-		return
-	}
-	if s.request.stream && (e.Reason == comfreyverdict.ReasonCallerGone || e.Reason == comfreyverdict.ReasonDrainLimit) {
+	if s.request.stream || s.sequencer == nil || s.sequencer.Complete() {
 		return
 	}
 	id := s.sequencer.Generation()
--- a/comfreysidecar/quarantine.go
+++ b/comfreysidecar/quarantine.go
@@ -26,6 +26,11 @@
 	// suspectRetry is when a caller may send a request again that may not run
 	// beside another suspect.
 	suspectRetry = 2 * time.Second
+	// copyPoll and copyPolls bound the wait of a copy of a request that runs at
+	// other upstreams. A request that crashes upstreams does so while its prompt
+	// is computed; without a crash in that time the copy runs beside the others.
+	copyPoll  = 100 * time.Millisecond
+	copyPolls = 10
 	// sharedRecords bounds the crash records on one message.
 	sharedRecords = 4
 )
@@ -132,6 +137,14 @@
 	return q.table.Start(f, d), d
 }
 
+// isSuspected reports whether a request was in flight in a crash that it is not
+// cleared of.
+func (q *quarantine) isSuspected(f comfreyquarantine.Fingerprint) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Suspicion(q.now(), f).Crashes > 0
+}
+
 // finish notes that a run has left the upstream.
 func (q *quarantine) finish(id comfreyquarantine.RunID, completed bool) {
 	q.mu.Lock()
@@ -186,7 +199,16 @@
 // clear decides whether a request may run here beside what crashes are known.
 // The error is a comfreyverdict.Error with verdict not-run.
 func (s *Sidecar) clear(ctx context.Context, g *generation) (comfreyquarantine.RunID, error) {
-	id, d := s.quarantine.start(g.fingerprint, s.tellWitness(ctx, comfreyproto.WitnessEvent_WITNESS_EVENT_ASK, g.fingerprint))
+	id, d := s.ask(ctx, g)
+	for n := 0; n < copyPolls && d == comfreyquarantine.DecisionWait; n++ {
+		if !sleep(ctx, copyPoll) {
+			break
+		}
+		id, d = s.ask(ctx, g)
+	}
+	if d == comfreyquarantine.DecisionWait && !s.quarantine.isSuspected(g.fingerprint) {
+		id, d = s.quarantine.start(g.fingerprint, comfreyquarantine.DecisionAllow)
+	}
 	switch d {
 	case comfreyquarantine.DecisionAllow:
 		return id, nil
@@ -201,6 +223,11 @@
 	return 0, comfreyverdict.NotRun(comfreyverdict.ReasonSuspectRequest, "this request has crashed upstreams; change it before sending it again")
 }
 
+// ask joins the decision of the witness with the sidecar's own.
+func (s *Sidecar) ask(ctx context.Context, g *generation) (comfreyquarantine.RunID, comfreyquarantine.Decision) {
+	return s.quarantine.start(g.fingerprint, s.tellWitness(ctx, comfreyproto.WitnessEvent_WITNESS_EVENT_ASK, g.fingerprint))
+}
+
 // settle ends a run that clear let begin.
 func (s *Sidecar) settle(g *generation, id comfreyquarantine.RunID, err error) {
 	if err != nil && comfreyverdict.From(err).Reason == comfreyverdict.ReasonEngineFailed {
