--- a/comfreyroutesim/policy_test.go
+++ b/comfreyroutesim/policy_test.go
@@ -123,6 +123,6 @@
 	}
 	c := centre()
 	c.Gateways, c.Replicas, c.DataCentres = 360, 900, 6
-	c.Utilisation = 0.85
+	c.Utilisation = 0.95
 	table(t, "900/360", c)
 }
