--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -75,12 +75,8 @@
 		id := s.sequencer.Generation()
 		s.gateway.metrics.resumes.Inc()
 		s.gateway.recorder.Record(s.request.id, comfreydecision.KindResume, comfreyverdict.ReasonConnectionLost, map[string]any{"generation": id.String(), "after": s.delivered, "try": *tries})
-		stream, err := s.gateway.client.Resume(ctx, s.member.Address, &comfreyproto.ResumeRequest{
-			Customer:    s.request.customer.Name,
-			Incarnation: id.Incarnation,
-			Counter:     id.Counter,
-			After:       s.sequencer.Next() - 1,
-			RequestId:   s.request.id,
+		stream, err := s.open(ctx, func(ctx context.Context) (*comfreyrpc.Stream, error) {
+			return s.gateway.client.Resume(ctx, s.member.Address, s.resumeRequest())
 		})
 		if err == nil {
 			return stream, nil
@@ -94,6 +90,29 @@
 	}
 }
 
+func (s *session) resumeRequest() *comfreyproto.ResumeRequest {
+	id := s.sequencer.Generation()
+	return &comfreyproto.ResumeRequest{
+		Customer:    s.request.customer.Name,
+		Incarnation: id.Incarnation,
+		Counter:     id.Counter,
+		After:       s.sequencer.Next() - 1,
+		RequestId:   s.request.id,
+	}
+}
+
+// open calls f, which opens a stream, and gives up on a sidecar that does not
+// answer within the time that a stream may be silent.
+func (s *session) open(ctx context.Context, f func(ctx context.Context) (*comfreyrpc.Stream, error)) (*comfreyrpc.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	watchdog := time.AfterFunc(s.gateway.config.Silence, func() {
+		s.gateway.metrics.silences.Inc()
+		cancel()
+	})
+	defer watchdog.Stop()
+	return f(ctx)
+}
+
 // lost is the failure of a request whose sidecar does not answer any more.
 func (s *session) lost(detail string) comfreyverdict.Error {
 	if s.delivered > 0 {
@@ -213,6 +232,9 @@
 	if !deliver {
 		return err
 	}
+	if !isEventData(f.Data) {
+		return comfreyverdict.Ran(comfreyverdict.ReasonEngineFailed, "a chunk cannot be sent as one event")
+	}
 	if err := s.output.token(comfreystream.EventID{Generation: s.sequencer.Generation(), Seq: f.Seq}, f.Data); err != nil {
 		return err
 	}
@@ -254,6 +276,10 @@
 // takeFailure ends the request, or this attempt of it, with the outcome that
 // the sidecar states.
 func (s *session) takeFailure(f *comfreyproto.Frame) error {
+	if s.sequencer != nil && f.Counter != 0 && s.idOf(f) != s.sequencer.Generation() {
+		s.gateway.metrics.foreignFrames.Inc()
+		return nil
+	}
 	if f.Seq > 0 {
 		deliver, err := s.accept(f, true)
 		if !deliver {
@@ -261,7 +287,7 @@
 		}
 	}
 	e := comfreyrpc.ErrorOf(f.Outcome)
-	if s.delivered > 0 && e.Verdict == comfreyverdict.VerdictMayHaveRun {
+	if s.delivered > 0 {
 		e.Verdict = comfreyverdict.VerdictRan
 	}
 	return e
--- a/comfreygateway/output.go
+++ b/comfreygateway/output.go
@@ -1,6 +1,7 @@
 package comfreygateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -61,6 +62,15 @@
 	return nil
 }
 
+// doneData ends a stream of events for an OpenAI-style client.
+const doneData = "[DONE]"
+
+// isEventData reports whether a chunk can be sent as one event that no client
+// takes for the end. A line break would begin another field of the event.
+func isEventData(b []byte) bool {
+	return bytes.IndexByte(b, '\n') < 0 && bytes.IndexByte(b, '\r') < 0 && string(bytes.TrimSpace(b)) != doneData
+}
+
 // newEventOutput returns an output that streams server-sent events.
 func newEventOutput(c *callerConnection, requestID string) output {
 	begun := false
@@ -95,7 +105,7 @@
 			return c.flush()
 		},
 		end: func(e comfreystream.EventID) error {
-			event(e, []byte("[DONE]"))
+			event(e, []byte(doneData))
 			return c.flush()
 		},
 		fail: func(e comfreyverdict.Error) {
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -208,7 +208,9 @@
 		s.member = m
 	}
 	g.recorder.Record(q.id, comfreydecision.KindRoute, c.Reason, routeFigures(c, s.attempt))
-	stream, err := g.client.Start(ctx, s.member.Address, s.startRequest())
+	stream, err := s.open(ctx, func(ctx context.Context) (*comfreyrpc.Stream, error) {
+		return g.client.Start(ctx, s.member.Address, s.startRequest())
+	})
 	if err != nil {
 		s.suspect(err)
 		return err
--- a/comfreyrpc/frame.go
+++ b/comfreyrpc/frame.go
@@ -86,9 +86,12 @@
 	return nil
 }
 
-// Buffered reports whether bytes of a further frame have already arrived.
+// Buffered reports whether a further frame has already arrived whole, so that
+// Read does not wait. It reports false for a frame beyond the read buffer.
 func (r *FrameReader) Buffered() bool {
-	return r.r.Buffered() > 0
+	b, _ := r.r.Peek(min(r.r.Buffered(), binary.MaxVarintLen64))
+	n, size := binary.Uvarint(b)
+	return size > 0 && n <= uint64(r.r.Buffered()-size)
 }
 
 func noEOF(err error) error {
