Assemble tool calls and logprobs of answers that do not stream

Cause: Answer kept text only, so that a chat answer that calls tools was empty. The parts of tool calls are joined by index, and the lists of logprobs member by member in either form; a member that is null stays null. A choice that only calls tools has content null, as OpenAI-style clients expect.

Tests: TestAnswer (completion, chat, several choices, tool calls, logprobs) and TestAnswerRefusesBrokenChunks.

--- a/comfreygateway/answer.go
+++ b/comfreygateway/answer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
 )
 
 // chunk holds the members of an engine's stream chunk that a whole answer is
@@ -16,12 +15,26 @@
 	Index        int             `json:"index"`
 	Text         string          `json:"text"`
 	Delta        chunkDelta      `json:"delta"`
+	Logprobs     json.RawMessage `json:"logprobs"`
 	FinishReason json.RawMessage `json:"finish_reason"`
 }
 
 type chunkDelta struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role      string          `json:"role"`
+	Content   string          `json:"content"`
+	ToolCalls []chunkToolCall `json:"tool_calls"`
+}
+
+// chunkToolCall is a part of one tool call. The first part carries its id and
+// name.
+type chunkToolCall struct {
+	Index    int    `json:"index"`
+	ID       string `json:"id"`
+	Type     string `json:"type"`
+	Function struct {
+		Name      string `json:"name"`
+		Arguments string `json:"arguments"`
+	} `json:"function"`
 }
 
 // Answer assembles the chunks of one generation into the body of a call that
@@ -34,12 +47,6 @@
 	first   map[string]json.RawMessage
 }
 
-type answerChoice struct {
-	role         string
-	text         strings.Builder
-	finishReason json.RawMessage
-}
-
 // NewAnswer returns an empty answer in the chat form or the completion form.
 func NewAnswer(chat bool) *Answer {
 	return &Answer{chat: chat}
@@ -80,36 +87,14 @@
 	for len(a.choices) <= d.Index {
 		a.choices = append(a.choices, &answerChoice{role: "assistant"})
 	}
-	c := a.choices[d.Index]
-	c.text.WriteString(d.Text)
-	c.text.WriteString(d.Delta.Content)
-	if d.Delta.Role != "" {
-		c.role = d.Delta.Role
-	}
-	if len(d.FinishReason) > 0 && string(d.FinishReason) != "null" {
-		c.finishReason = d.FinishReason
-	}
-	return nil
-}
-
-// wholeChoice is one choice of a whole answer.
-type wholeChoice struct {
-	Index        int             `json:"index"`
-	Text         *string         `json:"text,omitempty"`
-	Message      *wholeMessage   `json:"message,omitempty"`
-	FinishReason json.RawMessage `json:"finish_reason"`
-}
-
-type wholeMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	return a.choices[d.Index].add(d)
 }
 
 // Body returns the answer as one JSON object.
 func (a *Answer) Body() ([]byte, error) {
 	choices := make([]wholeChoice, 0, len(a.choices))
 	for i, c := range a.choices {
-		choices = append(choices, a.whole(i, c))
+		choices = append(choices, c.whole(i, a.chat))
 	}
 	raw, err := json.Marshal(choices)
 	if err != nil {
@@ -130,17 +115,3 @@
 	}
 	return json.Marshal(body)
 }
-
-func (a *Answer) whole(i int, c *answerChoice) wholeChoice {
-	w := wholeChoice{Index: i, FinishReason: c.finishReason}
-	if w.FinishReason == nil {
-		w.FinishReason = json.RawMessage("null")
-	}
-	text := c.text.String()
-	if a.chat {
-		w.Message = &wholeMessage{Role: c.role, Content: text}
-		return w
-	}
-	w.Text = &text
-	return w
-}
