--- a/comfreyfakeengine/batch.go
+++ b/comfreyfakeengine/batch.go
@@ -13,7 +13,7 @@
 	waiting        []*generation
 	running        []*generation
 	preemptions    uint64
-	// observe receives every generation that is pushed aside.
+	// observe receives every generation that is preempted.
 	observe func(g *generation)
 }
 
@@ -26,7 +26,7 @@
 	return n
 }
 
-// enqueue inserts g into the waiting line in serving order.
+// enqueue inserts g into the queue in serving order.
 func (b *batch) enqueue(g *generation) {
 	g.phase = phaseWaiting
 	i, _ := slices.BinarySearchFunc(b.waiting, g, func(x, y *generation) int {
@@ -38,7 +38,7 @@
 	b.waiting = slices.Insert(b.waiting, i, g)
 }
 
-// remove takes g out of the batch and out of the waiting line.
+// remove takes g out of the batch and out of the queue.
 func (b *batch) remove(g *generation) {
 	same := func(h *generation) bool { return g == h }
 	b.waiting = slices.DeleteFunc(b.waiting, same)
@@ -64,12 +64,12 @@
 	return admitted
 }
 
-// makeRoom pushes generations aside until each remaining one can grow by one
-// token. The last in serving order goes first. A pushed generation computes
+// reclaimMemory preempts generations until each remaining one can grow by one
+// token. The last in serving order goes first. A preempted generation computes
 // its prompt and its tokens again when it comes back.
-func (b *batch) makeRoom() {
+func (b *batch) reclaimMemory() {
 	for len(b.running) > 1 && b.usedTokens()+len(b.running) > b.capacityTokens {
-		b.pushAside(b.last())
+		b.preempt(b.last())
 	}
 }
 
@@ -83,8 +83,8 @@
 	})
 }
 
-// pushAside moves g from the batch back to the waiting line.
-func (b *batch) pushAside(g *generation) {
+// preempt moves g from the batch back to the queue.
+func (b *batch) preempt(g *generation) {
 	b.remove(g)
 	g.uncomputed = g.usedTokens()
 	b.enqueue(g)
--- a/comfreyfakeengine/batch_test.go
+++ b/comfreyfakeengine/batch_test.go
@@ -79,7 +79,7 @@
 		return d
 	}
 	if plain, pushed := took(false), took(true); pushed < plain+40*time.Millisecond {
-		t.Errorf("the answer took %v, pushed aside %v", plain, pushed)
+		t.Errorf("the answer took %v, preempted %v", plain, pushed)
 	}
 }
 
--- a/comfreyfakeengine/completion.go
+++ b/comfreyfakeengine/completion.go
@@ -90,7 +90,7 @@
 	return g
 }
 
-// accept takes a generation into the waiting line.
+// accept takes a generation into the queue.
 func (e *Engine) accept(g *generation) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/comfreyfakeengine/engine.go
+++ b/comfreyfakeengine/engine.go
@@ -134,7 +134,7 @@
 	m.Post("/reclaim", comfreyfakeserver.Timed("notice", e.Reclaim))
 	m.Post("/stall", comfreyfakeserver.Switch(e.Stall))
 	m.Post("/resume", comfreyfakeserver.Switch(e.Resume))
-	m.Post("/push-aside", comfreyfakeserver.Switch(func() { e.PushAside() }))
+	m.Post("/preempt", comfreyfakeserver.Switch(func() { e.PushAside() }))
 	m.Post("/load-missing", comfreyfakeserver.Switch(func() { e.SetLoadMissing(true) }))
 	m.Post("/load-present", comfreyfakeserver.Switch(func() { e.SetLoadMissing(false) }))
 }
--- a/comfreyfakeengine/engine_test.go
+++ b/comfreyfakeengine/engine_test.go
@@ -77,7 +77,7 @@
 		}
 	}
 	if n := e.Load().Preemptions; n == 0 {
-		t.Error("no generation was pushed aside")
+		t.Error("no generation was preempted")
 	}
 	for id, r := range e.Runs() {
 		if r.Accepted != 1 || r.Began != 1 || r.Finished != 1 {
--- a/comfreyfakeengine/failure.go
+++ b/comfreyfakeengine/failure.go
@@ -67,7 +67,7 @@
 	if len(e.batch.running) == 0 {
 		return false
 	}
-	e.batch.pushAside(e.batch.last())
+	e.batch.preempt(e.batch.last())
 	e.poke()
 	return true
 }
--- a/comfreyfakeengine/failure_test.go
+++ b/comfreyfakeengine/failure_test.go
@@ -116,7 +116,7 @@
 		t.Fatal("nothing ran")
 	}
 	_ = read(t, s)
-	if r := e.Runs()["r"]; s.Tokens() != 60 || r.PushedAside != 1 || r.Began != 1 {
+	if r := e.Runs()["r"]; s.Tokens() != 60 || r.Preempted != 1 || r.Began != 1 {
 		t.Errorf("%d tokens, %+v", s.Tokens(), r)
 	}
 }
@@ -196,7 +196,7 @@
 func TestSwitchesByHTTP(t *testing.T) {
 	e := comfreyfakeengine.New(comfreyfakeengine.Config{})
 	defer e.Close()
-	for _, p := range []string{"/fake/stall", "/fake/resume", "/fake/push-aside", "/fake/load-missing", "/fake/load-present", "/fake/reclaim?notice=1h", "/fake/crash?down=1h", "/fake/crash"} {
+	for _, p := range []string{"/fake/stall", "/fake/resume", "/fake/preempt", "/fake/load-missing", "/fake/load-present", "/fake/reclaim?notice=1h", "/fake/crash?down=1h", "/fake/crash"} {
 		w := httptest.NewRecorder()
 		e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, p, nil))
 		if w.Code != http.StatusNoContent {
--- a/comfreyfakeengine/many_test.go
+++ b/comfreyfakeengine/many_test.go
@@ -52,7 +52,7 @@
 	}
 	g.Wait()
 	if e.Load().Preemptions == 0 {
-		t.Error("no generation was pushed aside")
+		t.Error("no generation was preempted")
 	}
 }
 
--- a/comfreyfakeengine/runs.go
+++ b/comfreyfakeengine/runs.go
@@ -19,8 +19,8 @@
 	Cancelled int `json:"cancelled"`
 	// Lost counts the answers that a crash ended.
 	Lost int `json:"lost"`
-	// PushedAside counts the preemptions.
-	PushedAside int `json:"pushed-aside"`
+	// Preempted counts the preemptions.
+	Preempted int `json:"preempted"`
 	// Generations lists the generation ids in order.
 	Generations []string `json:"generations"`
 }
--- a/comfreyfakeengine/step.go
+++ b/comfreyfakeengine/step.go
@@ -56,7 +56,7 @@
 	if e.stalled {
 		return 0, false
 	}
-	e.batch.makeRoom()
+	e.batch.reclaimMemory()
 	e.begin(e.batch.admit())
 	if len(e.batch.running) == 0 {
 		return 0, false
@@ -85,9 +85,9 @@
 	}
 }
 
-// preempted notes that a generation was pushed aside.
+// preempted notes that a generation was preempted.
 func (e *Engine) preempted(g *generation) {
-	e.note(g.request, func(r *RunRecord) { r.PushedAside++ })
+	e.note(g.request, func(r *RunRecord) { r.Preempted++ })
 }
 
 // finish ends a generation that has emitted its last token.
