--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -26,7 +26,7 @@
 	client       *comfreyrpc.Client
 	fleet        *fleet
 	limits       *customerLimits
-	budgets      *retryBudgets
+	retriers     *retriers
 	sessions     *sessions
 	crashes      *crashes
 	conservation comfreystream.Conservation
@@ -52,7 +52,7 @@
 		client:   comfreyrpc.NewClient(c.Key, c.Now),
 		fleet:    newFleet(c.Router, c.Now),
 		limits:   newCustomerLimits(),
-		budgets:  newRetryBudgets(),
+		retriers: newRetriers(),
 		sessions: newSessions(),
 		crashes:  newCrashes(c.Host, c.Now),
 		group:    comfreygroup.New(context.WithoutCancel(ctx)),
--- a/comfreygateway/limits.go
+++ b/comfreygateway/limits.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
-	"comfreyridge.example/comfreyridge/comfreyrouter"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -43,30 +42,3 @@
 		delete(l.open, name)
 	}
 }
-
-// retryReserve is how many retries a new gateway may send for a service before
-// its requests have earned any.
-const retryReserve = 3
-
-// retryBudgets holds one retry budget a service. It is safe for concurrent
-// use.
-type retryBudgets struct {
-	mu        sync.Mutex
-	byService map[string]*comfreyrouter.RetryBudget
-}
-
-func newRetryBudgets() *retryBudgets {
-	return &retryBudgets{byService: map[string]*comfreyrouter.RetryBudget{}}
-}
-
-// of returns the budget of a service. The ratio counts when the budget is made.
-func (b *retryBudgets) of(service string, ratio float64) *comfreyrouter.RetryBudget {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r, ok := b.byService[service]
-	if !ok {
-		r = comfreyrouter.NewRetryBudget(comfreyrouter.RetryConfig{Ratio: ratio, Reserve: retryReserve})
-		b.byService[service] = r
-	}
-	return r
-}
--- a/comfreygateway/plain.go
+++ b/comfreygateway/plain.go
@@ -145,46 +145,42 @@
 	return reply, err
 }
 
-// offer calls f for one upstream after the other until it succeeds, may have
-// run, or the retry budget is spent.
+// offer calls f for one upstream after the other until it succeeds or must not
+// be repeated. The verdict of an error covers every attempt.
 func (g *Gateway) offer(ctx context.Context, q plainRequest, f func(m comfreyfleet.Member) error) error {
-	b := g.budgets.of(q.service.Name, g.config.Settings().Limits().RetryRatio)
-	b.Request(g.config.Now())
+	g.retrier(q.service).Budget().Request(g.config.Now())
 	var excluded []string
 	verdict := comfreyverdict.VerdictNotRun
 	for attempt := 1; ; attempt++ {
-		c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{
-			Service:     q.service.Name,
-			DataCentres: q.route.DataCentres,
-			IsConfined:  !q.route.Spill,
-			Excluded:    excluded,
-		})
-		if err != nil {
-			e := comfreyverdict.From(err)
-			e.Verdict = verdict.Join(e.Verdict)
-			return e
-		}
-		g.recorder.Record(q.id, comfreydecision.KindRoute, c.Reason, routeFigures(c, uint32(attempt-1)))
-		err = f(comfreyfleet.Member{Host: c.Host, Address: c.Address})
+		host, err := g.offerOnce(q, excluded, attempt, f)
 		if err == nil {
 			return nil
 		}
 		e := comfreyverdict.From(err)
-		mayRun := e.Verdict == comfreyverdict.VerdictNotRun || q.safe
 		verdict = verdict.Join(e.Verdict)
-		e.Verdict = verdict
-		if e.Reason == comfreyverdict.ReasonDialFailed {
-			g.fleet.suspect(c.Host, comfreyfleet.EvidenceDialFailed)
-		}
-		if !mayRun || !isRetryable(e.Reason) || attempt >= maxAttempts || ctx.Err() != nil {
-			return e
-		}
-		allowed := b.TryRetry(g.config.Now(), e.Reason)
-		g.metrics.retry(e.Reason, allowed)
-		g.recorder.Record(q.id, comfreydecision.KindRetry, e.Reason, map[string]any{"allowed": allowed, "host": c.Host, "attempt": attempt})
-		if !allowed {
+		if !g.again(ctx, q.id, q.service, host, comfreyrouter.Attempt{Tries: attempt, Idempotent: q.safe, Err: e}) {
+			e.Verdict = verdict
 			return e
 		}
-		excluded = append(excluded, c.Host)
+		excluded = append(excluded, host)
+	}
+}
+
+// offerOnce calls f for one upstream and returns the host of that.
+func (g *Gateway) offerOnce(q plainRequest, excluded []string, attempt int, f func(m comfreyfleet.Member) error) (host string, err error) {
+	c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{
+		Service:     q.service.Name,
+		DataCentres: q.route.DataCentres,
+		IsConfined:  !q.route.Spill,
+		Excluded:    excluded,
+	})
+	if err != nil {
+		return "", err
+	}
+	g.recorder.Record(q.id, comfreydecision.KindRoute, c.Reason, routeFigures(c, uint32(attempt-1)))
+	err = f(comfreyfleet.Member{Host: c.Host, Address: c.Address})
+	if err != nil && comfreyverdict.From(err).Reason == comfreyverdict.ReasonDialFailed {
+		g.fleet.suspect(c.Host, comfreyfleet.EvidenceDialFailed)
 	}
+	return c.Host, err
 }
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -16,10 +16,6 @@
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
-// maxAttempts bounds the upstreams that one request is offered to, whatever
-// the retry budget holds.
-const maxAttempts = 3
-
 // session is one generation request, from its acceptance to its end. One
 // goroutine owns it.
 type session struct {
@@ -92,7 +88,7 @@
 	ctx, cancel := g.requestContext(r.Context(), q.deadline)
 	defer cancel()
 	g.conservation.Accept(q.id, q.deadline)
-	g.budgets.of(q.route.Service.Name, g.config.Settings().Limits().RetryRatio).Request(s.began)
+	g.retrier(q.route.Service).Budget().Request(s.began)
 	err := s.run(ctx)
 	s.finish(err)
 }
@@ -122,7 +118,7 @@
 		}
 		e := s.explain(ctx, err)
 		verdict = verdict.Join(e.Verdict)
-		if !s.mayRetry(ctx, e) {
+		if !s.again(ctx, e) {
 			e.Verdict = verdict
 			return e
 		}
@@ -149,44 +145,15 @@
 	return e
 }
 
-// mayRetry decides whether the request may go to another upstream: nothing of
-// the answer has reached the caller, either nothing ran or running twice does
-// no harm, and the retry budget allows it.
-func (s *session) mayRetry(ctx context.Context, e comfreyverdict.Error) bool {
-	if ctx.Err() != nil || s.delivered > 0 || s.attempt+1 >= maxAttempts {
-		return false
-	}
-	if !isRetryable(e.Reason) {
-		return false
-	}
-	if e.Verdict != comfreyverdict.VerdictNotRun && !s.request.route.Service.Idempotent {
-		return false
-	}
-	g := s.gateway
-	now := g.config.Now()
-	b := g.budgets.of(s.request.route.Service.Name, g.config.Settings().Limits().RetryRatio)
-	allowed := b.TryRetry(now, e.Reason)
-	g.metrics.retry(e.Reason, allowed)
-	g.recorder.Record(s.request.id, comfreydecision.KindRetry, e.Reason, map[string]any{"allowed": allowed, "host": s.member.Host, "attempt": s.attempt})
-	return allowed
-}
-
-// finalReasons are the refusals that another upstream would repeat.
-var finalReasons = map[comfreyverdict.Reason]bool{
-	comfreyverdict.ReasonBadRequest:     true,
-	comfreyverdict.ReasonBodyTooLarge:   true,
-	comfreyverdict.ReasonSuspectRequest: true,
-	comfreyverdict.ReasonNoUpstream:     true,
-	comfreyverdict.ReasonDeadline:       true,
-	comfreyverdict.ReasonCancelled:      true,
-	comfreyverdict.ReasonCallerGone:     true,
-	comfreyverdict.ReasonSlowReader:     true,
-	comfreyverdict.ReasonEngineRefused:  true,
-	comfreyverdict.ReasonUnauthorized:   true,
-}
-
-func isRetryable(r comfreyverdict.Reason) bool {
-	return !finalReasons[r]
+// again decides whether the request goes to another upstream.
+func (s *session) again(ctx context.Context, e comfreyverdict.Error) bool {
+	return s.gateway.again(ctx, s.request.id, s.request.route.Service, s.member.Host, comfreyrouter.Attempt{
+		Tries:      int(s.attempt) + 1,
+		Idempotent: s.request.route.Service.Idempotent,
+		Delivered:  s.delivered > 0,
+		Deadline:   s.request.deadline,
+		Err:        e,
+	})
 }
 
 // try offers the request to one upstream.
--- a/comfreygateway/trial.go
+++ b/comfreygateway/trial.go
@@ -12,12 +12,14 @@
 
 // trials returns the hosts to probe although the router gives them no work:
 // suspected ones whose back-off has passed, and those that said they leave and
-// may have been replaced by a new process. Nothing else brings them back.
+// may have been replaced by a new process. Nothing else brings them back. Those
+// that the list names as leaving and that have not heard of it are shown the
+// list.
 func (f *fleet) trials() []comfreyfleet.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	s := f.tracker.Trials(now)
+	s := append(f.tracker.Trials(now), f.tracker.Unaware()...)
 	if now.Sub(f.lookedAt) < returnInterval {
 		return s
 	}
--- a/comfreyrouter/retrier.go
+++ b/comfreyrouter/retrier.go
@@ -98,7 +98,9 @@
 		comfreyverdict.ReasonDrainLimit,
 		comfreyverdict.ReasonEngineFailed,
 		comfreyverdict.ReasonLeaving,
-		comfreyverdict.ReasonUnknownGeneration:
+		comfreyverdict.ReasonNoConfiguration,
+		comfreyverdict.ReasonUnknownGeneration,
+		comfreyverdict.ReasonUnknownService:
 		return true
 	default:
 		return false
