--- a/comfreydecision/decision.go
+++ b/comfreydecision/decision.go
@@ -31,6 +31,7 @@
 	KindFinish   Kind = "finish"
 	KindDrain    Kind = "drain"
 	KindMove     Kind = "move"
+	KindUpstream Kind = "upstream"
 )
 
 // Decision is one decision with the figures it was taken on.
--- a/comfreysidecar/run_generation.go
+++ b/comfreysidecar/run_generation.go
@@ -45,6 +45,9 @@
 		return
 	}
 	err = engineError(s.relay(ctx, g))
+	if err != nil && isDown(err) {
+		s.setDown(err)
+	}
 	s.settle(g, id, err)
 	if err == nil {
 		s.release(g, comfreyadmission.OutcomeCompleted)
@@ -119,6 +122,12 @@
 	return s.engine.Resume(ctx, id, after)
 }
 
+// isDown reports whether an error shows that the engine does not answer.
+func isDown(err error) bool {
+	r := comfreyverdict.From(err).Reason
+	return r == comfreyverdict.ReasonDialFailed || r == comfreyverdict.ReasonEngineFailed
+}
+
 // engineError names the loss of a connection to the engine by its cause: the
 // engine runs on the same host, so that a lost connection means a lost engine.
 func engineError(err error) error {
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -39,6 +40,9 @@
 	group        *comfreygroup.Group
 	server       *http.Server
 
+	// down says that the upstream did not answer when it was looked at last.
+	down atomic.Bool
+
 	mu        sync.Mutex
 	lifecycle *comfreyfleet.Lifecycle
 }
@@ -111,6 +115,7 @@
 	s.renew()
 	s.group.Go("admission", s.admission.run)
 	s.group.Go("janitor", s.runJanitor)
+	s.group.Go("watch", s.runWatch)
 	s.group.Go("renew witnesses", s.renewWitnesses)
 	if s.config.Confirm != nil {
 		s.group.Go("move", s.runMover)
@@ -206,6 +211,10 @@
 // Load returns what the sidecar tells gateways about its upstream.
 func (s *Sidecar) Load() *comfreyproto.Load {
 	l := s.admission.load.Load()
+	wait := l.ExpectedWait
+	if s.down.Load() {
+		wait = max(wait, downWait)
+	}
 	return &comfreyproto.Load{
 		Incarnation:         uint64(s.config.Incarnation),
 		Accepting:           s.Ready() == nil,
@@ -214,7 +223,7 @@
 		UsedTokens:          uint64(l.UsedTokens),
 		CapacityTokens:      uint64(l.CapacityTokens),
 		PredictedPeakTokens: uint64(l.PeakTokens),
-		ExpectedWaitMillis:  comfreyrpc.Millis(l.ExpectedWait),
+		ExpectedWaitMillis:  comfreyrpc.Millis(wait),
 	}
 }
 
