Wait out a silence when the engine states no generation id

Cause: a stream without an id cannot be resumed, yet the watchdog cancelled it and asked for a generation without a name. Found by reading. Seen failing by the test timeout, on a scratch edit that was restored, with the limit kept on.

--- a/comfreyengine/client.go
+++ b/comfreyengine/client.go
@@ -35,7 +35,7 @@
 	// SilenceTime is how long a stream may stay silent before its reader
 	// attaches to the generation anew, on a new connection; it does so after one
 	// to two of these times. The default is 5 seconds. A negative time never
-	// does.
+	// does, and neither does a stream whose engine states no generation id.
 	SilenceTime time.Duration
 	// MaxLineBytes bounds a line of a stream; the default is 1 MiB.
 	MaxLineBytes int
--- a/comfreyengine/exchange.go
+++ b/comfreyengine/exchange.go
@@ -49,17 +49,22 @@
 	if err != nil {
 		return nil, err
 	}
+	id := res.Header.Get("X-Generation-Id")
+	limit := c.config.SilenceTime
+	if id == "" {
+		limit = 0 // A generation without an id cannot be resumed.
+	}
 	s := &Stream{
-		client: c,
-		ctx:    ctx,
+		client:     c,
+		ctx:        ctx,
+		generation: id,
 		connection: connection{
 			cancel:   cancel,
 			body:     res.Body,
 			reader:   newLineReader(res.Body, c.config.MaxLineBytes),
-			watchdog: newWatchdog(c.config.SilenceTime, cancel),
+			watchdog: newWatchdog(limit, cancel),
 		},
 	}
-	s.generation = res.Header.Get("X-Generation-Id")
 	n, err := strconv.Atoi(res.Header.Get("X-Prompt-Tokens"))
 	if err == nil && n >= 0 {
 		s.promptTokens = n
--- a/comfreyengine/silence_test.go
+++ b/comfreyengine/silence_test.go
@@ -120,6 +120,7 @@
 	v := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.Method == http.MethodPost {
+			w.Header().Set("X-Generation-Id", "e-1")
 			_, _ = io.WriteString(w, `data: {"choices":[{"text":"a","finish_reason":null}]}`+"\n\n")
 			_ = http.NewResponseController(w).Flush()
 		}
@@ -136,3 +137,21 @@
 		t.Error(e)
 	}
 }
+
+func TestSilenceWithoutGenerationIDIsWaitedOut(t *testing.T) {
+	v := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(5 * silenceTime)
+		_, _ = io.WriteString(w, `data: {"choices":[{"text":"","finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n")
+	}))
+	defer v.Close()
+	s := startAt(t, v.URL)
+	var err error
+	for err == nil {
+		_, err = s.Next()
+	}
+	if !errors.Is(err, io.EOF) {
+		t.Error(err)
+	}
+}
