--- a/comfreyquarantine/gossip.go
+++ b/comfreyquarantine/gossip.go
@@ -64,7 +64,7 @@
 		r = old.join(r)
 	}
 	t.records[r.Crash] = r
-	if !ok || r.convictions() > old.convictions() {
+	if !ok || r.confirmations() > old.confirmations() {
 		t.pushes[r.Crash] = 0
 	}
 	return !ok || !slices.Equal(old.Suspects, r.Suspects)
--- a/comfreyquarantine/record.go
+++ b/comfreyquarantine/record.go
@@ -24,8 +24,9 @@
 type Suspect struct {
 	// Fingerprint identifies the request.
 	Fingerprint Fingerprint
-	// IsConvicted means that the request was the only suspect in flight.
-	IsConvicted bool
+	// IsConfirmed means that the request was the only suspect in flight, which
+	// confirms it as the cause of the crash.
+	IsConfirmed bool
 	// IsCleared means that the request has completed at another upstream since.
 	IsCleared bool
 }
@@ -75,7 +76,7 @@
 	u := s[:0]
 	for _, p := range s {
 		if n := len(u); n > 0 && u[n-1].Fingerprint == p.Fingerprint {
-			u[n-1].IsConvicted = u[n-1].IsConvicted || p.IsConvicted
+			u[n-1].IsConfirmed = u[n-1].IsConfirmed || p.IsConfirmed
 			u[n-1].IsCleared = u[n-1].IsCleared || p.IsCleared
 			continue
 		}
@@ -100,11 +101,11 @@
 	return !slices.ContainsFunc(r.Suspects, func(s Suspect) bool { return !s.IsCleared })
 }
 
-// convictions returns how many requests the record convicts.
-func (r Record) convictions() int {
+// confirmations returns how many requests the record confirms as its cause.
+func (r Record) confirmations() int {
 	n := 0
 	for _, s := range r.Suspects {
-		if s.IsConvicted {
+		if s.IsConfirmed {
 			n++
 		}
 	}
--- a/comfreyquarantine/table.go
+++ b/comfreyquarantine/table.go
@@ -33,7 +33,7 @@
 	// from another process is ignored. The default is 512.
 	MaxSuspects int
 	// MaxPushes is how often a process passes on a record after it learned of
-	// the record or of a conviction in it. The default is 32.
+	// the record or of a confirmation in it. The default is 32.
 	MaxPushes int
 }
 
@@ -122,8 +122,8 @@
 	Crashes int
 	// Weight is the sum of the weights of these crashes.
 	Weight float64
-	// IsConvicted means that it was the only suspect in one of them.
-	IsConvicted bool
+	// IsConfirmed means that it was the only suspect in one of them.
+	IsConfirmed bool
 }
 
 // Suspicion returns what is known about f.
@@ -136,7 +136,7 @@
 		}
 		p.Crashes++
 		p.Weight += r.Weight()
-		p.IsConvicted = p.IsConvicted || r.Suspects[i].IsConvicted
+		p.IsConfirmed = p.IsConfirmed || r.Suspects[i].IsConfirmed
 	}
 	return p
 }
@@ -147,7 +147,7 @@
 func (t *Table) Decide(now time.Time, f Fingerprint) Decision {
 	p := t.Suspicion(now, f)
 	switch {
-	case p.IsConvicted:
+	case p.IsConfirmed:
 		return DecisionRefuse
 	case p.Crashes == 0:
 		return DecisionAllow
@@ -213,7 +213,7 @@
 	s := make([]Suspect, 0, len(t.inFlight))
 	for _, r := range t.inFlight {
 		isLone := len(u) == 1 && u[0] == r.fingerprint
-		s = append(s, Suspect{Fingerprint: r.fingerprint, IsConvicted: isLone})
+		s = append(s, Suspect{Fingerprint: r.fingerprint, IsConfirmed: isLone})
 	}
 	clear(t.inFlight)
 	r := Record{
--- a/comfreyquarantine/witness.go
+++ b/comfreyquarantine/witness.go
@@ -73,7 +73,7 @@
 // calls Renew while it runs f and Done afterwards.
 func (w *Witness) Ask(now time.Time, f Fingerprint, host string) Decision {
 	p := w.table.Suspicion(now, f)
-	if p.IsConvicted {
+	if p.IsConfirmed {
 		return DecisionRefuse
 	}
 	w.expire(now, f)
