Give a woken sidecar work again: not ready is not leaving

Cause: a sidecar's load report said accepting=false while it was only not ready (no configuration yet, or looking again after a pause). Gateways take that word as leaving, which within one incarnation is final. A sidecar that was frozen once, or probed before its first revision, got no work for the rest of its life. Ruled out: the suspicion (cleared by the first probe that is answered), the lifecycle (Begin returned nil one second after the pause). The report now says accepting by the lifecycle's word, and unready apart; an unready host is suspected, and tried again after the back-off.

--- a/comfreygateway/fleet.go
+++ b/comfreygateway/fleet.go
@@ -75,6 +75,11 @@
 	if l == nil || l.Incarnation == 0 {
 		return
 	}
+	if l.Accepting && l.Unready {
+		// The word of leaving is final, and this is none.
+		f.suspect(host, comfreyfleet.EvidenceProbeSilent)
+		return
+	}
 	now := f.now()
 	w := comfreyfleet.Word{Incarnation: comfreyfleet.Incarnation(l.Incarnation), Accepting: l.Accepting}
 	f.mu.Lock()
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -208,7 +208,8 @@
 	l := s.admission.load.Load()
 	return &comfreyproto.Load{
 		Incarnation:         uint64(s.config.Incarnation),
-		Accepting:           s.Ready() == nil,
+		Accepting:           s.accepts(),
+		Unready:             s.Ready() != nil,
 		Running:             uint32(l.Running),
 		Queued:              uint32(l.Queued),
 		UsedTokens:          uint64(l.UsedTokens),
