Refuse a woken gateway the stream that its caller reads elsewhere

Cause: a sidecar has one reader a generation, and the newest connection wins. A gateway that was frozen, whose caller resumed at another gateway and left the first connection open, took the stream back when it woke; both gateways then superseded each other until one ran out of tries, and its cancel ended the generation for the caller that was still reading. Ruled out: tokens twice (none; the sequencer holds), the engine (it ran on). A generation remembers the requests that have read it. One that a later request has superseded gets the typed end 'superseded', may not attach again and may not cancel; the caller's own DELETE still does.

--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -270,7 +270,7 @@
 // abandon tells the sidecar that nobody will read the rest. A streaming caller
 // that went away may come back, so its generation is left to the grace time.
 func (s *session) abandon(e comfreyverdict.Error) {
-	if s.sequencer == nil || s.sequencer.Complete() {
+	if s.sequencer == nil || s.sequencer.Complete() || e.Reason == comfreyverdict.ReasonSuperseded {
 		return
 	}
 	if s.request.stream && (e.Reason == comfreyverdict.ReasonCallerGone || e.Reason == comfreyverdict.ReasonDrainLimit) {
@@ -284,6 +284,7 @@
 		Incarnation: id.Incarnation,
 		Counter:     id.Counter,
 		Reason:      string(e.Reason),
+		RequestId:   s.request.id,
 	})
 	if err != nil {
 		s.gateway.recorder.Record(s.request.id, comfreydecision.KindFinish, comfreyverdict.ReasonConnectionLost, map[string]any{"detail": "cancel: " + err.Error()})
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -176,6 +176,7 @@
 	comfreyverdict.ReasonBadRequest:     true,
 	comfreyverdict.ReasonBodyTooLarge:   true,
 	comfreyverdict.ReasonSuspectRequest: true,
+	comfreyverdict.ReasonSuperseded:     true,
 	comfreyverdict.ReasonNoUpstream:     true,
 	comfreyverdict.ReasonDeadline:       true,
 	comfreyverdict.ReasonCancelled:      true,
--- a/comfreysidecar/generation.go
+++ b/comfreysidecar/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,15 +26,17 @@
 	// changed signals the attached reader that frames were appended.
 	changed chan struct{}
 
-	mu        sync.Mutex
-	replay    *comfreystream.Replay
-	scratch   []byte
-	frame     comfreyproto.Frame
-	running   bool
-	ended     bool
-	endedAt   time.Time
-	tokens    int
-	reader    *attachment
+	mu      sync.Mutex
+	replay  *comfreystream.Replay
+	scratch []byte
+	frame   comfreyproto.Frame
+	running bool
+	ended   bool
+	endedAt time.Time
+	tokens  int
+	reader  *attachment
+	// requests are those that have read, the present one last.
+	requests  []string
 	lastSeen  time.Time
 	read      uint64
 	cancel    context.CancelFunc
@@ -42,9 +45,14 @@
 
 // attachment is one connection that reads a generation's frames.
 type attachment struct {
+	request    string
 	superseded chan struct{}
 }
 
+// maxReadRequests bounds the requests that a generation remembers as its
+// readers.
+const maxReadRequests = 64
+
 func newGeneration(id comfreystream.GenerationID, r *comfreyproto.StartRequest, now time.Time, deadline time.Time) *generation {
 	return &generation{
 		id:          id,
@@ -59,16 +67,53 @@
 	}
 }
 
-// attach makes a the only reader of g.
-func (g *generation) attach() *attachment {
-	a := &attachment{superseded: make(chan struct{})}
+// attach makes a connection of a request the only reader of g. It returns an
+// error if another request has read g since: the caller reads there now, and a
+// gateway that was paused must not take the stream back.
+func (g *generation) attach(request string) (*attachment, error) {
+	a := &attachment{request: request, superseded: make(chan struct{})}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isSuperseded(request) {
+		return nil, comfreyverdict.MayHaveRun(comfreyverdict.ReasonSuperseded, "the caller reads the answer by a later request")
+	}
+	if g.reads() != request {
+		g.requests = append(g.requests, request)
+		g.requests = g.requests[max(0, len(g.requests)-maxReadRequests):]
+	}
 	if g.reader != nil {
 		close(g.reader.superseded)
 	}
 	g.reader = a
-	return a
+	return a, nil
+}
+
+// reads returns the request that reads g. The caller holds g.mu.
+func (g *generation) reads() string {
+	if len(g.requests) == 0 {
+		return ""
+	}
+	return g.requests[len(g.requests)-1]
+}
+
+// isSuperseded reports whether another request reads g in place of the given
+// one. The caller holds g.mu.
+func (g *generation) isSuperseded(request string) bool {
+	return g.reads() != request && slices.Contains(g.requests, request)
+}
+
+// mayCancel reports whether a request may end g.
+func (g *generation) mayCancel(request string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.isSuperseded(request)
+}
+
+// successor returns the request that reads g.
+func (g *generation) successor() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reads()
 }
 
 // detach records that the connection of a ended at now, after it had taken all
--- a/comfreysidecar/service.go
+++ b/comfreysidecar/service.go
@@ -35,6 +35,9 @@
 	if g == nil || g.request.Customer != r.Customer {
 		return &comfreyproto.CancelReply{}, nil
 	}
+	if !g.mayCancel(r.RequestId) {
+		return &comfreyproto.CancelReply{}, nil
+	}
 	s.cancel(g, cancelReasonOf(r.Reason))
 	return &comfreyproto.CancelReply{Found: true}, nil
 }
--- a/comfreysidecar/stream.go
+++ b/comfreysidecar/stream.go
@@ -34,7 +34,7 @@
 		_ = comfreyrpc.NewFrameWriter(w).Write(f)
 		return
 	}
-	s.serveFrames(w, r, g, 0)
+	s.serveFrames(w, r, g, m.RequestId, 0)
 }
 
 func (s *Sidecar) serveResume(w http.ResponseWriter, r *http.Request) {
@@ -50,7 +50,7 @@
 		return
 	}
 	s.recorder.Record(g.request.RequestId, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, map[string]any{"after": m.After, "generation": g.id.String()})
-	s.serveFrames(w, r, g, m.After)
+	s.serveFrames(w, r, g, m.RequestId, m.After)
 }
 
 // findForResume returns the generation that a gateway may read on.
@@ -82,8 +82,14 @@
 
 // serveFrames writes the frames after a sequence number until the generation
 // ends or the connection does.
-func (s *Sidecar) serveFrames(w http.ResponseWriter, r *http.Request, g *generation, after uint64) {
-	a := g.attach()
+func (s *Sidecar) serveFrames(w http.ResponseWriter, r *http.Request, g *generation, request string, after uint64) {
+	a, err := g.attach(request)
+	if err != nil {
+		e := comfreyverdict.From(err)
+		s.recorder.Record(request, comfreydecision.KindResume, e.Reason, map[string]any{"after": after, "generation": g.id.String()})
+		_ = comfreyrpc.NewFrameWriter(w).Write(failedFrame(e))
+		return
+	}
 	defer func() { g.detach(a, after, s.config.Now()) }()
 	c := &frameConnection{writer: comfreyrpc.NewFrameWriter(w), control: http.NewResponseController(w), now: s.config.Now}
 	accepted := &comfreyproto.Frame{Kind: comfreyproto.FrameKind_FRAME_KIND_ACCEPTED, Incarnation: g.id.Incarnation, Counter: g.id.Counter, Load: s.Load()}
@@ -118,6 +124,7 @@
 				return
 			}
 		case <-a.superseded:
+			s.failSuperseded(c, g, a)
 			return
 		case <-r.Context().Done():
 			return
@@ -125,6 +132,16 @@
 	}
 }
 
+// failSuperseded tells a reader that another request reads on. A new connection
+// of its own request needs no word.
+func (s *Sidecar) failSuperseded(c *frameConnection, g *generation, a *attachment) {
+	if g.successor() == a.request {
+		return
+	}
+	s.recorder.Record(a.request, comfreydecision.KindResume, comfreyverdict.ReasonSuperseded, map[string]any{"generation": g.id.String()})
+	_ = c.write(failedFrame(comfreyverdict.MayHaveRun(comfreyverdict.ReasonSuperseded, "the caller reads the answer by a later request")))
+}
+
 // failReader ends a stream whose reader asked for frames that are not kept. A
 // generation that nobody can read completely any more is cancelled.
 func (s *Sidecar) failReader(c *frameConnection, g *generation, err error) {
--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -43,6 +43,7 @@
 	ReasonSlowReader         Reason = "slow-reader"
 	ReasonSpill              Reason = "spill"
 	ReasonStaleFencingNumber Reason = "stale-fencing-number"
+	ReasonSuperseded         Reason = "superseded"
 	ReasonSuspectBusy        Reason = "suspect-busy"
 	ReasonSuspectRequest     Reason = "suspect-request"
 	ReasonTicketBodyDiffers  Reason = "ticket-body-differs"
