--- a/comfreydemo/fleet_test.go
+++ b/comfreydemo/fleet_test.go
@@ -202,7 +202,7 @@
 		"silent-both":    func(f *Fleet) { f.Relays[0].Freeze(0, 0) },
 		"silent-discard": func(f *Fleet) { f.Relays[0].Freeze(2, 0) },
 		"silent-block":   func(f *Fleet) { f.Relays[0].Freeze(2, 1) },
-		"pushed-aside":   func(f *Fleet) { f.Engines[0].PushAside() },
+		"pushed-aside":   func(f *Fleet) { f.Engines[0].Preempt() },
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
--- a/comfreyfakeengine/batch_test.go
+++ b/comfreyfakeengine/batch_test.go
@@ -71,7 +71,7 @@
 			defer e.Close()
 			from := time.Now()
 			if pushed {
-				time.AfterFunc(50*time.Millisecond, func() { e.PushAside() })
+				time.AfterFunc(50*time.Millisecond, func() { e.Preempt() })
 			}
 			ask(t.Context(), e, "r", "", `{"prompt":"a","fake_length":100}`)
 			d = time.Since(from)
--- a/comfreyfakeengine/failure_test.go
+++ b/comfreyfakeengine/failure_test.go
@@ -108,11 +108,11 @@
 	next(t, s, 100)
 }
 
-func TestPushAsideRepeatsNoToken(t *testing.T) {
+func TestPreemptRepeatsNoToken(t *testing.T) {
 	e, c := serve(t, comfreyfakeengine.Config{StepTime: time.Millisecond})
 	s := start(t, c, request("r", 60))
 	next(t, s, 5)
-	if !e.PushAside() {
+	if !e.Preempt() {
 		t.Fatal("nothing ran")
 	}
 	_ = read(t, s)
--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -297,7 +297,7 @@
 // not streamed. A stream is left to the sidecar's grace time: its caller may
 // have resumed it at another gateway while this process was paused.
 func (s *session) abandon(e comfreyverdict.Error) {
-	if s.request.stream || s.sequencer == nil || s.sequencer.Complete() {
+	if s.request.stream || s.sequencer == nil || s.sequencer.Complete() || e.Reason == comfreyverdict.ReasonSuperseded {
 		return
 	}
 	id := s.sequencer.Generation()
@@ -308,6 +308,7 @@
 		Incarnation: id.Incarnation,
 		Counter:     id.Counter,
 		Reason:      string(e.Reason),
+		RequestId:   s.request.id,
 	})
 	if err != nil {
 		s.gateway.recorder.Record(s.request.id, comfreydecision.KindFinish, comfreyverdict.ReasonConnectionLost, map[string]any{"detail": "cancel: " + err.Error()})
--- a/comfreygateway/plain.go
+++ b/comfreygateway/plain.go
@@ -145,29 +145,28 @@
 	return reply, err
 }
 
-// offer calls f for one upstream after the other until it succeeds or must not
+// offer makes a call to one upstream after the other until it succeeds or must not
 // be repeated. The verdict of an error covers every attempt.
-func (g *Gateway) offer(ctx context.Context, q plainRequest, f func(m comfreyfleet.Member) error) error {
+func (g *Gateway) offer(ctx context.Context, q plainRequest, call func(m comfreyfleet.Member) error) error {
 	g.retrier(q.service).Budget().Request(g.config.Now())
 	var excluded []string
-	verdict := comfreyverdict.VerdictNotRun
+	var f failures
 	for attempt := 1; ; attempt++ {
-		host, err := g.offerOnce(q, excluded, attempt, f)
+		host, err := g.offerOnce(q, excluded, attempt, call)
 		if err == nil {
 			return nil
 		}
 		e := comfreyverdict.From(err)
-		verdict = verdict.Join(e.Verdict)
+		f.add(e)
 		if !g.again(ctx, q.id, q.service, host, comfreyrouter.Attempt{Tries: attempt, Idempotent: q.safe, Err: e}) {
-			e.Verdict = verdict
-			return e
+			return f.final()
 		}
 		excluded = append(excluded, host)
 	}
 }
 
-// offerOnce calls f for one upstream and returns the host of that.
-func (g *Gateway) offerOnce(q plainRequest, excluded []string, attempt int, f func(m comfreyfleet.Member) error) (host string, err error) {
+// offerOnce makes the call to one upstream and returns its host.
+func (g *Gateway) offerOnce(q plainRequest, excluded []string, attempt int, call func(m comfreyfleet.Member) error) (host string, err error) {
 	c, err := g.fleet.router.Choose(g.config.Now(), comfreyrouter.Query{
 		Service:     q.service.Name,
 		DataCentres: q.route.DataCentres,
@@ -178,7 +177,7 @@
 		return "", err
 	}
 	g.recorder.Record(q.id, comfreydecision.KindRoute, c.Reason, routeFigures(c, uint32(attempt-1)))
-	err = f(comfreyfleet.Member{Host: c.Host, Address: c.Address})
+	err = call(comfreyfleet.Member{Host: c.Host, Address: c.Address})
 	if err != nil && comfreyverdict.From(err).Reason == comfreyverdict.ReasonDialFailed {
 		g.fleet.suspect(c.Host, comfreyfleet.EvidenceDialFailed)
 	}
--- a/comfreygateway/retry.go
+++ b/comfreygateway/retry.go
@@ -8,6 +8,7 @@
 	"comfreyridge.example/comfreyridge/comfreyconfig"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyrouter"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
 // retryReserve is how many retries a new gateway may send for a service before
@@ -58,3 +59,31 @@
 	}
 	return r.Again
 }
+
+// failures collects how the attempts of one request ended. The zero value holds
+// none.
+type failures struct {
+	last    comfreyverdict.Error
+	verdict comfreyverdict.Verdict
+	any     bool
+}
+
+// add takes one more attempt. That no further upstream was found says less than
+// the refusal of the one before, which may tell when to come back.
+func (f *failures) add(e comfreyverdict.Error) {
+	if !f.any {
+		f.last, f.verdict, f.any = e, e.Verdict, true
+		return
+	}
+	f.verdict = f.verdict.Join(e.Verdict)
+	if e.Reason != comfreyverdict.ReasonNoUpstream {
+		f.last = e
+	}
+}
+
+// final returns the answer to the caller. Its verdict covers every attempt.
+func (f *failures) final() comfreyverdict.Error {
+	e := f.last
+	e.Verdict = f.verdict
+	return e
+}
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -110,17 +110,16 @@
 // means that the caller has the whole answer. The verdict of an error covers
 // every attempt.
 func (s *session) run(ctx context.Context) error {
-	verdict := comfreyverdict.VerdictNotRun
+	var f failures
 	for {
 		err := s.try(ctx)
 		if err == nil {
 			return nil
 		}
 		e := s.explain(ctx, err)
-		verdict = verdict.Join(e.Verdict)
+		f.add(e)
 		if !s.again(ctx, e) {
-			e.Verdict = verdict
-			return e
+			return f.final()
 		}
 		s.excluded = append(s.excluded, s.member.Host)
 		s.attempt++
--- a/comfreyrpc/crash.go
+++ b/comfreyrpc/crash.go
@@ -19,7 +19,7 @@
 			ExpiresMillis: Millis(r.Expiry.Sub(now)),
 		}
 		for _, x := range r.Suspects {
-			m.Suspects = append(m.Suspects, &comfreyproto.CrashSuspect{Fingerprint: x.Fingerprint[:], Convicted: x.IsConvicted, Cleared: x.IsCleared})
+			m.Suspects = append(m.Suspects, &comfreyproto.CrashSuspect{Fingerprint: x.Fingerprint[:], Confirmed: x.IsConfirmed, Cleared: x.IsCleared})
 		}
 		records = append(records, m)
 	}
@@ -37,7 +37,7 @@
 		}
 		for _, x := range m.Suspects {
 			if f, ok := FingerprintOf(x.Fingerprint); ok {
-				r.Suspects = append(r.Suspects, comfreyquarantine.Suspect{Fingerprint: f, IsConvicted: x.Convicted, IsCleared: x.Cleared})
+				r.Suspects = append(r.Suspects, comfreyquarantine.Suspect{Fingerprint: f, IsConfirmed: x.Confirmed, IsCleared: x.Cleared})
 			}
 		}
 		records = append(records, r)
--- a/comfreysidecar/run_generation.go
+++ b/comfreysidecar/run_generation.go
@@ -73,6 +73,7 @@
 		}
 	}()
 	resumes := 0
+	finished := false
 	for {
 		var c comfreyengine.Chunk
 		c, err = stream.Next()
@@ -82,6 +83,12 @@
 		}
 		if err == nil {
 			resumes = 0
+			if c.Finish && finished {
+				// A resumed stream repeats the finish event that was read before
+				// its connection broke.
+				continue
+			}
+			finished = finished || c.Finish
 			g.appendTokens(c.Data, c.Tokens)
 			s.metrics.tokens.Add(float64(c.Tokens))
 			continue
