--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -40,8 +40,18 @@
 	stop    context.CancelCauseFunc
 }
 
-// readHeaderTimeout bounds the time in which a connection sends its headers.
-const readHeaderTimeout = 10 * time.Second
+const (
+	// readHeaderTimeout bounds the time in which a connection sends its
+	// headers.
+	readHeaderTimeout = 10 * time.Second
+	// readTimeout bounds the time in which it sends a whole request. It does
+	// not bound the answer.
+	readTimeout = 30 * time.Second
+	// idleTimeout bounds the time between two requests. It exceeds that for
+	// which a client of the fleet keeps a connection, so that the client is the
+	// one that closes it and no request meets a closing connection.
+	idleTimeout = 2 * time.Minute
+)
 
 // New returns a gateway that is not running yet.
 func New(ctx context.Context, c Config) *Gateway {
@@ -59,7 +69,7 @@
 	}
 	g.stopped, g.stop = context.WithCancelCause(context.Background())
 	g.metrics = newMetrics(c.Registry, g)
-	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes}
+	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeaderBytes}
 	return g
 }
 
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -61,12 +61,24 @@
 	s.admission = newAdmission(c.admissionConfig(), s)
 	s.orders = newOrders(comfreyorder.Config{Host: c.Host, Incarnation: uint64(c.Incarnation)}, c.Now)
 	s.metrics = newMetrics(c.Registry, s)
-	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return s
 }
 
-// readHeaderTimeout bounds the time in which a connection sends its headers.
-const readHeaderTimeout = 10 * time.Second
+const (
+	// readHeaderTimeout bounds the time in which a connection sends its
+	// headers.
+	readHeaderTimeout = 10 * time.Second
+	// readTimeout bounds the time in which it sends a whole request. It does
+	// not bound the answer.
+	readTimeout = 30 * time.Second
+	// idleTimeout bounds the time between two requests. It exceeds that for
+	// which a client of the fleet keeps a connection, so that the client is the
+	// one that closes it and no request meets a closing connection.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
+)
 
 // handler returns the signed internal interface.
 func (s *Sidecar) handler() http.Handler {
