--- a/comfreyadmission/policy.go
+++ b/comfreyadmission/policy.go
@@ -122,7 +122,7 @@
 	// stallQueueTime and preemptionsQueueTime are the queue times of the
 	// presets.
 	stallQueueTime       = 30 * time.Second
-	preemptionsQueueTime = 12 * time.Second
+	preemptionsQueueTime = 8 * time.Second
 )
 
 // delay returns by how much a long answer ranks behind its arrival.
