--- a/comfreyadmission/account.go
+++ b/comfreyadmission/account.go
@@ -1,6 +1,9 @@
 package comfreyadmission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxBookings bounds the places that are kept for callers that return.
@@ -72,7 +75,9 @@
 	if len(c.bookings) >= maxBookings {
 		return
 	}
-	c.bookings = append(c.bookings, booking{id: r.ID, customer: r.Customer, asked: now, due: now.Add(d), tokens: tokens})
+	b := booking{id: r.ID, customer: r.Customer, asked: now, due: now.Add(d), tokens: tokens}
+	i, _ := slices.BinarySearchFunc(c.bookings, b, func(x, y booking) int { return x.due.Compare(y.due) })
+	c.bookings = slices.Insert(c.bookings, i, b)
 	c.account(r.Customer).booked += tokens
 }
 
@@ -96,28 +101,25 @@
 func (c *Controller) due(t time.Time) float64 {
 	n := 0.0
 	for i := range c.bookings {
-		if !c.bookings[i].due.After(t) {
-			n += c.bookings[i].tokens
+		if c.bookings[i].due.After(t) {
+			break
 		}
+		n += c.bookings[i].tokens
 	}
 	return n
 }
 
 // expireBookings gives up the places of callers that did not return.
 func (c *Controller) expireBookings(now time.Time) {
-	for i := len(c.bookings) - 1; i >= 0; i-- {
-		if now.Sub(c.bookings[i].due) > bookingGrace {
-			c.dropBooking(i)
-		}
+	for len(c.bookings) > 0 && now.Sub(c.bookings[0].due) > bookingGrace {
+		c.dropBooking(0)
 	}
 }
 
 // dropBooking removes booking i.
 func (c *Controller) dropBooking(i int) {
 	b := c.bookings[i]
-	last := len(c.bookings) - 1
-	c.bookings[i] = c.bookings[last]
-	c.bookings = c.bookings[:last]
+	c.bookings = slices.Delete(c.bookings, i, i+1)
 	c.account(b.customer).booked -= b.tokens
 }
 
--- a/comfreyadmission/bench_test.go
+++ b/comfreyadmission/bench_test.go
@@ -35,6 +35,25 @@
 	}
 }
 
+// BenchmarkAdmissionDecisionOverloaded has 384 requests in the queue and every
+// place for returning callers taken.
+func BenchmarkAdmissionDecisionOverloaded(b *testing.B) {
+	c, now := crowded(PolicyPredictedPeak)
+	for i := range 384 {
+		c.counts.submitted++
+		c.enqueue(now, Request{ID: "q" + strconv.Itoa(i), Customer: strconv.Itoa(i % 10), PromptTokens: 300, MaxTokens: 600}, now)
+	}
+	for i := range maxBookings {
+		c.book(now, Request{ID: "b" + strconv.Itoa(i), Customer: strconv.Itoa(i % 10)}, time.Hour, 100)
+	}
+	r := Request{ID: "new", Customer: "1", PromptTokens: 300, MaxTokens: 600}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Submit(now, r)
+		c.Cancel(now, r.ID)
+	}
+}
+
 func BenchmarkProgress(b *testing.B) {
 	c, now := crowded(PolicyPredictedPeak)
 	ids := make([]string, 256)
--- a/comfreyadmission/controller.go
+++ b/comfreyadmission/controller.go
@@ -22,9 +22,9 @@
 	reserved  int
 	open      []*account // the accounts in the order in which they were opened
 	accounts  map[string]*account
-	bookings  []booking
-	queued    float64 // expected tokens that wait in the queue
-	served    float64 // sum over the accounts
+	bookings  []booking // in the order of their times
+	queued    float64   // expected tokens that wait in the queue
+	served    float64   // sum over the accounts
 	drain     drain
 	forecast  forecast
 	margin    float64 // standard deviations of the predicted memory that stay free
--- a/comfreyadmission/entry.go
+++ b/comfreyadmission/entry.go
@@ -22,11 +22,10 @@
 	generated int
 	submitted time.Time
 	admitted  time.Time
-	last      time.Time     // of the latest progress
-	rank      time.Time     // orders the queue
-	promised  time.Duration // estimate of the wait at submission
-	expected  float64       // tokens of the answer
-	index     int           // in Controller.running
+	last      time.Time // of the latest progress
+	rank      time.Time // orders the queue
+	expected  float64   // tokens of the answer
+	index     int       // in Controller.running
 
 	curve      *comfreylength.Curve
 	forecast   forecast
--- a/comfreyadmission/queue.go
+++ b/comfreyadmission/queue.go
@@ -13,7 +13,6 @@
 	*e = entry{request: r, submitted: now, state: stateQueued, curve: c.curveOf(r), expected: c.expectedTokens(r)}
 	e.predict()
 	e.rank = c.rank(e, from)
-	e.promised = c.expectedWait()
 	c.entries[r.ID] = e
 	i, _ := slices.BinarySearchFunc(c.queue, e, func(a, b *entry) int {
 		if a.rank.After(b.rank) {
--- a/comfreyreplay/run.go
+++ b/comfreyreplay/run.go
@@ -33,6 +33,7 @@
 	Outcomes       bool          `arg:"--outcomes" help:"replay every scenario of --seeds seeds, from --seed on, and compare the figures with their bounds"`
 	Seeds          int           `arg:"--seeds" help:"number of seeds for --outcomes" default:"20"`
 	Margin         float64       `arg:"--margin" help:"standard deviations that predicted-peak keeps free; zero selects the preset's"`
+	Watermark      float64       `arg:"--watermark" help:"share of the memory that greedy fills; zero selects the default"`
 	Customers      bool          `arg:"--customers" help:"print the figures by customer too"`
 	Out            string        `arg:"--out" help:"write a report with pictures to this file" placeholder:"HTML"`
 	GenerateFlags
@@ -214,6 +215,7 @@
 		u.ReportInterval = o.ReportInterval
 		u.Seed = o.Seed
 		u.Admission.Margin = o.Margin
+		u.Admission.Watermark = o.Watermark
 		u.Engine.CapacityTokens = o.CapacityTokens
 		if o.Replicas > 0 {
 			u.Replicas = o.Replicas
--- a/comfreyreplay/trace_test.go
+++ b/comfreyreplay/trace_test.go
@@ -41,7 +41,7 @@
 		{"at=2s event=flood", "event"},
 		{"nonsense", ""},
 	} {
-		_, err := ReadTrace(strings.NewReader(traceHeader + "\n" + strings.Replace(good, "at=1s", "at=500ms", 1) + "\n" + c.line + "\n"))
+		_, err := ReadTrace(strings.NewReader(TraceHeader + "\n" + strings.Replace(good, "at=1s", "at=500ms", 1) + "\n" + c.line + "\n"))
 		var e TraceError
 		if !errors.As(err, &e) || e.Line != 3 || e.Field != c.field {
 			t.Errorf("%q: got %v", c.line, err)
@@ -55,8 +55,8 @@
 }
 
 func FuzzReadTrace(f *testing.F) {
-	f.Add(traceHeader + "\nat=1s request=a customer=c service=s data-centre=d prompt-tokens=5 answer-tokens=3\n")
-	f.Add(traceHeader + "\nat=1s event=replica-lost replica=1 for=2s\n")
+	f.Add(TraceHeader + "\nat=1s request=a customer=c service=s data-centre=d prompt-tokens=5 answer-tokens=3\n")
+	f.Add(TraceHeader + "\nat=1s event=replica-lost replica=1 for=2s\n")
 	f.Add("")
 	f.Fuzz(func(t *testing.T, s string) {
 		records, err := ReadTrace(strings.NewReader(s))
--- a/comfreyreplay/tracefile.go
+++ b/comfreyreplay/tracefile.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// traceHeader is the first line of a trace.
-	traceHeader = "# comfreyridge-trace 1"
+	// TraceHeader is the first line of a trace.
+	TraceHeader = "# comfreyridge-trace 1"
 	// defaultPatience holds for a request that states none.
 	defaultPatience = 60 * time.Second
 )
@@ -22,8 +22,8 @@
 	s := bufio.NewScanner(r)
 	for n := 1; s.Scan(); n++ {
 		line := strings.TrimSpace(s.Text())
-		if n == 1 && line != traceHeader {
-			return nil, TraceError{Line: n, Detail: fmt.Sprintf("want the header %q", traceHeader)}
+		if n == 1 && line != TraceHeader {
+			return nil, TraceError{Line: n, Detail: fmt.Sprintf("want the header %q", TraceHeader)}
 		}
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
@@ -93,18 +93,18 @@
 // line of its own.
 func WriteTrace(w io.Writer, records []Record, comments ...string) error {
 	b := bufio.NewWriter(w)
-	fmt.Fprintln(b, traceHeader)
+	fmt.Fprintln(b, TraceHeader)
 	for _, c := range comments {
 		fmt.Fprintln(b, "#", c)
 	}
 	for _, r := range records {
-		fmt.Fprintln(b, formatRecord(r))
+		fmt.Fprintln(b, r)
 	}
 	return b.Flush()
 }
 
-// formatRecord returns the line of r.
-func formatRecord(r Record) string {
+// String returns the line of r in a trace, without the line feed.
+func (r Record) String() string {
 	var words []string
 	for _, f := range fields {
 		if r.Event != EventNone && f.required && f.name != "at" {
