--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -22,6 +22,8 @@
 	// thresholdFactor is how many times the free part of the queue a customer
 	// of weight 1 may hold.
 	thresholdFactor = 4
+	// minimumReturn is the least time that a caller is told to wait.
+	minimumReturn = time.Second
 	// fairMargin is the part of the largest customer's tokens below which a
 	// customer counts as having got less than its share.
 	fairMargin = 0.8
@@ -109,13 +111,10 @@
 // drainTime returns how long what the customer of r has waiting takes to drain.
 func (c *Controller) drainTime(r Request, tokens float64) time.Duration {
 	a := c.account(r.Customer)
-	d := time.Duration((a.waiting() + tokens) / (c.share(a) * c.drain.queueRate()) * float64(time.Second))
+	d := c.drain.duration((a.waiting() + tokens) / c.share(a))
 	return max(d, c.expectedWait())
 }
 
-// minimumReturn is the least time that a caller is told to wait.
-const minimumReturn = time.Second
-
 // share returns the part of the token rate that drains an account. The shares
 // of all accounts sum up to at most 1.
 func (c *Controller) share(a *account) float64 {
