--- a/comfreyadmission/action.go
+++ b/comfreyadmission/action.go
@@ -19,7 +19,8 @@
 	// and when to come back. The controller has forgotten the request.
 	ActionRefuse
 	// ActionPreempt means: ask the engine to push the generation aside. The
-	// owner confirms by Preempted, and by Resumed once it runs again.
+	// owner confirms by Preempted, and by Resumed once it runs again. No policy
+	// asks for it yet: the engine itself picks what it pushes aside.
 	ActionPreempt
 )
 
