--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -65,11 +65,7 @@
 	s.admission = newAdmission(c.admissionConfig(), s)
 	s.orders = newOrders(comfreyorder.Config{Host: c.Host, Incarnation: uint64(c.Incarnation)}, c.Now)
 	s.metrics = newMetrics(c.Registry, s)
-<<<<<<< HEAD
-	s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-=======
-	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
->>>>>>> relayperf
+	s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return s
 }
 
