--- a/cmd/comfreyridge/main.go
+++ b/cmd/comfreyridge/main.go
@@ -14,6 +14,7 @@
 	"github.com/alexflint/go-arg"
 
 	"comfreyridge.example/comfreyridge/comfreydemo"
+	"comfreyridge.example/comfreyridge/comfreyload"
 	"comfreyridge.example/comfreyridge/comfreyreplay"
 	"comfreyridge.example/comfreyridge/comfreysettings"
 )
@@ -33,6 +34,7 @@
 	Call    *callCommand                 `arg:"subcommand:call" help:"send one request to a gateway, as a caller would"`
 	Explain *explainCommand              `arg:"subcommand:explain" help:"tell what happened to a request, across processes"`
 	Replay  *comfreyreplay.ReplayOptions `arg:"subcommand:replay" help:"replay a trace over the decision packages, policies side by side"`
+	Load    *comfreyload.Options         `arg:"subcommand:load" help:"send a bounded load to gateways on loopback and report what callers saw"`
 	Demo    *comfreydemo.Options         `arg:"subcommand:demo" help:"run a whole fleet on loopback with embedded stand-ins"`
 	Fake    *fakeCommand                 `arg:"subcommand:fake" help:"run a stand-in of the platform, an engine or an application"`
 	Version *struct{}                    `arg:"subcommand:version" help:"print the version"`
@@ -49,25 +51,37 @@
 
 // run executes one command line and returns its exit code.
 func run(args []string, stdout, stderr io.Writer) int {
+	if isGenerate(args) {
+		return runGenerate(args[2:], stdout, stderr)
+	}
 	var c commands
-	p, err := arg.NewParser(arg.Config{Program: "comfreyridge"}, &c)
+	if code, ok := parse("comfreyridge", &c, args, stdout, stderr); !ok {
+		return code
+	}
+	return dispatch(c, stdout, stderr)
+}
+
+// parse reads a command line into c. It reports false, with the exit code, for
+// a call for help and for one that cannot be read.
+func parse(program string, c any, args []string, stdout, stderr io.Writer) (code int, ok bool) {
+	p, err := arg.NewParser(arg.Config{Program: program}, c)
 	if err != nil {
 		panic("comfreyridge: " + err.Error())
 	}
 	err = p.Parse(args)
 	if errors.Is(err, arg.ErrHelp) {
 		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
-		return exitOK
+		return exitOK, false
 	}
-	if err == nil && p.Subcommand() == nil {
+	if _, needed := c.(*commands); needed && err == nil && p.Subcommand() == nil {
 		err = errors.New("a subcommand is needed")
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, "comfreyridge:", err)
 		_ = p.WriteUsageForSubcommand(stderr, p.SubcommandNames()...)
-		return exitUsage
+		return exitUsage, false
 	}
-	return dispatch(c, stdout, stderr)
+	return exitOK, true
 }
 
 // signals returns a context that the first stop signal ends, and one that the
@@ -102,6 +116,8 @@
 		return report(c.Explain.run(ctx, stdout), stderr)
 	case c.Replay != nil:
 		return comfreyreplay.RunReplay(stdout, *c.Replay)
+	case c.Load != nil:
+		return report(comfreyload.RunLoad(ctx, stdout, *c.Load), stderr)
 	case c.Demo != nil:
 		return report(comfreydemo.Run(ctx, *c.Demo, stdout), stderr)
 	case c.Fake != nil:
--- a/comfreygateway/orders.go
+++ b/comfreygateway/orders.go
@@ -66,7 +66,7 @@
 
 // servePutOrder answers PUT on a ticket: it runs the order at most once.
 func (g *Gateway) servePutOrder(w http.ResponseWriter, r *http.Request) {
-	g.withOrder(w, r, func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error) {
+	g.withOrder(w, r, comfreyorder.OperationPut, func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error) {
 		return owner.PutOrder(ctx, &comfreyproto.PutOrderRequest{
 			RequestId:     q.id,
 			Customer:      q.customer.Name,
@@ -82,7 +82,7 @@
 
 // serveGetOrder answers GET on a ticket with the state of the order.
 func (g *Gateway) serveGetOrder(w http.ResponseWriter, r *http.Request) {
-	g.withOrder(w, r, func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error) {
+	g.withOrder(w, r, comfreyorder.OperationState, func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error) {
 		return owner.GetOrder(ctx, orderRequest(r, q))
 	})
 }
@@ -90,7 +90,7 @@
 // serveVoidOrder answers DELETE on a ticket: an order that has not begun never
 // will.
 func (g *Gateway) serveVoidOrder(w http.ResponseWriter, r *http.Request) {
-	g.withOrder(w, r, func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error) {
+	g.withOrder(w, r, comfreyorder.OperationVoid, func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error) {
 		return owner.VoidOrder(ctx, orderRequest(r, q))
 	})
 }
@@ -100,7 +100,7 @@
 }
 
 // withOrder calls the only possible owner of a ticket and writes its reply.
-func (g *Gateway) withOrder(w http.ResponseWriter, r *http.Request, f func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error)) {
+func (g *Gateway) withOrder(w http.ResponseWriter, r *http.Request, p comfreyorder.Operation, f func(ctx context.Context, q plainRequest, owner comfreyproto.Sidecar) (*comfreyproto.OrderReply, error)) {
 	g.withPlain(w, r, func(ctx context.Context, q plainRequest) error {
 		m, err := g.owner(chi.URLParam(r, "ticket"))
 		if err != nil {
@@ -108,7 +108,7 @@
 		}
 		reply, err := f(ctx, q, g.client.Sidecar(m.Address))
 		if err != nil {
-			return unreachableOwner(ctx, err)
+			return unreachableOwner(ctx, p, err)
 		}
 		return writeOrderReply(w, reply)
 	})
@@ -119,7 +119,7 @@
 func (g *Gateway) owner(ticket string) (comfreyfleet.Member, error) {
 	t, err := comfreyorder.ParseTicket(ticket, g.config.Key)
 	if err != nil {
-		return comfreyfleet.Member{}, comfreyverdict.MayHaveRun(comfreyverdict.ReasonBadRequest, err.Error())
+		return comfreyfleet.Member{}, comfreyorder.TicketVerdict(err)
 	}
 	m, ok := g.fleet.find(t.OwnerHost)
 	if !ok {
@@ -132,14 +132,15 @@
 // answer. Repeating a PUT is safe at any time.
 const ownerRetry = 2 * time.Second
 
-// unreachableOwner is the verdict on an order whose owner did not answer: an
-// earlier PUT, through this gateway or another, may have run it.
-func unreachableOwner(ctx context.Context, err error) comfreyverdict.Error {
-	r := comfreyverdict.ReasonConnectionLost
+// unreachableOwner is the verdict on an order whose owner did not answer.
+func unreachableOwner(ctx context.Context, p comfreyorder.Operation, err error) comfreyverdict.Error {
+	r := callError(err).Reason
 	if ctx.Err() != nil {
 		r = comfreyverdict.ReasonDeadline
 	}
-	return comfreyverdict.MayHaveRun(r, "the host that holds the order did not answer: "+callError(err).Detail).WithRetryAfter(ownerRetry)
+	e := comfreyorder.GatewayVerdict(p, r)
+	e.Detail += ": " + callError(err).Detail
+	return e.WithRetryAfter(ownerRetry)
 }
 
 // writeOrderReply writes the outcome of a completed order as the upstream gave
--- a/comfreysidecar/orders.go
+++ b/comfreysidecar/orders.go
@@ -124,7 +124,7 @@
 func (s *Sidecar) claim(ticket, customer, service string) (comfreyorder.Claim, error) {
 	t, err := comfreyorder.ParseTicket(ticket, s.config.Key)
 	if err != nil {
-		return comfreyorder.Claim{}, comfreyverdict.MayHaveRun(comfreyverdict.ReasonBadRequest, err.Error())
+		return comfreyorder.Claim{}, comfreyorder.TicketVerdict(err)
 	}
 	return comfreyorder.Claim{Ticket: t, Customer: customer, Service: service}, nil
 }
