Decode token frames in place

Cause: the library's decoder copied the data of each frame and cost more than half of a frame's round trip. Frames of scalar fields are now decoded from the read buffer; the data is valid until the next Read, which every reader keeps to (the outputs copy it). Frames with messages are left to the library.

--- a/comfreyrpc/frame.go
+++ b/comfreyrpc/frame.go
@@ -63,8 +63,9 @@
 	return &FrameReader{r: bufio.NewReaderSize(r, frameReaderBytes)}
 }
 
-// Read decodes the next frame into f. It returns io.EOF only between frames; a
-// stream that ends within a frame yields io.ErrUnexpectedEOF.
+// Read decodes the next frame into f, whose data is valid until the next call.
+// It returns io.EOF only between frames; a stream that ends within a frame
+// yields io.ErrUnexpectedEOF.
 func (r *FrameReader) Read(f *comfreyproto.Frame) error {
 	n, err := binary.ReadUvarint(r.r)
 	if err != nil {
@@ -73,19 +74,34 @@
 	if n > MaxFrameBytes {
 		return ErrFrameTooLarge
 	}
-	if uint64(cap(r.buffer)) < n {
-		r.buffer = make([]byte, n)
-	}
-	b := r.buffer[:n]
-	if _, err := io.ReadFull(r.r, b); err != nil {
+	b, err := r.next(int(n))
+	if err != nil {
 		return noEOF(err)
 	}
-	if err := proto.Unmarshal(b, f); err != nil {
+	if err := decodeFrame(b, f); err != nil {
 		return fmt.Errorf("comfreyrpc: decode frame: %w", err)
 	}
 	return nil
 }
 
+// next returns the next n bytes, in place if the read buffer can hold them.
+func (r *FrameReader) next(n int) ([]byte, error) {
+	if n <= r.r.Size() {
+		b, err := r.r.Peek(n)
+		if err != nil {
+			return nil, err
+		}
+		_, err = r.r.Discard(n)
+		return b, err
+	}
+	if cap(r.buffer) < n {
+		r.buffer = make([]byte, n)
+	}
+	b := r.buffer[:n]
+	_, err := io.ReadFull(r.r, b)
+	return b, err
+}
+
 // Buffered reports whether a further frame has already arrived whole, so that
 // Read does not wait. It reports false for a frame beyond the read buffer.
 func (r *FrameReader) Buffered() bool {
