--- a/comfreyreplay/choose.go
+++ b/comfreyreplay/choose.go
@@ -12,6 +12,8 @@
 
 // Query is what a gateway knows about a request when it picks a replica.
 type Query struct {
+	// Now is the time since the start of the trace.
+	Now time.Duration
 	// DataCentre is where the caller entered.
 	DataCentre string
 	// Prefix names the shared prefix of the prompt; empty means none.
@@ -122,8 +124,8 @@
 	return false
 }
 
-// ChooseNamed returns the choice called random, least-loaded, two-choices or
-// prefix. It returns an error for any other text.
+// ChooseNamed returns a choice called random, least-loaded, two-choices, prefix
+// or router; the last one is for one replay only. It returns an error for any other text.
 func ChooseNamed(name string) (Choose, error) {
 	switch name {
 	case "random":
@@ -134,6 +136,8 @@
 		return ChooseTwo, nil
 	case "prefix":
 		return ChoosePrefix, nil
+	case "router":
+		return NewRouterChoice(), nil
 	default:
 		return nil, fmt.Errorf("comfreyreplay: unknown routing %q", name)
 	}
--- a/comfreyreplay/route.go
+++ b/comfreyreplay/route.go
@@ -6,7 +6,7 @@
 func (f *fleet) route(c *call) {
 	g := f.gateways[c.gateway]
 	f.refreshHints(g)
-	q := Query{DataCentre: c.record.DataCentre, Prefix: c.record.Prefix, PromptTokens: c.record.PromptTokens, Tried: c.tried}
+	q := Query{Now: f.now, DataCentre: c.record.DataCentre, Prefix: c.record.Prefix, PromptTokens: c.record.PromptTokens, Tried: c.tried}
 	n := f.setup.Choose(f.source, q, g.hints)
 	if n < 0 {
 		f.end(c, endingGivenUp)
--- a/comfreyreplay/run.go
+++ b/comfreyreplay/run.go
@@ -27,7 +27,7 @@
 	Trace          string        `arg:"--trace" help:"trace file; without one the trace is generated" placeholder:"FILE"`
 	Policy         string        `arg:"--policy" help:"comma-separated policies: predicted-peak, greedy, reservation, engine-queue" default:"greedy,reservation,engine-queue,predicted-peak"`
 	Preset         string        `arg:"--preset" help:"what predicted-peak weighs: stall-time or preemptions; by default what fits the shape"`
-	Routing        string        `arg:"--routing" help:"random, least-loaded, two-choices or prefix" default:"two-choices"`
+	Routing        string        `arg:"--routing" help:"router (as the gateways do), random, least-loaded, two-choices or prefix" default:"two-choices"`
 	ReportInterval time.Duration `arg:"--report-interval" help:"time between two load reports" default:"1s"`
 	CapacityTokens int           `arg:"--capacity-tokens" help:"memory of each engine; zero selects the model's default"`
 	Outcomes       bool          `arg:"--outcomes" help:"replay every scenario of --seeds seeds, from --seed on, and compare the figures with their bounds"`
@@ -193,16 +193,13 @@
 
 // setups returns a setup for each policy.
 func (o ReplayOptions) setups(s Shape) ([]Setup, error) {
-	choose, err := ChooseNamed(o.Routing)
-	if err != nil {
-		return nil, err
-	}
 	preset := s.Preset()
 	if o.Preset != "" {
-		preset, err = comfreyadmission.ParsePreset(o.Preset)
+		p, err := comfreyadmission.ParsePreset(o.Preset)
 		if err != nil {
 			return nil, err
 		}
+		preset = p
 	}
 	var setups []Setup
 	for _, name := range strings.Split(o.Policy, ",") {
@@ -211,7 +208,10 @@
 			return nil, err
 		}
 		u := NewSetup(s, p, preset)
-		u.Choose = choose
+		u.Choose, err = ChooseNamed(o.Routing)
+		if err != nil {
+			return nil, err
+		}
 		u.ReportInterval = o.ReportInterval
 		u.Seed = o.Seed
 		u.Admission.Margin = o.Margin
