Admit by free memory while the engine is idle; keep the pace of prompts

Cause: 250 callers at once at one idle engine with room for all: 206 refused as customer-limit. The wait is estimated from the rate at which requests left the queue, which is low after an idle time; and the sidecar looked at the queue every 50 ms, so that prompts started at 20 a second instead of at their pace.

--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -22,6 +22,8 @@
 	// thresholdFactor is how many times the free part of the queue a customer
 	// of weight 1 may hold.
 	thresholdFactor = 4
+	// idleShare is the part of the memory up to which nobody is refused.
+	idleShare = 0.7
 	// minimumReturn is the least time that a caller is told to wait.
 	minimumReturn = time.Second
 	// fairMargin is the part of the largest customer's tokens below which a
@@ -71,6 +73,9 @@
 
 // room reports whether r may wait in the queue, or why not.
 func (c *Controller) room(now time.Time, r Request) (comfreyverdict.Reason, bool) {
+	if c.hasMemory(r) {
+		return "", true
+	}
 	wait := c.expectedWait()
 	if len(c.queue) == 0 || wait < c.config.QueueTime/openShare {
 		return "", true
@@ -96,6 +101,21 @@
 	return "", true
 }
 
+// hasMemory reports whether r and all that wait fit into the engine beside what
+// runs. The queue then is about prompts that start one after the other, and the
+// measured rate, which is low while the engine is idle, says nothing about it.
+func (c *Controller) hasMemory(r Request) bool {
+	n := len(c.running) + len(c.queue) + 1
+	if n > c.config.MaxRunning || len(c.queue) >= c.config.QueueLimit {
+		return false
+	}
+	need := float64(c.peak()) + c.queued + float64(r.PromptTokens) + c.expectedTokens(r)
+	for _, e := range c.queue {
+		need += float64(e.request.PromptTokens)
+	}
+	return need < idleShare*float64(c.config.CapacityTokens)
+}
+
 // belowFair reports whether the customer of a got clearly less of late than the
 // one that got most, by their weights. Such a customer is refused last: nobody
 // is refused in favour of one that gets more (max-min fairness by token
--- a/comfreysidecar/admission.go
+++ b/comfreysidecar/admission.go
@@ -13,6 +13,9 @@
 	admissionEvents = 4096
 	// admissionTick is how often deadlines and ageing are looked at.
 	admissionTick = 50 * time.Millisecond
+	// queuedTick is how often that is done while requests wait, so that the
+	// pace of prompts is kept.
+	queuedTick = 5 * time.Millisecond
 )
 
 // admissionEventKind tells the events of the admission duty apart.
@@ -71,7 +74,7 @@
 
 // run owns the controller until ctx ends.
 func (a *admission) run(ctx context.Context) error {
-	t := time.NewTicker(admissionTick)
+	t := time.NewTimer(admissionTick)
 	defer t.Stop()
 	for {
 		select {
@@ -81,12 +84,21 @@
 			a.progress()
 			a.apply(a.controller.Tick(a.now()))
 			a.publish()
+			t.Reset(a.untilTick())
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// untilTick returns the time until the next tick.
+func (a *admission) untilTick() time.Duration {
+	if a.load.Load().Queued > 0 {
+		return queuedTick
+	}
+	return admissionTick
+}
+
 func (a *admission) handle(e admissionEvent) {
 	a.progress()
 	now := a.now()
