comfreyadmission: a process that slept learns nothing from the sleep

Cause: a pause of a minute with requests in the queue counted as a minute in which nothing left the queue, and as a gap between two tokens of each generation; the expected wait and the pace of prompts would have been wrong for half a minute after the wake.

Seen failing with each limit taken away: an expected wait of 1m0s in place of 2s (TestSleepDoesNotLengthenTheExpectedWait), and TestSleepDoesNotHoldBackPrompts.

--- a/comfreyadmission/drain.go
+++ b/comfreyadmission/drain.go
@@ -14,6 +14,10 @@
 	// waitRounds is how often the estimate of a wait is repeated with the
 	// callers that return within it.
 	waitRounds = 3
+	// longestStep is the longest time between two calls, or between two tokens,
+	// that counts as work. A longer one means that the process slept or the
+	// generation was pushed aside.
+	longestStep = time.Second
 	// minimumRate keeps a wait finite while nothing was measured, in tokens a
 	// second.
 	minimumRate = 100
@@ -34,11 +38,9 @@
 
 // tokens counts n generated tokens, the last of them after gap.
 func (d *drain) tokens(now time.Time, n int, gap time.Duration) {
-	g := gap.Seconds() / float64(n)
-	if d.gap == 0 {
-		d.gap = g
+	if gap <= longestStep {
+		d.observeGap(gap.Seconds() / float64(n))
 	}
-	d.gap += gapWeight * (g - d.gap)
 	if d.last.IsZero() {
 		d.last = now
 	}
@@ -53,8 +55,17 @@
 	d.last = now
 }
 
+// observeGap smooths the time between two tokens, in seconds.
+func (d *drain) observeGap(g float64) {
+	if d.gap == 0 {
+		d.gap = g
+	}
+	d.gap += gapWeight * (g - d.gap)
+}
+
 // backlogged counts time in which requests waited.
 func (d *drain) backlogged(t time.Duration) {
+	t = min(t, longestStep)
 	if d.flow == 0 {
 		d.flow = max(d.rate, minimumRate)
 	}
--- a/comfreyadmission/policy_test.go
+++ b/comfreyadmission/policy_test.go
@@ -128,3 +128,30 @@
 		t.Errorf("saw %v", seen)
 	}
 }
+
+// TestSleepDoesNotLengthenTheExpectedWait wakes the process up after a minute
+// with requests in the queue: it says nothing about the engine's speed.
+func TestSleepDoesNotLengthenTheExpectedWait(t *testing.T) {
+	c, now, _ := overloaded(t)
+	c.drain.flow = 3000
+	c.queued = 6000
+	c.Tick(now.Add(time.Minute))
+	if got := c.Load().ExpectedWait; got < time.Second || got > 3*time.Second {
+		t.Errorf("expected wait %s after the sleep, want about 2s", got)
+	}
+}
+
+func TestSleepDoesNotHoldBackPrompts(t *testing.T) {
+	c := New(Config{})
+	for i := range 50 {
+		c.Submit(epoch, Request{ID: strconv.Itoa(i), PromptTokens: 500})
+		c.Progress(epoch.Add(10*time.Millisecond), strconv.Itoa(i), 1)
+	}
+	woken := epoch.Add(time.Minute)
+	for i := range 50 {
+		c.Progress(woken, strconv.Itoa(i), 2)
+	}
+	if got := c.Load().InterToken; got > 20*time.Millisecond {
+		t.Errorf("inter-token time %s after the sleep", got)
+	}
+}
