--- a/cmd/comfreyridge/process_fleet_test.go
+++ b/cmd/comfreyridge/process_fleet_test.go
@@ -72,6 +72,9 @@
 	gateway   []string
 }
 
+// fleetSlots bounds the fleets that run at the same time.
+var fleetSlots = make(chan struct{}, 3)
+
 // startProcesses starts a fleet that ends with the test, and waits until it
 // serves.
 func startProcesses(t testing.TB, o fleetOptions) *processFleet {
@@ -82,6 +85,8 @@
 	if o.orderTime == "" {
 		o.orderTime = "20ms"
 	}
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
 	d := t.TempDir()
 	f := &processFleet{t: t, folder: filepath.Join(d, "folder"), hosts: filepath.Join(d, "hosts.json"), states: map[string]string{}, internal: map[string]string{}}
 	if err := os.Mkdir(f.folder, 0o755); err != nil {
--- a/cmd/comfreyridge/process_freeze_test.go
+++ b/cmd/comfreyridge/process_freeze_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestProcessesFrozen(t *testing.T) {
+	t.Parallel()
 	f := startProcesses(t, fleetOptions{orderTime: "300ms"})
 	t.Run("gateway-stream", func(t *testing.T) { freezeGateway(t, f, true) })
 	t.Run("gateway-stream-kept-open", func(t *testing.T) { freezeGateway(t, f, false) })
@@ -98,15 +99,16 @@
 }
 
 // freezeSidecar freezes the sidecar of a running stream for longer than the
-// gateway bears silence. The answer is whole, or ends with a typed error.
+// gateway bears silence. The answer is whole, and the sidecar gets work again.
 func freezeSidecar(t *testing.T, f *processFleet) {
 	c := f.caller()
 	var wg sync.WaitGroup
+	var n *node
 	r := c.Stream(t.Context(), f.gateways[0].url, lengthBody(300), "", atEvent(20, func(e comfreycaller.Event) {
-		n := f.serving(e.ID)
+		n = f.serving(e.ID)
 		n.signal(t, syscall.SIGSTOP)
 		wg.Go(func() {
-			time.Sleep(7 * time.Second)
+			time.Sleep(6500 * time.Millisecond)
 			n.signal(t, syscall.SIGCONT)
 		})
 	}))
@@ -115,7 +117,12 @@
 		t.Errorf("got %+v", r)
 	}
 	checkTokens(t, r.Text, 300)
-	f.waitReady()
+	for _, g := range f.gateways {
+		eventually(t, "the woken sidecar gets work from "+g.name, func() bool {
+			r := c.Stream(t.Context(), g.url, lengthBody(1), "", nil)
+			return r.Complete && f.serving(r.LastEventID) == n
+		})
+	}
 }
 
 // freezeOwner freezes the owner of an order while the order runs. The caller
--- a/cmd/comfreyridge/process_kill_test.go
+++ b/cmd/comfreyridge/process_kill_test.go
@@ -8,6 +8,7 @@
 )
 
 func TestProcessesKilled(t *testing.T) {
+	t.Parallel()
 	f := startProcesses(t, fleetOptions{})
 	t.Run("gateway", func(t *testing.T) { killGateway(t, f) })
 	t.Run("sidecar", func(t *testing.T) { killSidecar(t, f) })
--- a/cmd/comfreyridge/process_stop_test.go
+++ b/cmd/comfreyridge/process_stop_test.go
@@ -108,6 +108,7 @@
 }
 
 func TestProcessesStoppedUnderLoad(t *testing.T) {
+	t.Parallel()
 	f := startProcesses(t, fleetOptions{})
 	cases := []struct {
 		name  string
@@ -141,6 +142,7 @@
 }
 
 func TestProcessesStoppedPastTheDrainLimit(t *testing.T) {
+	t.Parallel()
 	limit := []string{"--drain-limit", "200ms"}
 	f := startProcesses(t, fleetOptions{sidecar: limit, gateway: limit})
 	cases := map[string]func(e comfreycaller.Event) *node{
