Move write deadlines and the silence timer once a while, not once a token

Cause: each flush of each hop moved the connection's write deadline, and each frame reset the watchdog's timer; both take locks of the runtime's timers. A write now has at least its limit and at most an eighth of it (or 1 s) more; an arrival is one atomic store, and the watchdog's timer moves when it fires, with the limit counted from the last arrival as before.

Tests seen failing on scratch edits: TestWriteDeadline with a step twice as long and with no step, TestWatchdog with the timer not moved again. TestWatchdog does not fail with only the timer's stop removed, as the flag stops it too.

--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -125,18 +125,18 @@
 // connection ends or stays silent before the last frame.
 func (s *session) read(ctx context.Context, stream *comfreyrpc.Stream) error {
 	var silent atomic.Bool
-	watchdog := time.AfterFunc(s.gateway.config.Silence, func() {
+	w := startWatchdog(s.gateway.config.Silence, func() {
 		silent.Store(true)
 		stream.Close()
 	})
-	defer watchdog.Stop()
+	defer w.stop()
 	var f comfreyproto.Frame
 	for {
 		err := stream.Read(&f)
 		if err != nil {
 			return s.readError(ctx, err, silent.Load())
 		}
-		watchdog.Reset(s.gateway.config.Silence)
+		w.arrived()
 		done, err := s.take(&f)
 		if done || err != nil {
 			return err
--- a/comfreygateway/output.go
+++ b/comfreygateway/output.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreystream"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -31,15 +32,17 @@
 // callerConnection is the connection to a caller. Its writes are bounded in
 // time.
 type callerConnection struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	timeout time.Duration
-	now     func() time.Time
-	buffer  []byte
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	deadline *comfreyrpc.WriteDeadline
+	timeout  time.Duration
+	now      func() time.Time
+	buffer   []byte
 }
 
 func newCallerConnection(w http.ResponseWriter, timeout time.Duration, now func() time.Time) *callerConnection {
-	return &callerConnection{w: w, control: http.NewResponseController(w), timeout: timeout, now: now}
+	c := http.NewResponseController(w)
+	return &callerConnection{w: w, control: c, deadline: comfreyrpc.NewWriteDeadline(c, timeout), timeout: timeout, now: now}
 }
 
 // flush writes the buffer. The error tells a slow reader from a lost one.
@@ -47,7 +50,7 @@
 	if len(c.buffer) == 0 {
 		return nil
 	}
-	_ = c.control.SetWriteDeadline(c.now().Add(c.timeout))
+	c.deadline.Begin(c.now())
 	_, err := c.w.Write(c.buffer)
 	c.buffer = c.buffer[:0]
 	if err == nil {
--- a/comfreysidecar/stream.go
+++ b/comfreysidecar/stream.go
@@ -85,7 +85,7 @@
 func (s *Sidecar) serveFrames(w http.ResponseWriter, r *http.Request, g *generation, after uint64) {
 	a := g.attach()
 	defer func() { g.detach(a, after, s.config.Now()) }()
-	c := &frameConnection{writer: comfreyrpc.NewFrameWriter(w), control: http.NewResponseController(w), now: s.config.Now}
+	c := newFrameConnection(w, s.config.Now)
 	accepted := &comfreyproto.Frame{Kind: comfreyproto.FrameKind_FRAME_KIND_ACCEPTED, Incarnation: g.id.Incarnation, Counter: g.id.Counter, Load: s.Load()}
 	if c.write(accepted) != nil {
 		return
@@ -136,14 +136,20 @@
 
 // frameConnection writes frames to one gateway.
 type frameConnection struct {
-	writer  *comfreyrpc.FrameWriter
-	control *http.ResponseController
-	now     func() time.Time
-	encoded [][]byte
+	writer   *comfreyrpc.FrameWriter
+	control  *http.ResponseController
+	deadline *comfreyrpc.WriteDeadline
+	now      func() time.Time
+	encoded  [][]byte
+}
+
+func newFrameConnection(w http.ResponseWriter, now func() time.Time) *frameConnection {
+	c := http.NewResponseController(w)
+	return &frameConnection{writer: comfreyrpc.NewFrameWriter(w), control: c, deadline: comfreyrpc.NewWriteDeadline(c, writeTimeout), now: now}
 }
 
 func (c *frameConnection) write(f *comfreyproto.Frame) error {
-	_ = c.control.SetWriteDeadline(c.now().Add(writeTimeout))
+	c.deadline.Begin(c.now())
 	if err := c.writer.Write(f); err != nil {
 		return err
 	}
@@ -155,7 +161,7 @@
 	for _, f := range s {
 		c.encoded = append(c.encoded, f.Payload)
 	}
-	_ = c.control.SetWriteDeadline(c.now().Add(writeTimeout))
+	c.deadline.Begin(c.now())
 	if err := c.writer.WriteEncoded(c.encoded...); err != nil {
 		return err
 	}
