Keep a place only for a refusal that reaches the caller

The admission books a place for the last attempt of a request (Request.Final); the gateway says which one is.

--- a/comfreycaller/caller.go
+++ b/comfreycaller/caller.go
@@ -26,7 +26,17 @@
 	// Key is the customer's bearer key.
 	Key string
 	// HTTP sends the requests.
-	HTTP *http.Client
+	HTTP   *http.Client
+	header http.Header
+}
+
+// HeaderRetryToken names the refusal whose time to return a caller follows.
+const HeaderRetryToken = "Comfrey-Retry-Token"
+
+// WithHeader returns a copy of c that sends further headers with each request.
+func (c Caller) WithHeader(h http.Header) Caller {
+	c.header = h
+	return c
 }
 
 // Event is one event of a stream.
@@ -41,6 +51,8 @@
 type Result struct {
 	// RequestID is the gateway's id of the request.
 	RequestID string
+	// RetryToken is to be sent back when the caller returns as it was told.
+	RetryToken string
 	// LastEventID resumes the stream.
 	LastEventID string
 	// Text is the text of the chunks that arrived.
@@ -93,6 +105,7 @@
 	s := reader{result: Result{RequestID: resp.Header.Get("Comfrey-Request-Id"), LastEventID: lastEventID}, began: began, last: began, onEvent: onEvent}
 	if resp.StatusCode != http.StatusOK {
 		s.result.Error = RefusalOf(resp)
+		s.result.RetryToken = resp.Header.Get(HeaderRetryToken)
 	} else {
 		s.read(resp.Body)
 	}
@@ -102,6 +115,9 @@
 
 // Do sends a request with the customer's key.
 func (c Caller) Do(r *http.Request) (*http.Response, error) {
+	for name, values := range c.header {
+		r.Header[name] = values
+	}
 	r.Header.Set("Authorization", "Bearer "+c.Key)
 	h := c.HTTP
 	if h == nil {
@@ -128,13 +144,14 @@
 			Message string `json:"message"`
 			Verdict string `json:"verdict"`
 			Reason  string `json:"reason"`
+			Seconds int    `json:"retry-after-seconds"`
 		} `json:"error"`
 	}
 	if err := json.Unmarshal(b, &m); err != nil {
 		return comfreyverdict.MayHaveRun(comfreyverdict.ReasonInternal, fmt.Sprintf("unreadable refusal: %v", err))
 	}
 	v, _ := comfreyverdict.ParseVerdict(m.Error.Verdict)
-	return comfreyverdict.Error{Verdict: v, Reason: comfreyverdict.Reason(m.Error.Reason), Detail: m.Error.Message}
+	return comfreyverdict.Error{Verdict: v, Reason: comfreyverdict.Reason(m.Error.Reason), RetryAfter: time.Duration(m.Error.Seconds) * time.Second, Detail: m.Error.Message}
 }
 
 // reader reads one event stream.
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -212,6 +212,7 @@
 		Listed:        g.fleet.listed(s.member.Host),
 		Crashes:       g.crashes.about(q),
 		Booking:       s.booking(),
+		Final:         g.retrier(q.route.Service).IsLast(int(s.attempt) + 1),
 	}
 }
 
--- a/comfreyrouter/retrier.go
+++ b/comfreyrouter/retrier.go
@@ -70,6 +70,12 @@
 	return r.config.Budget
 }
 
+// IsLast reports whether a try with this number, from 1, would not be followed
+// by another.
+func (r *Retrier) IsLast(try int) bool {
+	return try >= r.config.MaxTries || r.config.Budget.IsSpent()
+}
+
 // Next decides at now what follows a failed try. Only a request that is proven
 // not to have run, or an idempotent one of which nothing was delivered, is
 // sent again. The time that a refusing upstream told is for the final answer:
--- a/comfreyrouter/retry.go
+++ b/comfreyrouter/retry.go
@@ -102,6 +102,13 @@
 	return true
 }
 
+// IsSpent reports whether no retry is allowed at present.
+func (b *RetryBudget) IsSpent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens < retryUnit
+}
+
 // Counts returns the totals so far.
 func (b *RetryBudget) Counts() RetryCounts {
 	b.mu.Lock()
--- a/comfreysidecar/accept.go
+++ b/comfreysidecar/accept.go
@@ -53,6 +53,7 @@
 		MaxTokens:    int(m.MaxTokens),
 		Deadline:     g.deadline,
 		Booking:      m.Booking,
+		Final:        m.Final,
 	}})
 	return g, nil
 }
