Run one copy of a suspect at an upstream at a time

Cause: the table isolates a suspect from other fingerprints, not from copies of itself. A second copy that is admitted while the first runs reaches the engine in its next life, before the sidecar has seen the crash. Ruled out: the count (generations' ids name the engine's life), late crash records (the second upstream had them: decision=isolate for both copies).

--- a/comfreysidecar/quarantine.go
+++ b/comfreysidecar/quarantine.go
@@ -41,12 +41,15 @@
 	// addresses are the sidecars of the service by host; names are the hosts.
 	addresses map[string]string
 	names     []string
+	// isolated holds the suspects that run here. A second copy waits, because it
+	// would reach an engine that restarts before the crash of the first is known.
+	isolated map[comfreyquarantine.RunID]comfreyquarantine.Fingerprint
 }
 
 func newQuarantine(host string, i comfreyfleet.Incarnation, now func() time.Time) *quarantine {
 	t := comfreyquarantine.NewTable(comfreyquarantine.Config{Host: host, Incarnation: uint64(i)})
 	w := comfreyquarantine.NewWitness(comfreyquarantine.WitnessConfig{Lease: witnessLease}, t)
-	return &quarantine{now: now, table: t, witness: w, addresses: map[string]string{}}
+	return &quarantine{now: now, table: t, witness: w, addresses: map[string]string{}, isolated: map[comfreyquarantine.RunID]comfreyquarantine.Fingerprint{}}
 }
 
 // list takes the hosts of the service from which witnesses are chosen.
@@ -126,10 +129,17 @@
 	if d == comfreyquarantine.DecisionIsolate {
 		d = q.table.Isolate(now, f)
 	}
+	if d == comfreyquarantine.DecisionIsolate && q.isIsolated(f) {
+		d = comfreyquarantine.DecisionWait
+	}
 	if d > comfreyquarantine.DecisionIsolate {
 		return 0, d
 	}
-	return q.table.Start(f, d), d
+	id := q.table.Start(f, d)
+	if d == comfreyquarantine.DecisionIsolate {
+		q.isolated[id] = f
+	}
+	return id, d
 }
 
 // finish notes that a run has left the upstream.
@@ -137,6 +147,18 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.table.Finish(id, completed)
+	delete(q.isolated, id)
+}
+
+// isIsolated reports whether a copy of a suspect runs here. The caller holds
+// q.mu.
+func (q *quarantine) isIsolated(f comfreyquarantine.Fingerprint) bool {
+	for _, g := range q.isolated {
+		if g == f {
+			return true
+		}
+	}
+	return false
 }
 
 // crash notes that the upstream died. It reports false if the crash was noted
