--- a/cmd/comfreyridge/process_random_test.go
+++ b/cmd/comfreyridge/process_random_test.go
@@ -64,6 +64,7 @@
 	close(stop)
 	faults.Wait()
 	u.check()
+	f.disarm()
 	f.waitReady()
 	f.serves()
 }
@@ -96,6 +97,16 @@
 	}
 }
 
+// disarm has every application spend a failure that waits for its next order.
+func (f *processFleet) disarm() {
+	for _, n := range f.applications {
+		resp, err := http.Post(n.url+"/orders", "", strings.NewReader("disarm"))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+}
+
 // claims are what callers were told, to be compared with what ran.
 type claims struct {
 	t *testing.T
