--- a/comfreygateway/watchdog_test.go
+++ b/comfreygateway/watchdog_test.go
@@ -16,6 +16,7 @@
 			w.arrived()
 		}
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		if silentAt != 6*time.Second {
 			t.Errorf("silent after %s, want 6 s: the last arrival was at 5 s", silentAt)
 		}
@@ -24,6 +25,7 @@
 		w = startWatchdog(time.Second, func() { calls++ })
 		w.stop()
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		if calls != 0 {
 			t.Error("a stopped watchdog fired")
 		}
