Mend two red tests: a young sidecar listed as leaving, copies at one engine

Cause 1: a list that arrives within 30 s of a sidecar's start was taken to speak of the process before it, and never again. Now no work begins while the newest list names the host as leaving; once the list cannot speak of an earlier process the sidecar leaves for good. Cause 2: two first copies of a request reached one engine, which restarted at once. A copy now waits up to 1 s while another runs here, unless the request has completed here before.

--- a/comfreyfleet/lifecycle.go
+++ b/comfreyfleet/lifecycle.go
@@ -18,6 +18,7 @@
 	host    string
 	word    Word
 	left    bool
+	listed  bool
 	lease   *Lease
 	version uint64
 	since   time.Time
@@ -40,6 +41,12 @@
 	return l.left
 }
 
+// IsListedLeaving reports whether the newest host list names the host as
+// leaving, be it this process or one before it on the same host.
+func (l *Lifecycle) IsListedLeaving() bool {
+	return l.listed
+}
+
 // LeavingSince returns when the process began to leave; zero if it has not.
 func (l *Lifecycle) LeavingSince() time.Time {
 	return l.since
@@ -72,7 +79,8 @@
 	}
 	l.version = v.Version()
 	m, ok := v.Find(l.host)
-	if ok && m.State != StateLive && v.At().After(l.word.Incarnation.Start()) {
+	l.listed = ok && m.State != StateLive
+	if l.listed && v.At().After(l.word.Incarnation.Start()) {
 		l.Leave(now)
 	}
 	return !l.word.Accepting
@@ -100,7 +108,7 @@
 // Begin returns nil if work may be handed to the upstream at now. Otherwise
 // it returns a comfreyverdict.Error that proves that the work was not begun.
 func (l *Lifecycle) Begin(now time.Time) error {
-	if l.left {
+	if l.left || l.listed {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar is leaving")
 	}
 	if !l.lease.Valid(now) || now.Before(l.settled) {
--- a/comfreysidecar/janitor.go
+++ b/comfreysidecar/janitor.go
@@ -14,6 +14,8 @@
 	// janitorInterval is how often leases, orphans and old frames are looked
 	// at. It is below the longest pause that a lease allows.
 	janitorInterval = 250 * time.Millisecond
+	// maxListLag bounds how far the host list lags behind the truth.
+	maxListLag = 30 * time.Second
 	// overdueGrace is how far past its deadline a request may be open before
 	// the invariant counts it as lost.
 	overdueGrace = 30 * time.Second
@@ -28,6 +30,7 @@
 		select {
 		case <-t.C:
 			s.renew()
+			s.leaveIfListed()
 			s.cancelOrphans()
 			s.table.expire(s.config.Now(), s.config.KeepFrames)
 			s.conservation.Overdue(s.config.Now(), overdueGrace)
@@ -37,6 +40,19 @@
 	}
 }
 
+// leaveIfListed leaves for good once a list that names this host as leaving
+// cannot speak of an earlier process any more. Until then no work begins, and
+// a newer list can still show the host as live.
+func (s *Sidecar) leaveIfListed() {
+	s.mu.Lock()
+	age := s.config.Now().Sub(s.config.Incarnation.Start())
+	due := s.lifecycle.IsListedLeaving() && !s.lifecycle.Left() && age > maxListLag
+	s.mu.Unlock()
+	if due {
+		s.leave("the host list names this host as leaving")
+	}
+}
+
 // cancelOrphans ends the generations that no gateway has read for the grace
 // time, so that they do not hold memory in the engine.
 func (s *Sidecar) cancelOrphans() {
--- a/comfreysidecar/quarantine.go
+++ b/comfreysidecar/quarantine.go
@@ -31,6 +31,8 @@
 	// is computed; without a crash in that time the copy runs beside the others.
 	copyPoll  = 100 * time.Millisecond
 	copyPolls = 10
+	// maxHarmless bounds the completed requests that a sidecar remembers.
+	maxHarmless = 4096
 	// sharedRecords bounds the crash records on one message.
 	sharedRecords = 4
 )
@@ -46,15 +48,17 @@
 	// addresses are the sidecars of the service by host; names are the hosts.
 	addresses map[string]string
 	names     []string
-	// isolated holds the suspects that run here. A second copy waits, because it
-	// would reach an engine that restarts before the crash of the first is known.
-	isolated map[comfreyquarantine.RunID]comfreyquarantine.Fingerprint
+	// copies counts the runs of each request at this upstream.
+	copies map[comfreyquarantine.Fingerprint]int
+	// harmless holds requests that have completed here. Their copies need not
+	// wait for each other.
+	harmless map[comfreyquarantine.Fingerprint]struct{}
 }
 
 func newQuarantine(host string, i comfreyfleet.Incarnation, now func() time.Time) *quarantine {
 	t := comfreyquarantine.NewTable(comfreyquarantine.Config{Host: host, Incarnation: uint64(i)})
 	w := comfreyquarantine.NewWitness(comfreyquarantine.WitnessConfig{Lease: witnessLease}, t)
-	return &quarantine{now: now, table: t, witness: w, addresses: map[string]string{}, isolated: map[comfreyquarantine.RunID]comfreyquarantine.Fingerprint{}}
+	return &quarantine{now: now, table: t, witness: w, addresses: map[string]string{}, copies: map[comfreyquarantine.Fingerprint]int{}, harmless: map[comfreyquarantine.Fingerprint]struct{}{}}
 }
 
 // list takes the hosts of the service from which witnesses are chosen.
@@ -125,26 +129,41 @@
 }
 
 // start joins the witness's decision with the sidecar's own and notes the run
-// if it may begin.
+// if it may begin. A request of which a copy runs here waits, because an engine
+// that the copy crashes may restart at once and run it again.
 func (q *quarantine) start(f comfreyquarantine.Fingerprint, d comfreyquarantine.Decision) (comfreyquarantine.RunID, comfreyquarantine.Decision) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	_, harmless := q.harmless[f]
+	if q.copies[f] > 0 && !harmless {
+		return 0, max(d, comfreyquarantine.DecisionWait)
+	}
+	return q.admit(f, d)
+}
+
+// startBeside is start for a request that has waited for its copies.
+func (q *quarantine) startBeside(f comfreyquarantine.Fingerprint) (comfreyquarantine.RunID, comfreyquarantine.Decision) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.admit(f, comfreyquarantine.DecisionAllow)
+}
+
+// admit notes the run unless the sidecar's own records forbid it. The caller
+// holds the lock.
+func (q *quarantine) admit(f comfreyquarantine.Fingerprint, d comfreyquarantine.Decision) (comfreyquarantine.RunID, comfreyquarantine.Decision) {
 	now := q.now()
 	d = max(d, q.table.Decide(now, f))
 	if d == comfreyquarantine.DecisionIsolate {
 		d = q.table.Isolate(now, f)
 	}
-	if d == comfreyquarantine.DecisionIsolate && q.isIsolated(f) {
+	if d == comfreyquarantine.DecisionIsolate && q.copies[f] > 0 {
 		d = comfreyquarantine.DecisionWait
 	}
 	if d > comfreyquarantine.DecisionIsolate {
 		return 0, d
 	}
-	id := q.table.Start(f, d)
-	if d == comfreyquarantine.DecisionIsolate {
-		q.isolated[id] = f
-	}
-	return id, d
+	q.copies[f]++
+	return q.table.Start(f, d), d
 }
 
 // isSuspected reports whether a request was in flight in a crash that it is not
@@ -156,22 +175,21 @@
 }
 
 // finish notes that a run has left the upstream.
-func (q *quarantine) finish(id comfreyquarantine.RunID, completed bool) {
+func (q *quarantine) finish(f comfreyquarantine.Fingerprint, id comfreyquarantine.RunID, completed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.copies[f]--
+	if q.copies[f] <= 0 {
+		delete(q.copies, f)
+	}
 	q.table.Finish(id, completed)
-	delete(q.isolated, id)
-}
-
-// isIsolated reports whether a copy of a suspect runs here. The caller holds
-// q.mu.
-func (q *quarantine) isIsolated(f comfreyquarantine.Fingerprint) bool {
-	for _, g := range q.isolated {
-		if g == f {
-			return true
-		}
+	if !completed {
+		return
+	}
+	if len(q.harmless) >= maxHarmless {
+		clear(q.harmless)
 	}
-	return false
+	q.harmless[f] = struct{}{}
 }
 
 // crash notes that the upstream died. It reports false if the crash was noted
@@ -229,7 +247,7 @@
 		id, d = s.ask(ctx, g)
 	}
 	if d == comfreyquarantine.DecisionWait && !s.quarantine.isSuspected(g.fingerprint) {
-		id, d = s.quarantine.start(g.fingerprint, comfreyquarantine.DecisionAllow)
+		id, d = s.quarantine.startBeside(g.fingerprint)
 	}
 	switch d {
 	case comfreyquarantine.DecisionAllow:
@@ -255,7 +273,7 @@
 	if err != nil && comfreyverdict.From(err).Reason == comfreyverdict.ReasonEngineFailed {
 		s.noteCrash()
 	}
-	s.quarantine.finish(id, err == nil)
+	s.quarantine.finish(g.fingerprint, id, err == nil)
 	e := comfreyproto.WitnessEvent_WITNESS_EVENT_COMPLETED
 	if err != nil {
 		e = comfreyproto.WitnessEvent_WITNESS_EVENT_FAILED
