--- a/cmd/comfreyridge/process_node_test.go
+++ b/cmd/comfreyridge/process_node_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"net"
+	"fmt"
 	"os"
 	"os/exec"
 	"strings"
@@ -116,12 +116,11 @@
 	t.Helper()
 	var s []string
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		p, err := freePort()
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = l.Close() }()
-		s = append(s, l.Addr().String())
+		s = append(s, fmt.Sprintf("127.0.0.1:%d", p))
 	}
 	return s
 }
--- a/cmd/comfreyridge/script_test.go
+++ b/cmd/comfreyridge/script_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -44,17 +44,14 @@
 	return strings.TrimSuffix(d, "/cmd/comfreyridge") + "/examples"
 }
 
-// setPorts finds free loopback ports. All are held until each is found, so that
-// none is given twice.
+// setPorts finds free loopback ports.
 func setPorts(e *testscript.Env) error {
 	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		p, err := freePort()
 		if err != nil {
 			return err
 		}
-		defer func() { _ = l.Close() }()
-		_, p, _ := net.SplitHostPort(l.Addr().String())
-		e.Setenv(fmt.Sprintf("PORT%d", i), p)
+		e.Setenv(fmt.Sprintf("PORT%d", i), strconv.Itoa(p))
 	}
 	return nil
 }
