--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -69,7 +69,7 @@
 			return nil, s.lost(ctx.Err().Error())
 		}
 		*tries++
-		if *tries > resumeTries || refused >= refusedTries {
+		if *tries > resumeTries {
 			return nil, s.lost("the sidecar cannot be reached")
 		}
 		id := s.sequencer.Generation()
@@ -85,6 +85,9 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			refused++
 		}
+		if refused >= refusedTries {
+			return nil, s.lost("the sidecar's process has ended")
+		}
 		wait(ctx, delay)
 		delay = min(2*delay, maxResumeDelay)
 	}
