--- a/comfreydemo/fleet_test.go
+++ b/comfreydemo/fleet_test.go
@@ -127,20 +127,13 @@
 
 func TestKilledSidecarBeforeTheFirstTokenIsRetriedElsewhere(t *testing.T) {
 	f := startFleet(t, FleetConfig{Engines: 2})
-	for _, e := range f.Engines {
-		e.Stall()
-	}
-	result := make(chan comfreycaller.Result, 1)
-	c := newCaller(t)
-	var wg sync.WaitGroup
-	wg.Go(func() { result <- c.Stream(t.Context(), f.URL(0), lengthBody(t, 30, true), "", nil) })
-	i := waitForRun(t, f)
+	i, result := streamAtStalledEngines(t, f)
 	f.Sidecars[i].Kill()
+	<-f.Sidecars[i].Done
 	for _, e := range f.Engines {
 		e.Resume()
 	}
-	r := <-result
-	wg.Wait()
+	r := result()
 	if !r.Complete {
 		t.Fatalf("got %+v", r)
 	}
@@ -149,24 +142,33 @@
 
 func TestVerdictCoversEveryAttempt(t *testing.T) {
 	f := startFleet(t, FleetConfig{Engines: 2})
-	for _, e := range f.Engines {
-		e.Stall()
-	}
-	result := make(chan comfreycaller.Result, 1)
-	c := newCaller(t)
-	var wg sync.WaitGroup
-	wg.Go(func() { result <- c.Stream(t.Context(), f.URL(0), lengthBody(t, 30, true), "", nil) })
-	i := waitForRun(t, f)
+	i, result := streamAtStalledEngines(t, f)
 	f.Sidecars[1-i].Kill()
 	<-f.Sidecars[1-i].Done
 	f.Sidecars[i].Kill()
-	r := <-result
-	wg.Wait()
+	r := result()
 	if r.Complete || r.Error.Verdict != comfreyverdict.VerdictMayHaveRun {
 		t.Fatalf("the first attempt began at an engine, the second was refused: got %+v", r)
 	}
 }
 
+// streamAtStalledEngines sends a request that no engine answers yet, and returns
+// the index of the engine that holds it and a function that waits for the result.
+func streamAtStalledEngines(t testing.TB, f *Fleet) (engine int, result func() comfreycaller.Result) {
+	t.Helper()
+	for _, e := range f.Engines {
+		e.Stall()
+	}
+	c := newCaller(t)
+	var r comfreycaller.Result
+	var wg sync.WaitGroup
+	wg.Go(func() { r = c.Stream(t.Context(), f.URL(0), lengthBody(t, 30, true), "", nil) })
+	return waitForRun(t, f), func() comfreycaller.Result {
+		wg.Wait()
+		return r
+	}
+}
+
 // waitForRun blocks until an engine holds a generation and returns its index.
 func waitForRun(t testing.TB, f *Fleet) int {
 	t.Helper()
