Tell a caller whose request did not run when to come back

Cause: a refusal after a failed dial or by a leaving sidecar carried no Retry-After. TestRefusalTellsWhenToComeBack failed without the default of 2 s.

--- a/comfreygateway/retry.go
+++ b/comfreygateway/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
 	"comfreyridge.example/comfreyridge/comfreydecision"
@@ -81,9 +82,18 @@
 	}
 }
 
+// defaultReturn is when a caller may come back whose request did not run, where
+// nobody knows better. Gateways learn of a failed host and its replacement in
+// about this time.
+const defaultReturn = 2 * time.Second
+
 // final returns the answer to the caller. Its verdict covers every attempt.
 func (f *failures) final() comfreyverdict.Error {
 	e := f.last
 	e.Verdict = f.verdict
+	isNotRun := e.Verdict == comfreyverdict.VerdictNotRun
+	if isNotRun && e.RetryAfter == 0 && comfreyrouter.IsTransient(e.Reason) {
+		e.RetryAfter = defaultReturn
+	}
 	return e
 }
--- a/comfreyrouter/retrier.go
+++ b/comfreyrouter/retrier.go
@@ -82,7 +82,7 @@
 // it says nothing about the other upstreams.
 func (r *Retrier) Next(now time.Time, a Attempt) Retry {
 	safe := a.Err.Verdict == comfreyverdict.VerdictNotRun || a.Idempotent
-	if a.Delivered || !safe || !transient(a.Err.Reason) || a.Tries >= r.config.MaxTries {
+	if a.Delivered || !safe || !IsTransient(a.Err.Reason) || a.Tries >= r.config.MaxTries {
 		return Retry{Reason: a.Err.Reason}
 	}
 	w := r.config.Backoff.After(a.Tries, 0, a.Random)
@@ -95,8 +95,8 @@
 	return Retry{Again: true, After: w, Reason: a.Err.Reason}
 }
 
-// transient reports whether another upstream may do better.
-func transient(r comfreyverdict.Reason) bool {
+// IsTransient reports whether another upstream, or a later try, may do better.
+func IsTransient(r comfreyverdict.Reason) bool {
 	switch r {
 	case comfreyverdict.ReasonAdmissionFull,
 		comfreyverdict.ReasonConnectionLost,
