--- a/comfreyadmission/queue.go
+++ b/comfreyadmission/queue.go
@@ -63,6 +63,15 @@
 	return c.config.Policy != PolicyPredictedPeak || !now.Before(c.paceUntil)
 }
 
+// NextLook returns how long after now the owner has to call Tick at the latest
+// for the pace of prompts to be kept. It reports false if nothing waits.
+func (c *Controller) NextLook(now time.Time) (time.Duration, bool) {
+	if len(c.queue) == 0 {
+		return 0, false
+	}
+	return max(c.paceUntil.Sub(now), 0), true
+}
+
 // pace holds back the next prompt until the engine has worked on this one, so
 // that prompts do not add up within one step and stretch the time between the
 // tokens of all others.
--- a/comfreysidecar/admission.go
+++ b/comfreysidecar/admission.go
@@ -13,9 +13,10 @@
 	admissionEvents = 4096
 	// admissionTick is how often deadlines and ageing are looked at.
 	admissionTick = 50 * time.Millisecond
-	// queuedTick is how often that is done while requests wait, so that the
-	// pace of prompts is kept.
-	queuedTick = 5 * time.Millisecond
+	// queuedTick is how often that is done while requests wait for memory, and
+	// minimumTick the least time between two looks.
+	queuedTick  = 5 * time.Millisecond
+	minimumTick = 200 * time.Microsecond
 )
 
 // admissionEventKind tells the events of the admission duty apart.
@@ -49,6 +50,8 @@
 	// duty asks before every decision, which costs less than an event a token.
 	sample  func(s []tokenSample) []tokenSample
 	samples []tokenSample
+	// due is when the next tick comes.
+	due time.Time
 }
 
 func newAdmission(c comfreyadmission.Config, s *Sidecar) *admission {
@@ -75,15 +78,18 @@
 // run owns the controller until ctx ends.
 func (a *admission) run(ctx context.Context) error {
 	t := time.NewTimer(admissionTick)
+	a.due = a.now().Add(admissionTick)
 	defer t.Stop()
 	for {
 		select {
 		case e := <-a.events:
 			a.handle(e)
+			a.shorten(t)
 		case <-t.C:
 			a.progress()
 			a.apply(a.controller.Tick(a.now()))
 			a.publish()
+			a.due = a.now().Add(a.untilTick())
 			t.Reset(a.untilTick())
 		case <-ctx.Done():
 			return nil
@@ -91,12 +97,29 @@
 	}
 }
 
-// untilTick returns the time until the next tick.
+// shorten makes the next tick come earlier if what just happened asks for it.
+// It never delays a tick, so that many events do not keep it from coming.
+func (a *admission) shorten(t *time.Timer) {
+	d := a.untilTick()
+	next := a.now().Add(d)
+	if next.Before(a.due) {
+		a.due = next
+		t.Reset(d)
+	}
+}
+
+// untilTick returns the time until the next tick: as the pace of prompts asks
+// while requests wait for it.
 func (a *admission) untilTick() time.Duration {
-	if a.load.Load().Queued > 0 {
+	d, queued := a.controller.NextLook(a.now())
+	switch {
+	case !queued:
+		return admissionTick
+	case d == 0:
 		return queuedTick
+	default:
+		return min(max(d, minimumTick), queuedTick)
 	}
-	return admissionTick
 }
 
 func (a *admission) handle(e admissionEvent) {
