--- a/comfreyadmission/action.go
+++ b/comfreyadmission/action.go
@@ -18,9 +18,9 @@
 	// ActionRefuse means: tell the caller at once that the request did not run
 	// and when to come back. The controller has forgotten the request.
 	ActionRefuse
-	// ActionPreempt means: ask the engine to push the generation aside. The
+	// ActionPreempt means: ask the engine to preempt the generation. The
 	// owner confirms by Preempted, and by Resumed once it runs again. No policy
-	// asks for it yet: the engine itself picks what it pushes aside.
+	// asks for it yet: the engine itself picks what it preempts.
 	ActionPreempt
 )
 
--- a/comfreyadmission/drain.go
+++ b/comfreyadmission/drain.go
@@ -16,7 +16,7 @@
 	waitRounds = 3
 	// longestStep is the longest time between two calls, or between two tokens,
 	// that counts as work. A longer one means that the process slept or the
-	// generation was pushed aside.
+	// generation was preempted.
 	longestStep = time.Second
 	// minimumRate keeps a wait finite while nothing was measured, in tokens a
 	// second.
--- a/comfreyconfig/rule.go
+++ b/comfreyconfig/rule.go
@@ -28,7 +28,7 @@
 	// DataCentres are tried in this order; empty means the nearest first.
 	DataCentres []string
 	// Spill lets a request leave the preferred data centres when they are
-	// crowded; true by default.
+	// overloaded; true by default.
 	Spill bool
 }
 
--- a/comfreyconfig/service.go
+++ b/comfreyconfig/service.go
@@ -22,7 +22,7 @@
 	return "generation"
 }
 
-// Preset is the operator's choice between waiting and being pushed aside. The
+// Preset is the operator's choice between waiting and preemption. The
 // zero value is PresetStallTime.
 type Preset int
 
--- a/comfreyreplay/engine.go
+++ b/comfreyreplay/engine.go
@@ -67,7 +67,7 @@
 	shape   EngineShape
 	used    int
 	running []*job
-	waiting []*job // the engine's own queue; those pushed aside come first
+	waiting []*job // the engine's own queue; preempted ones come first
 	cache   prefixCache
 	emitted []*job // generations that get a token in the current step
 	busy    bool
@@ -89,7 +89,7 @@
 }
 
 // step begins a step and returns its length, or zero if there is nothing to
-// do. The callbacks tell of generations pushed aside and resumed.
+// do. The callbacks tell of generations preempted and resumed.
 func (e *engine) step(preempted, resumed func(j *job)) time.Duration {
 	pushed := e.reserve(preempted)
 	if !pushed {
@@ -117,7 +117,7 @@
 }
 
 // reserve makes room for one more token of each running generation. It reports
-// whether any was pushed aside.
+// whether any was preempted.
 func (e *engine) reserve(preempted func(j *job)) bool {
 	pushed := false
 	for e.used+len(e.running) > e.shape.CapacityTokens && len(e.running) > 1 {
--- a/comfreyreplay/result.go
+++ b/comfreyreplay/result.go
@@ -46,7 +46,7 @@
 	// requests ended.
 	Requests, Completed, GivenUp, Failed int
 	// Started counts the generations that produced a token, Preemptions the
-	// times that a generation was pushed aside.
+	// times that a generation was preempted.
 	Started, Preemptions int
 	// Refusals counts what callers were told, Followed the callers that came
 	// back as told, and Kept those of them that were served then.
--- a/comfreyrouter/choose.go
+++ b/comfreyrouter/choose.go
@@ -15,10 +15,10 @@
 	DataCentre string
 	// DataCentres are the preferred data centres in the order in which they are
 	// tried, in place of DataCentre; a later one is taken if those before it are
-	// crowded or empty.
+	// overloaded or empty.
 	DataCentres []string
 	// IsConfined keeps the request in the preferred data centres even if they
-	// are crowded or empty.
+	// are overloaded or empty.
 	IsConfined bool
 	// PrefixHash identifies the start of the prompt; zero means that no cached
 	// prefix is to be looked for.
@@ -85,7 +85,7 @@
 }
 
 // choose prefers the upstream of the prefix, then the preferred data centres,
-// then the others if the preferred ones are crowded or empty.
+// then the others if the preferred ones are overloaded or empty.
 func (s *selection) choose(q Query) (candidate, comfreyverdict.Reason) {
 	names := q.DataCentres
 	if len(names) == 0 {
@@ -109,7 +109,7 @@
 }
 
 // preferred returns the choice in the first of the named data centres that is
-// not crowded, or the least loaded choice if all are.
+// not overloaded, or the least loaded choice if all are.
 func (s *selection) preferred(names []string) candidate {
 	var best candidate
 	for _, n := range names {
--- a/comfreyrouter/config.go
+++ b/comfreyrouter/config.go
@@ -87,7 +87,7 @@
 	// ProbesASecond bounds the probes; the default is 8. A negative value
 	// turns probes off.
 	ProbesASecond float64
-	// SpillLoad is the load from which a near upstream is crowded, so that
+	// SpillLoad is the load from which a near upstream is overloaded, so that
 	// farther ones are looked at; the default is 1.
 	SpillLoad float64
 	// SpillMargin is by how much a farther upstream must be less loaded; the
--- a/comfreysidecar/watch.go
+++ b/comfreysidecar/watch.go
@@ -22,7 +22,7 @@
 )
 
 // runWatch looks at the upstream until ctx ends: one that is down is reported
-// as crowded, and one that the platform takes back makes the sidecar leave.
+// as overloaded, and one that the platform reclaims makes the sidecar leave.
 func (s *Sidecar) runWatch(ctx context.Context) error {
 	for {
 		v, ok := s.config.service()
@@ -46,7 +46,7 @@
 	x, err := s.engine.State(ctx)
 	s.setDown(err)
 	if err == nil && x.Reclaimed && s.accepts() {
-		s.leave("the platform takes the engine back")
+		s.leave("the platform reclaims the engine")
 	}
 }
 
