--- a/comfreyadmission/entrance.go
+++ b/comfreyadmission/entrance.go
@@ -22,11 +22,15 @@
 	// thresholdFactor is how many times the free part of the queue a customer
 	// of weight 1 may hold.
 	thresholdFactor = 4
+	// idleShare is the part of the memory up to which nobody is refused.
+	idleShare = 0.7
+	// minimumReturn is the least time that a caller is told to wait.
+	minimumReturn = time.Second
 	// fairMargin is the part of the largest customer's tokens below which a
 	// customer counts as having got less than its share.
 	fairMargin = 0.8
 	// fairExtra is the time by which such a customer may overfill the queue.
-	fairExtra = 5 * time.Second
+	fairExtra = 10 * time.Second
 	// returnShare is the part of its tokens of late that the returns of a
 	// customer which got most may take. The rest goes to those that got less.
 	returnShare = 0.8
@@ -69,6 +73,9 @@
 
 // room reports whether r may wait in the queue, or why not.
 func (c *Controller) room(now time.Time, r Request) (comfreyverdict.Reason, bool) {
+	if c.hasMemory(r) {
+		return "", true
+	}
 	wait := c.expectedWait()
 	if len(c.queue) == 0 || wait < c.config.QueueTime/openShare {
 		return "", true
@@ -94,13 +101,28 @@
 	return "", true
 }
 
+// hasMemory reports whether r and all that wait fit into the engine beside what
+// runs. The queue then is about prompts that start one after the other, and the
+// measured rate, which is low while the engine is idle, says nothing about it.
+func (c *Controller) hasMemory(r Request) bool {
+	n := len(c.running) + len(c.queue) + 1
+	if n > c.config.MaxRunning || len(c.queue) >= c.config.QueueLimit {
+		return false
+	}
+	need := float64(c.peak()) + c.queued + float64(r.PromptTokens) + c.expectedTokens(r)
+	for _, e := range c.queue {
+		need += float64(e.request.PromptTokens)
+	}
+	return need < idleShare*float64(c.config.CapacityTokens)
+}
+
 // belowFair reports whether the customer of a got clearly less of late than the
 // one that got most, by their weights. Such a customer is refused last: nobody
 // is refused in favour of one that gets more (max-min fairness by token
 // counters, compare VTC).
 func (c *Controller) belowFair(a *account) bool {
 	top := 0.0
-	for _, b := range c.accounts {
+	for _, b := range c.open {
 		top = max(top, b.served/b.weight)
 	}
 	return a.served/a.weight < fairMargin*top
@@ -109,22 +131,19 @@
 // drainTime returns how long what the customer of r has waiting takes to drain.
 func (c *Controller) drainTime(r Request, tokens float64) time.Duration {
 	a := c.account(r.Customer)
-	d := time.Duration((a.waiting() + tokens) / (c.share(a) * c.drain.queueRate()) * float64(time.Second))
+	d := c.drain.duration((a.waiting() + tokens) / c.share(a))
 	return max(d, c.expectedWait())
 }
 
-// minimumReturn is the least time that a caller is told to wait.
-const minimumReturn = time.Second
-
 // share returns the part of the token rate that drains an account. The shares
 // of all accounts sum up to at most 1.
 func (c *Controller) share(a *account) float64 {
 	weights := 0.0
-	for _, b := range c.accounts {
+	for _, b := range c.open {
 		weights += b.weight
 	}
 	sum := 0.0
-	for _, b := range c.accounts {
+	for _, b := range c.open {
 		sum += c.claim(b, weights)
 	}
 	share := c.claim(a, weights) / sum
--- a/comfreydemo/random_test.go
+++ b/comfreydemo/random_test.go
@@ -96,7 +96,7 @@
 		case 6:
 			f.Engines[r.IntN(len(f.Engines))].Crash(time.Duration(r.IntN(50)) * time.Millisecond)
 		case 7:
-			f.Engines[r.IntN(len(f.Engines))].PushAside()
+			f.Engines[r.IntN(len(f.Engines))].Preempt()
 		case 8:
 			a := f.Applications[r.IntN(len(f.Applications))]
 			a.FailNext(comfreyfakeapplication.FailurePoint(1 + r.IntN(2)))
--- a/comfreyengine/exchange.go
+++ b/comfreyengine/exchange.go
@@ -26,7 +26,11 @@
 		cancel()
 		return nil, nil, comfreyverdict.NotRun(comfreyverdict.ReasonBadRequest, err.Error())
 	}
-	res, err := c.transport.RoundTrip(r)
+	if l.limit > 0 {
+		t := time.AfterFunc(l.limit, cancel)
+		defer t.Stop()
+	}
+	res, err := l.transport.RoundTrip(r)
 	if err != nil {
 		cancel()
 		return nil, nil, sendError(ctx, p, err)
@@ -45,13 +49,22 @@
 	if err != nil {
 		return nil, err
 	}
+	id := res.Header.Get("X-Generation-Id")
+	limit := c.config.SilenceTime
+	if id == "" {
+		limit = 0 // A generation without an id cannot be resumed.
+	}
 	s := &Stream{
-		ctx:    ctx,
-		cancel: cancel,
-		body:   res.Body,
-		reader: newLineReader(res.Body, c.config.MaxLineBytes),
+		client:     c,
+		ctx:        ctx,
+		generation: id,
+		connection: connection{
+			cancel:   cancel,
+			body:     res.Body,
+			reader:   newLineReader(res.Body, c.config.MaxLineBytes),
+			watchdog: newWatchdog(limit, cancel),
+		},
 	}
-	s.generation = res.Header.Get("X-Generation-Id")
 	n, err := strconv.Atoi(res.Header.Get("X-Prompt-Tokens"))
 	if err == nil && n >= 0 {
 		s.promptTokens = n
--- a/comfreyfakeengine/failure.go
+++ b/comfreyfakeengine/failure.go
@@ -59,15 +59,15 @@
 	e.poke()
 }
 
-// PushAside preempts the running generation that is last in serving order. It
+// Preempt preempts the running generation that is last in serving order. It
 // reports false if none runs.
-func (e *Engine) PushAside() bool {
+func (e *Engine) Preempt() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.batch.running) == 0 {
 		return false
 	}
-	e.batch.pushAside(e.batch.last())
+	e.batch.preempt(e.batch.last())
 	e.poke()
 	return true
 }
--- a/comfreygateway/output.go
+++ b/comfreygateway/output.go
@@ -1,12 +1,14 @@
 package comfreygateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"os"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreystream"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -30,15 +32,17 @@
 // callerConnection is the connection to a caller. Its writes are bounded in
 // time.
 type callerConnection struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	timeout time.Duration
-	now     func() time.Time
-	buffer  []byte
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	deadline *comfreyrpc.WriteDeadline
+	timeout  time.Duration
+	now      func() time.Time
+	buffer   []byte
 }
 
 func newCallerConnection(w http.ResponseWriter, timeout time.Duration, now func() time.Time) *callerConnection {
-	return &callerConnection{w: w, control: http.NewResponseController(w), timeout: timeout, now: now}
+	c := http.NewResponseController(w)
+	return &callerConnection{w: w, control: c, deadline: comfreyrpc.NewWriteDeadline(c, timeout), timeout: timeout, now: now}
 }
 
 // flush writes the buffer. The error tells a slow reader from a lost one.
@@ -46,7 +50,7 @@
 	if len(c.buffer) == 0 {
 		return nil
 	}
-	_ = c.control.SetWriteDeadline(c.now().Add(c.timeout))
+	c.deadline.Begin(c.now())
 	_, err := c.w.Write(c.buffer)
 	c.buffer = c.buffer[:0]
 	if err == nil {
@@ -61,6 +65,15 @@
 	return nil
 }
 
+// doneData ends a stream of events for an OpenAI-style client.
+const doneData = "[DONE]"
+
+// isEventData reports whether a chunk can be sent as one event that no client
+// takes for the end. A line break would begin another field of the event.
+func isEventData(b []byte) bool {
+	return bytes.IndexByte(b, '\n') < 0 && bytes.IndexByte(b, '\r') < 0 && string(bytes.TrimSpace(b)) != doneData
+}
+
 // newEventOutput returns an output that streams server-sent events.
 func newEventOutput(c *callerConnection, requestID string) output {
 	begun := false
@@ -95,7 +108,7 @@
 			return c.flush()
 		},
 		end: func(e comfreystream.EventID) error {
-			event(e, []byte("[DONE]"))
+			event(e, []byte(doneData))
 			return c.flush()
 		},
 		fail: func(e comfreyverdict.Error) {
--- /dev/null
+++ b/comfreygateway/retry.go
@@ -0,0 +1,89 @@
+package comfreygateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyrouter"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// retryReserve is how many retries a new gateway may send for a service before
+// its requests have earned any.
+const retryReserve = 2
+
+// retriers holds one retrier a service. It is safe for concurrent use.
+type retriers struct {
+	mu        sync.Mutex
+	byService map[string]*comfreyrouter.Retrier
+}
+
+func newRetriers() *retriers {
+	return &retriers{byService: map[string]*comfreyrouter.Retrier{}}
+}
+
+// of returns the retrier of a service. The ratio counts when it is made.
+func (b *retriers) of(service string, ratio float64) *comfreyrouter.Retrier {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.byService[service]
+	if !ok {
+		r = comfreyrouter.NewRetrier(comfreyrouter.RetrierConfig{
+			Budget: comfreyrouter.NewRetryBudget(comfreyrouter.RetryConfig{Ratio: ratio, Reserve: retryReserve}),
+		})
+		b.byService[service] = r
+	}
+	return r
+}
+
+// retrier returns the retrier of a service.
+func (g *Gateway) retrier(v comfreyconfig.Service) *comfreyrouter.Retrier {
+	return g.retriers.of(v.Name, g.config.Settings().Limits().RetryRatio)
+}
+
+// again decides whether a failed attempt is followed by another, and waits for
+// as long as that should wait.
+func (g *Gateway) again(ctx context.Context, requestID string, v comfreyconfig.Service, host string, a comfreyrouter.Attempt) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	a.Random = rand.Float64()
+	r := g.retrier(v).Next(g.config.Now(), a)
+	g.metrics.retry(r.Reason, r.Again)
+	g.recorder.Record(requestID, comfreydecision.KindRetry, r.Reason, map[string]any{"again": r.Again, "after": r.After, "host": host, "tries": a.Tries})
+	if r.Again {
+		wait(ctx, r.After)
+	}
+	return r.Again
+}
+
+// failures collects how the attempts of one request ended. The zero value holds
+// none.
+type failures struct {
+	last    comfreyverdict.Error
+	verdict comfreyverdict.Verdict
+	any     bool
+}
+
+// add takes one more attempt. That no further upstream was found says less than
+// the refusal of the one before, which may tell when to come back.
+func (f *failures) add(e comfreyverdict.Error) {
+	if !f.any {
+		f.last, f.verdict, f.any = e, e.Verdict, true
+		return
+	}
+	f.verdict = f.verdict.Join(e.Verdict)
+	if e.Reason != comfreyverdict.ReasonNoUpstream {
+		f.last = e
+	}
+}
+
+// final returns the answer to the caller. Its verdict covers every attempt.
+func (f *failures) final() comfreyverdict.Error {
+	e := f.last
+	e.Verdict = f.verdict
+	return e
+}
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -39,6 +40,9 @@
 	group        *comfreygroup.Group
 	server       *http.Server
 
+	// down says that the upstream did not answer when it was looked at last.
+	down atomic.Bool
+
 	mu        sync.Mutex
 	lifecycle *comfreyfleet.Lifecycle
 }
@@ -61,12 +65,24 @@
 	s.admission = newAdmission(c.admissionConfig(), s)
 	s.orders = newOrders(comfreyorder.Config{Host: c.Host, Incarnation: uint64(c.Incarnation)}, c.Now)
 	s.metrics = newMetrics(c.Registry, s)
-	s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return s
 }
 
-// readHeaderTimeout bounds the time in which a connection sends its headers.
-const readHeaderTimeout = 10 * time.Second
+const (
+	// readHeaderTimeout bounds the time in which a connection sends its
+	// headers.
+	readHeaderTimeout = 10 * time.Second
+	// readTimeout bounds the time in which it sends a whole request. It does
+	// not bound the answer.
+	readTimeout = 30 * time.Second
+	// idleTimeout bounds the time between two requests. It exceeds that for
+	// which a client of the fleet keeps a connection, so that the client is the
+	// one that closes it and no request meets a closing connection.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
+)
 
 // Handler returns the signed internal interface.
 func (s *Sidecar) Handler() http.Handler {
@@ -111,6 +127,7 @@
 	s.renew()
 	s.group.Go("admission", s.admission.run)
 	s.group.Go("janitor", s.runJanitor)
+	s.group.Go("watch", s.runWatch)
 	s.group.Go("renew witnesses", s.renewWitnesses)
 	if s.config.Confirm != nil {
 		s.group.Go("move", s.runMover)
@@ -206,6 +223,10 @@
 // Load returns what the sidecar tells gateways about its upstream.
 func (s *Sidecar) Load() *comfreyproto.Load {
 	l := s.admission.load.Load()
+	wait := l.ExpectedWait
+	if s.down.Load() {
+		wait = max(wait, downWait)
+	}
 	return &comfreyproto.Load{
 		Incarnation:         uint64(s.config.Incarnation),
 		Accepting:           s.accepts(),
@@ -215,7 +236,7 @@
 		UsedTokens:          uint64(l.UsedTokens),
 		CapacityTokens:      uint64(l.CapacityTokens),
 		PredictedPeakTokens: uint64(l.PeakTokens),
-		ExpectedWaitMillis:  comfreyrpc.Millis(l.ExpectedWait),
+		ExpectedWaitMillis:  comfreyrpc.Millis(wait),
 	}
 }
 
