Let one piece serve where the read-through found two

What stood twice: the checks of a sidecar's service (a generation and a plain call), the timer wait (gateway, sidecar, load tool), the start of a caller's request (four handlers), the readiness answer, the host list's lag, the bound on shared crash records. Each is one piece now; a tick's length is computed once; a comment that said more than its function does is corrected.

--- a/comfreyfleet/lifecycle.go
+++ b/comfreyfleet/lifecycle.go
@@ -11,6 +11,11 @@
 // so at least twice as often.
 const settleTime = time.Second
 
+// MaxListLag bounds how far the host list lags behind the truth. A list that
+// arrives less than this after the start of a process may speak of the process
+// before it on the same host.
+const MaxListLag = 30 * time.Second
+
 // Lifecycle decides in a sidecar whether new work may begin. It has the last
 // word: whatever a gateway believes, work begins only if Begin returns nil. A
 // Lifecycle is not safe for concurrent use.
--- a/comfreygateway/crashes.go
+++ b/comfreygateway/crashes.go
@@ -9,9 +9,6 @@
 	"comfreyridge.example/comfreyridge/comfreyrpc"
 )
 
-// sharedRecords bounds the crash records on one message.
-const sharedRecords = 4
-
 // crashes carries crash records between sidecars. It is safe for concurrent
 // use.
 type crashes struct {
@@ -41,7 +38,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	return comfreyrpc.CrashesOf(c.table.Export(now, sharedRecords), now)
+	return comfreyrpc.CrashesOf(c.table.Export(now, comfreyrpc.SharedCrashes), now)
 }
 
 // about returns the records in which a request is suspected, so that the next
--- a/comfreygateway/follow.go
+++ b/comfreygateway/follow.go
@@ -10,6 +10,7 @@
 
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyfleet"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreystream"
@@ -88,7 +89,7 @@
 		if refused >= refusedTries {
 			return nil, s.lost("the sidecar's process has ended")
 		}
-		wait(ctx, delay)
+		comfreygroup.Sleep(ctx, delay)
 		delay = min(2*delay, maxResumeDelay)
 	}
 }
--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"comfreyridge.example/comfreyridge/comfreyadmin"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyfleet"
 	"comfreyridge.example/comfreyridge/comfreygroup"
@@ -77,7 +78,7 @@
 func (g *Gateway) Handler() http.Handler {
 	m := chi.NewRouter()
 	m.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	m.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { serveReady(w, g.Ready()) })
+	m.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { comfreyadmin.ServeReady(w, g.Ready) })
 	m.Post("/v1/completions", g.serveGeneration)
 	m.Post("/v1/chat/completions", g.serveGeneration)
 	m.Get("/v1/models", g.serveModels)
@@ -95,14 +96,6 @@
 	return m
 }
 
-func serveReady(w http.ResponseWriter, err error) {
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = w.Write([]byte("ready\n"))
-}
-
 // Ready returns nil if the balancer should send callers here.
 func (g *Gateway) Ready() error {
 	if g.leaving.Load() {
@@ -160,7 +153,7 @@
 func (g *Gateway) drain(kill context.Context) {
 	g.leaving.Store(true)
 	g.recorder.Record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"open": g.conservation.Totals().Open})
-	wait(kill, g.config.DrainDelay)
+	comfreygroup.Sleep(kill, g.config.DrainDelay)
 	ctx, cancel := context.WithTimeout(kill, g.config.DrainLimit)
 	defer cancel()
 	if g.server.Shutdown(ctx) == nil {
@@ -173,13 +166,3 @@
 	defer cancel()
 	_ = g.server.Shutdown(ctx)
 }
-
-// wait blocks for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/comfreygateway/models.go
+++ b/comfreygateway/models.go
@@ -22,10 +22,7 @@
 
 // serveModels answers GET /v1/models.
 func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request) {
-	id := newRequestID()
-	w.Header().Set(HeaderRequestID, id)
-	if _, err := g.authenticate(r); err != nil {
-		g.refuse(w, id, err)
+	if _, _, ok := g.beginRequest(w, r); !ok {
 		return
 	}
 	l := modelList{Object: "list", Data: []model{}}
--- a/comfreygateway/request.go
+++ b/comfreygateway/request.go
@@ -87,6 +87,19 @@
 	return c, nil
 }
 
+// beginRequest gives a request its id and its customer. It reports false if it has
+// refused the request.
+func (g *Gateway) beginRequest(w http.ResponseWriter, r *http.Request) (id string, c comfreyconfig.Customer, ok bool) {
+	id = newRequestID()
+	w.Header().Set(HeaderRequestID, id)
+	c, err := g.authenticate(r)
+	if err != nil {
+		g.refuse(w, id, err)
+		return id, c, false
+	}
+	return id, c, true
+}
+
 // readBody reads a caller's body of at most max bytes.
 func readBody(w http.ResponseWriter, r *http.Request, max int) ([]byte, error) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(max)))
--- a/comfreygateway/resume.go
+++ b/comfreygateway/resume.go
@@ -15,11 +15,8 @@
 // serveStream answers GET /v1/streams/{id}: it resumes a stream after the
 // event that the header Last-Event-ID names, or from the start without one.
 func (g *Gateway) serveStream(w http.ResponseWriter, r *http.Request) {
-	id := newRequestID()
-	w.Header().Set(HeaderRequestID, id)
-	c, err := g.authenticate(r)
-	if err != nil {
-		g.refuse(w, id, err)
+	id, c, ok := g.beginRequest(w, r)
+	if !ok {
 		return
 	}
 	last := r.Header.Get("Last-Event-ID")
@@ -70,11 +67,8 @@
 // serveCancel answers DELETE /v1/streams/{id}: it ends a generation and frees
 // its memory in the engine at once.
 func (g *Gateway) serveCancel(w http.ResponseWriter, r *http.Request) {
-	id := newRequestID()
-	w.Header().Set(HeaderRequestID, id)
-	c, err := g.authenticate(r)
-	if err != nil {
-		g.refuse(w, id, err)
+	id, c, ok := g.beginRequest(w, r)
+	if !ok {
 		return
 	}
 	n, err := comfreystream.ParseGenerationID(chi.URLParam(r, "id"))
--- a/comfreygateway/retry.go
+++ b/comfreygateway/retry.go
@@ -8,6 +8,7 @@
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
 	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyrouter"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -56,7 +57,7 @@
 	g.metrics.retry(r.Reason, r.Again)
 	g.recorder.Record(requestID, comfreydecision.KindRetry, r.Reason, map[string]any{"again": r.Again, "after": r.After, "host": host, "tries": a.Tries})
 	if r.Again {
-		wait(ctx, r.After)
+		comfreygroup.Sleep(ctx, r.After)
 	}
 	return r.Again
 }
--- a/comfreygateway/session.go
+++ b/comfreygateway/session.go
@@ -42,11 +42,8 @@
 
 // serveGeneration answers POST /v1/completions and /v1/chat/completions.
 func (g *Gateway) serveGeneration(w http.ResponseWriter, r *http.Request) {
-	id := newRequestID()
-	w.Header().Set(HeaderRequestID, id)
-	c, err := g.authenticate(r)
-	if err != nil {
-		g.refuse(w, id, err)
+	id, c, ok := g.beginRequest(w, r)
+	if !ok {
 		return
 	}
 	if last := r.Header.Get("Last-Event-ID"); last != "" {
--- /dev/null
+++ b/comfreygroup/sleep.go
@@ -0,0 +1,19 @@
+package comfreygroup
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d. It reports false if ctx ends first. A duration of zero or
+// below does not wait.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/comfreyload/load.go
+++ b/comfreyload/load.go
@@ -136,12 +136,5 @@
 	if left := l.options.Time - time.Since(l.began); l.options.Time > 0 && d > left {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return comfreygroup.Sleep(ctx, d)
 }
--- a/comfreyprocess/view.go
+++ b/comfreyprocess/view.go
@@ -7,18 +7,13 @@
 	"comfreyridge.example/comfreyridge/comfreyfleet"
 )
 
-// maxListLag bounds how far the host list lags behind the truth. A list that
-// arrived less than this after the start of a process may speak of the process
-// before it.
-const maxListLag = 30 * time.Second
-
 // viewOf converts a host list that arrived at now.
 func viewOf(l comfreyconfig.HostList, now time.Time) comfreyfleet.View {
 	members := make([]comfreyfleet.Member, 0, len(l.Hosts))
 	for _, h := range l.Hosts {
 		members = append(members, memberOf(h))
 	}
-	return comfreyfleet.NewView(l.Number, now.Add(-maxListLag), members)
+	return comfreyfleet.NewView(l.Number, now.Add(-comfreyfleet.MaxListLag), members)
 }
 
 func memberOf(h comfreyconfig.Host) comfreyfleet.Member {
--- a/comfreyrpc/crash.go
+++ b/comfreyrpc/crash.go
@@ -7,6 +7,9 @@
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 )
 
+// SharedCrashes bounds the crash records on one message.
+const SharedCrashes = 4
+
 // CrashesOf converts crash records for the wire. The expiry travels as the time
 // left, because the clocks of two processes differ.
 func CrashesOf(s []comfreyquarantine.Record, now time.Time) []*comfreyproto.CrashRecord {
--- a/comfreysidecar/accept.go
+++ b/comfreysidecar/accept.go
@@ -1,8 +1,6 @@
 package comfreysidecar
 
 import (
-	"fmt"
-
 	"comfreyridge.example/comfreyridge/comfreyadmission"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
@@ -27,15 +25,9 @@
 	if err := s.begin(); err != nil {
 		return nil, err
 	}
-	v, ok := s.config.service()
-	if !ok {
-		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "the sidecar has no configuration of its service")
-	}
-	if m.Service != v.Name {
-		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonUnknownService, fmt.Sprintf("this upstream serves %s", v.Name))
-	}
-	if len(m.Body) > v.MaxBodyBytes {
-		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonBodyTooLarge, fmt.Sprintf("the body has %d bytes, the limit is %d", len(m.Body), v.MaxBodyBytes))
+	v, err := s.checkService(m.Service, len(m.Body))
+	if err != nil {
+		return nil, err
 	}
 	timeout := comfreyrpc.Duration(m.TimeoutMillis)
 	if timeout <= 0 || timeout > v.Deadline {
--- a/comfreysidecar/admission.go
+++ b/comfreysidecar/admission.go
@@ -89,8 +89,9 @@
 			a.progress()
 			a.apply(a.controller.Tick(a.now()))
 			a.publish()
-			a.due = a.now().Add(a.untilTick())
-			t.Reset(a.untilTick())
+			d := a.untilTick()
+			a.due = a.now().Add(d)
+			t.Reset(d)
 		case <-ctx.Done():
 			return nil
 		}
--- a/comfreysidecar/generation.go
+++ b/comfreysidecar/generation.go
@@ -201,8 +201,7 @@
 	}
 }
 
-// frames appends the kept frames from seq on to s and reports whether the last
-// one ends the generation.
+// frames appends the kept frames from seq on to s.
 func (g *generation) frames(s []comfreystream.Frame, seq uint64) ([]comfreystream.Frame, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/comfreysidecar/janitor.go
+++ b/comfreysidecar/janitor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyfleet"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreystream"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
@@ -14,8 +15,6 @@
 	// janitorInterval is how often leases, orphans and old frames are looked
 	// at. It is below the longest pause that a lease allows.
 	janitorInterval = 250 * time.Millisecond
-	// maxListLag bounds how far the host list lags behind the truth.
-	maxListLag = 30 * time.Second
 	// overdueGrace is how far past its deadline a request may be open before
 	// the invariant counts it as lost.
 	overdueGrace = 30 * time.Second
@@ -46,7 +45,7 @@
 func (s *Sidecar) leaveIfListed() {
 	s.mu.Lock()
 	age := s.config.Now().Sub(s.config.Incarnation.Start())
-	due := s.lifecycle.IsListedLeaving() && !s.lifecycle.Left() && age > maxListLag
+	due := s.lifecycle.IsListedLeaving() && !s.lifecycle.Left() && age > comfreyfleet.MaxListLag
 	s.mu.Unlock()
 	if due {
 		s.leave("the host list names this host as leaving")
--- a/comfreysidecar/mover.go
+++ b/comfreysidecar/mover.go
@@ -8,6 +8,7 @@
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyengine"
 	"comfreyridge.example/comfreyridge/comfreyfleet"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreymover"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -56,7 +57,7 @@
 // runMover keeps the upstream in the state that the configuration asks for,
 // until ctx ends.
 func (s *Sidecar) runMover(ctx context.Context) error {
-	if !sleep(ctx, moverStart) {
+	if !comfreygroup.Sleep(ctx, moverStart) {
 		return nil
 	}
 	m := comfreymover.NewMover(comfreymover.Config{
@@ -66,7 +67,7 @@
 	})
 	for ctx.Err() == nil {
 		if v, ok := s.config.service(); !ok || v.Kind != comfreyconfig.ServiceKindGeneration {
-			sleep(ctx, maxMoverWait)
+			comfreygroup.Sleep(ctx, maxMoverWait)
 			continue
 		}
 		s.retarget(m)
@@ -93,20 +94,20 @@
 	case comfreymover.ActionRevalidate:
 		c, ok := s.config.Confirm(ctx)
 		if !ok {
-			sleep(ctx, maxMoverWait)
+			comfreygroup.Sleep(ctx, maxMoverWait)
 			return
 		}
 		m.SeeRevision(c.Revision)
 		m.Renew(c.Revision, c.Asked.Add(moverLease))
 		if d := s.config.Digest(); d != nil && d.Number < c.Revision {
-			sleep(ctx, maxMoverWait)
+			comfreygroup.Sleep(ctx, maxMoverWait)
 		}
 	case comfreymover.ActionReadBack:
 		s.readBack(ctx, m)
 	case comfreymover.ActionSend:
 		s.sendOrder(ctx, m, a.Order)
 	case comfreymover.ActionWait:
-		sleep(ctx, min(max(a.Until.Sub(s.config.Now()), 0), maxMoverWait))
+		comfreygroup.Sleep(ctx, min(max(a.Until.Sub(s.config.Now()), 0), maxMoverWait))
 	default:
 		<-ctx.Done()
 	}
@@ -118,7 +119,7 @@
 	sent := s.config.Now()
 	x, err := s.engine.State(ctx)
 	if err != nil {
-		sleep(ctx, maxMoverWait)
+		comfreygroup.Sleep(ctx, maxMoverWait)
 		return
 	}
 	m.Observe(sent, comfreymover.Observation{
@@ -174,15 +175,3 @@
 		return comfreymover.ResultLost
 	}
 }
-
-// sleep waits for d; it reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/comfreysidecar/orders.go
+++ b/comfreysidecar/orders.go
@@ -80,7 +80,7 @@
 }
 
 func (s *Sidecar) mint(r *comfreyproto.MintTicketRequest) (t comfreyorder.Ticket, err error) {
-	if err := s.checkPlain(r.Service, 0); err != nil {
+	if _, err := s.checkService(r.Service, 0); err != nil {
 		return t, err
 	}
 	if err := s.begin(); err != nil {
@@ -134,7 +134,7 @@
 func (s *Sidecar) runOrder(ctx context.Context, t comfreyorder.Ticket, r *comfreyproto.PutOrderRequest) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.plainTimeout(r.TimeoutMillis))
 	defer cancel()
-	if err := s.checkPlain(r.Service, len(r.Body)); err != nil {
+	if _, err := s.checkService(r.Service, len(r.Body)); err != nil {
 		s.abandon(t, comfreyverdict.From(err).Reason)
 		return
 	}
--- a/comfreysidecar/quarantine.go
+++ b/comfreysidecar/quarantine.go
@@ -9,6 +9,7 @@
 
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyfleet"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
@@ -33,8 +34,6 @@
 	copyPolls = 10
 	// maxHarmless bounds the completed requests that a sidecar remembers.
 	maxHarmless = 4096
-	// sharedRecords bounds the crash records on one message.
-	sharedRecords = 4
 )
 
 // quarantine holds what a sidecar knows of requests that crash upstreams. It is
@@ -98,7 +97,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	return comfreyrpc.CrashesOf(q.table.Export(now, sharedRecords), now)
+	return comfreyrpc.CrashesOf(q.table.Export(now, comfreyrpc.SharedCrashes), now)
 }
 
 // merge takes the records of another process.
@@ -241,7 +240,7 @@
 func (s *Sidecar) clear(ctx context.Context, g *generation) (comfreyquarantine.RunID, error) {
 	id, d := s.ask(ctx, g)
 	for n := 0; n < copyPolls && d == comfreyquarantine.DecisionWait; n++ {
-		if !sleep(ctx, copyPoll) {
+		if !comfreygroup.Sleep(ctx, copyPoll) {
 			break
 		}
 		id, d = s.ask(ctx, g)
--- a/comfreysidecar/service.go
+++ b/comfreysidecar/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"comfreyridge.example/comfreyridge/comfreyconfig"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
@@ -69,7 +70,7 @@
 	if !s.table.fence(fenceKey(r.RequestId, 0), s.config.Now()) {
 		return upstreamAnswer{}, comfreyverdict.MayHaveRun(comfreyverdict.ReasonDuplicateRequest, "the sidecar has seen this request before")
 	}
-	if err := s.checkPlain(r.Service, len(r.Body)); err != nil {
+	if _, err := s.checkService(r.Service, len(r.Body)); err != nil {
 		return upstreamAnswer{}, err
 	}
 	if err := s.begin(); err != nil {
@@ -80,18 +81,19 @@
 	return s.upstream.do(ctx, upstreamCall{requestID: r.RequestId, method: r.Method, path: r.Path, headers: r.Headers, body: r.Body})
 }
 
-// checkPlain returns nil if this sidecar takes calls of the service with a body
-// of that size.
-func (s *Sidecar) checkPlain(service string, bodyBytes int) error {
+// checkService returns the settings of the service if this sidecar takes
+// requests of it with a body of that size. The error is a comfreyverdict.Error
+// with verdict not-run.
+func (s *Sidecar) checkService(service string, bodyBytes int) (comfreyconfig.Service, error) {
 	v, ok := s.config.service()
 	if !ok {
-		return comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "the sidecar has no configuration of its service")
+		return v, comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "the sidecar has no configuration of its service")
 	}
 	if v.Name != service {
-		return comfreyverdict.NotRun(comfreyverdict.ReasonUnknownService, fmt.Sprintf("this upstream serves %s", v.Name))
+		return v, comfreyverdict.NotRun(comfreyverdict.ReasonUnknownService, fmt.Sprintf("this upstream serves %s", v.Name))
 	}
 	if bodyBytes > v.MaxBodyBytes {
-		return comfreyverdict.NotRun(comfreyverdict.ReasonBodyTooLarge, fmt.Sprintf("the body has %d bytes, the limit is %d", bodyBytes, v.MaxBodyBytes))
+		return v, comfreyverdict.NotRun(comfreyverdict.ReasonBodyTooLarge, fmt.Sprintf("the body has %d bytes, the limit is %d", bodyBytes, v.MaxBodyBytes))
 	}
-	return nil
+	return v, nil
 }
--- a/comfreysidecar/watch.go
+++ b/comfreysidecar/watch.go
@@ -8,6 +8,7 @@
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
 	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -29,7 +30,7 @@
 		if ok {
 			s.look(ctx, v.Kind)
 		}
-		if !sleep(ctx, watchInterval) {
+		if !comfreygroup.Sleep(ctx, watchInterval) {
 			return nil
 		}
 	}
