comfreydemo: hand each process its own listeners

Cause: System.take read the map of listeners in a process's goroutine while start still added the listeners of later processes (fatal error: concurrent map read and map write, about one demo run in six). Before: TestStartSystemUnderRaceDetector reports data races in all runs. After: it passes (go test -race -run TestStartSystemUnderRaceDetector ./comfreydemo). Ruled out: a lock around the map, since a process needs only its own listeners.

--- a/comfreydemo/system.go
+++ b/comfreydemo/system.go
@@ -36,20 +36,19 @@
 	// Applications hold the ground truth about orders.
 	Applications []*comfreyfakeapplication.Application
 
-	group     *comfreygroup.Group
-	platform  string
-	listeners map[string]net.Listener
-	hosts     []comfreyconfig.Host
-	ready     []string
-	engines   []*comfreyfakeengine.Engine
-	kill      context.Context
-	end       context.CancelFunc
+	group    *comfreygroup.Group
+	platform string
+	hosts    []comfreyconfig.Host
+	ready    []string
+	engines  []*comfreyfakeengine.Engine
+	kill     context.Context
+	end      context.CancelFunc
 }
 
 // StartSystem starts the installation and returns once every process is ready.
 // The first gateway listens on the given address.
 func StartSystem(ctx context.Context, listen string) (*System, error) {
-	s := &System{group: comfreygroup.New(context.WithoutCancel(ctx)), listeners: map[string]net.Listener{}}
+	s := &System{group: comfreygroup.New(context.WithoutCancel(ctx))}
 	s.kill, s.end = context.WithCancel(context.Background())
 	err := s.start(listen)
 	if err == nil {
@@ -100,36 +99,31 @@
 // anyPort is a loopback address with a free port.
 const anyPort = "127.0.0.1:0"
 
-// open holds a listener for a process under its real address.
-func (s *System) open(address string) (string, error) {
+// sockets are the listeners of one process under their real addresses. They
+// are opened before the process starts, and only the process reads them then.
+type sockets map[string]net.Listener
+
+// open adds a listener and returns its real address.
+func (s sockets) open(address string) (string, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", fmt.Errorf("comfreydemo: %w", err)
 	}
-	s.listeners[l.Addr().String()] = l
+	s[l.Addr().String()] = l
 	return l.Addr().String(), nil
 }
 
-// take hands a held listener to its process.
-func (s *System) take(address string) (net.Listener, error) {
-	l, ok := s.listeners[address]
+// take hands a listener to the process.
+func (s sockets) take(address string) (net.Listener, error) {
+	l, ok := s[address]
 	if !ok {
 		return nil, fmt.Errorf("comfreydemo: nothing listens on %s", address)
 	}
 	return l, nil
 }
 
-// serve serves a stand-in and returns its base URL.
-func (s *System) serve(h http.Handler) (string, error) {
-	l, err := serveStandIn(s.group, h)
-	if err != nil {
-		return "", err
-	}
-	return "http://" + l.Addr().String(), nil
-}
-
 // addresses opens n loopback listeners.
-func (s *System) addresses(n int) ([]string, error) {
+func (s sockets) addresses(n int) ([]string, error) {
 	var a []string
 	for range n {
 		x, err := s.open(anyPort)
@@ -141,29 +135,40 @@
 	return a, nil
 }
 
+// serve serves a stand-in and returns its base URL.
+func (s *System) serve(h http.Handler) (string, error) {
+	l, err := serveStandIn(s.group, h)
+	if err != nil {
+		return "", err
+	}
+	return "http://" + l.Addr().String(), nil
+}
+
 func (s *System) startSidecar(host, service string, upstream http.Handler) error {
 	url, err := s.serve(upstream)
 	if err != nil {
 		return err
 	}
-	a, err := s.addresses(2)
+	l := sockets{}
+	a, err := l.addresses(2)
 	if err != nil {
 		return err
 	}
 	c := comfreysettings.Sidecar{Process: s.process(host, a[0], a[1]), Service: service, Upstream: url, Fencing: "enforced"}
 	s.list(comfreyconfig.Host{Host: host, Address: a[0], Role: comfreyconfig.HostRoleSidecar, Service: service, Fencing: comfreyconfig.FencingEnforced})
 	s.group.Go(host, func(ctx context.Context) error {
-		return comfreyprocess.RunSidecar(ctx, s.kill, c, comfreyprocess.Options{Listen: s.take})
+		return comfreyprocess.RunSidecar(ctx, s.kill, c, comfreyprocess.Options{Listen: l.take})
 	})
 	return nil
 }
 
 func (s *System) startGateway(i int, listen string) error {
-	callers, err := s.open(listen)
+	l := sockets{}
+	callers, err := l.open(listen)
 	if err != nil {
 		return err
 	}
-	a, err := s.addresses(2)
+	a, err := l.addresses(2)
 	if err != nil {
 		return err
 	}
@@ -173,7 +178,7 @@
 	s.Gateways = append(s.Gateways, "http://"+callers)
 	s.Admins = append(s.Admins, "http://"+a[1])
 	s.group.Go(host, func(ctx context.Context) error {
-		return comfreyprocess.RunGateway(ctx, s.kill, c, comfreyprocess.Options{Listen: s.take})
+		return comfreyprocess.RunGateway(ctx, s.kill, c, comfreyprocess.Options{Listen: l.take})
 	})
 	return nil
 }
