--- /dev/null
+++ b/comfreycall/call.go
@@ -0,0 +1,98 @@
+// Package comfreycall holds what a gateway reads from a caller's request, what
+// it tells a replica with an attempt, and what it learns from the answer,
+// without the names that these have on the wire.
+package comfreycall
+
+import (
+	"errors"
+	"time"
+)
+
+// The outcomes of a copy that failed.
+var (
+	// ErrNoRun means that the replica runs no such request.
+	ErrNoRun = errors.New("comfreycall: the replica runs no such request")
+	// ErrCopyBusy means that the run is being copied already.
+	ErrCopyBusy = errors.New("comfreycall: the run is being copied already")
+	// ErrNoRoom means that the destination has no room or cannot be reached.
+	ErrNoRoom = errors.New("comfreycall: the destination has no room or cannot be reached")
+)
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what the headers of a caller's request say.
+type Request struct {
+	// ID names one attempt of the caller.
+	ID string
+	// Budget is how long the caller waits; it counts only if HasBudget is true.
+	Budget    time.Duration
+	HasBudget bool
+	// Key is the caller's secret; empty if there is none.
+	Key string
+	// PromptTokens and MaxTokens are the sizes of the prompt and of the longest
+	// answer; zero if the request does not say.
+	PromptTokens, MaxTokens int
+	// HintTokens is the caller's estimate of the answer's length, which is
+	// often far off; zero if there is none.
+	HintTokens int
+	// Parts are the pieces of the prompt in their order. The last one belongs
+	// to the request or its session alone.
+	Parts []Part
+}
+
+// Continuation names the copied memory from which a generation goes on.
+type Continuation struct {
+	// Source is the address of the replica where the generation ran.
+	Source string
+	Handle string
+	// LastEvent is the id of the last event that was passed on; empty if none
+	// was.
+	LastEvent string
+}
+
+// Attempt is what a replica is told beside the caller's request.
+type Attempt struct {
+	// Replica is the only replica that may run the request.
+	Replica string
+	// Customer is the owner of the caller's key; empty if there was none.
+	Customer string
+	// Left is how long the caller still waits; it counts only if HasLeft is
+	// true.
+	Left    time.Duration
+	HasLeft bool
+	// Priority ranks a generation among others; zero is the most urgent. It
+	// counts only if HasPriority is true.
+	Priority    int
+	HasPriority bool
+	// Continue is set if the generation ran elsewhere before.
+	Continue *Continuation
+	// Backup is the address of the replica that keeps a copy of the
+	// generation's memory; empty for none.
+	Backup string
+}
+
+// Reply is what the head of a replica's answer says.
+type Reply struct {
+	// IsSealed answers bear the replica's signature.
+	IsSealed bool
+	// IsNotRun answers state that the replica did not run the request and will
+	// not run it.
+	IsNotRun bool
+	// IsOtherReplica means that another replica answers at the address.
+	IsOtherReplica bool
+	// HasLoad tells that the following counts are known.
+	HasLoad                 bool
+	Running, Waiting, Slots int
+}
+
+// Copy is the copy of a run's memory at another replica.
+type Copy struct {
+	// Handle names the copy; it can be used once.
+	Handle string
+	// Events is how many events the run had made.
+	Events int
+}
--- /dev/null
+++ b/comfreyforward/candidates.go
@@ -0,0 +1,59 @@
+package comfreyforward
+
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
+	"comfreyridge.example/comfreyridge/comfreyroute"
+)
+
+// plainLoad is what is known of the load of a replica that generates nothing.
+type plainLoad struct {
+	// inFlight counts this gateway's requests there.
+	inFlight int
+	// reported is the number of running and waiting requests that the replica
+	// spoke of in its last answer, at the given time.
+	reported int
+	at       time.Time
+}
+
+// reportedLife is how long the load in an answer counts.
+const reportedLife = 500 * time.Millisecond
+
+// candidates returns the replicas of a service that take new work and are not
+// excluded. The mutex must be held.
+func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
+	var l []comfreyplacement.Candidate
+	for _, r := range g.replicas.Service(s.Name) {
+		if r.TakesWork() && !excluded[r.ID] {
+			l = append(l, g.candidate(now, s, r))
+		}
+	}
+	return l
+}
+
+// candidate returns what is believed about one replica. The mutex must be held.
+func (g *Gateway) candidate(now time.Time, s comfreyroute.Service, r comfreyreplica.Replica) comfreyplacement.Candidate {
+	c := comfreyplacement.Candidate{
+		ID: r.ID, Address: r.Address, Slots: r.Slots,
+		IsNear:    r.DataCentre == g.config.DataCentre,
+		IsCold:    now.Before(r.WarmAt),
+		Suspicion: g.health.Suspicion(now, r.ID),
+	}
+	if s.HasEngine {
+		c.Load = g.board.Load(now, r.ID)
+		if c.Load.CapacityTokens == 0 {
+			c.Load.CapacityTokens = s.Engine.CapacityTokens
+		}
+		return c
+	}
+	if p := g.plain[r.ID]; p != nil {
+		c.Load = comfreyoccupancy.Load{Running: p.inFlight}
+		if now.Sub(p.at) < reportedLife {
+			c.Load.Running = max(p.reported, p.inFlight)
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/comfreyforward/config.go
@@ -0,0 +1,102 @@
+// Package comfreyforward is a gateway that forwards callers' requests unchanged
+// to the replicas of a platform. It asks the decision packages where a request
+// runs, whether it waits and what moves, and it carries out what they say.
+package comfreyforward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreycall"
+	"comfreyridge.example/comfreyridge/comfreyconnection"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreymirror"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
+	"comfreyridge.example/comfreyridge/comfreyroute"
+)
+
+// Protocol translates the headers of requests and answers.
+type Protocol struct {
+	// IDHeader names the header that bears the id of a caller's attempt.
+	IDHeader string
+	// ReadRequest reads a caller's headers.
+	ReadRequest func(h http.Header) comfreycall.Request
+	// PrepareAttempt replaces the headers that the system sets.
+	PrepareAttempt func(h http.Header, a comfreycall.Attempt)
+	// ReadReply reads the head of a replica's answer.
+	ReadReply func(status int, h http.Header) comfreycall.Reply
+	// CleanAnswer removes headers that are not for callers.
+	CleanAnswer func(h http.Header)
+	// RetryAfter returns the value of the Retry-After header.
+	RetryAfter func(d time.Duration) string
+}
+
+// Engines makes calls to replicas that generate text.
+type Engines struct {
+	// Report asks for the replica's load.
+	Report func(ctx context.Context, address string) (comfreyreplica.Report, error)
+	// Copy copies the memory of a run to the replica at another address. With
+	// isLast, the run stops first. The errors are those of comfreycall.
+	Copy func(ctx context.Context, address, request, target string, isLast bool) (comfreycall.Copy, error)
+	// Drop frees a copy.
+	Drop func(ctx context.Context, address, handle string) error
+}
+
+// Store reads and decodes what the platform publishes.
+type Store struct {
+	// List returns every item and the revision at which the listing began.
+	List func(ctx context.Context) (uint64, []comfreymirror.Item, error)
+	// Watch waits for changes after a revision. It returns
+	// comfreymirror.ErrHistoryGone if everything has to be listed again.
+	Watch func(ctx context.Context, after uint64, wait time.Duration) (uint64, []comfreymirror.Item, error)
+	// IsConfiguration and IsListing tell what a key holds.
+	IsConfiguration, IsListing func(key string) bool
+	// ReplicaID returns the replica that the key of a listing belongs to.
+	ReplicaID func(key string) string
+	// DecodeConfiguration decodes the routing table.
+	DecodeConfiguration func(value []byte) (*comfreyroute.Table, error)
+	// DecodeListing decodes the entry of a replica.
+	DecodeListing func(key string, value []byte) (comfreyreplica.Listing, error)
+}
+
+// RetryLimit bounds what the replicas of a service receive beyond the first
+// attempt of each request, over all gateways together.
+type RetryLimit struct {
+	// Ratio is the number of further attempts for each request.
+	Ratio float64
+	// Slack is the number allowed besides in each window.
+	Slack float64
+}
+
+// Config holds the parts of a Gateway. Protocol, Engines, Store, Pool and
+// Recorder are needed; the zero value of every other field selects its default.
+type Config struct {
+	// DataCentre is where this gateway runs.
+	DataCentre string
+	Protocol   Protocol
+	Engines    Engines
+	Store      Store
+	Pool       *comfreyconnection.Pool
+	Recorder   *comfreydecision.Recorder
+	Group      *comfreygroup.Group
+	Retry      RetryLimit
+	// Drain is how long a leaving replica serves; see comfreyreplica.Config.
+	Drain time.Duration
+	// Now is the clock; time.Now by default.
+	Now func() time.Time
+	// Draw returns a number in [0, 1); math/rand/v2 by default.
+	Draw func() float64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Draw == nil {
+		c.Draw = rand.Float64
+	}
+	return c
+}
--- /dev/null
+++ b/comfreyforward/gateway.go
@@ -0,0 +1,226 @@
+package comfreyforward
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreylength"
+	"comfreyridge.example/comfreyridge/comfreymirror"
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
+	"comfreyridge.example/comfreyridge/comfreyroute"
+	"comfreyridge.example/comfreyridge/comfreyrouter"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// The periods of the gateway's own duties.
+const (
+	// reportInterval is how often each engine is asked for its load. Each
+	// question has a price, and the answer is half a second old.
+	reportInterval = time.Second
+	// reportTimeout bounds one question; an answer takes a few milliseconds.
+	reportTimeout = 700 * time.Millisecond
+	// tickInterval is how often beliefs are looked through for what expired.
+	tickInterval = 100 * time.Millisecond
+	// sweepInterval is how often idle connections are looked through.
+	sweepInterval = time.Second
+	// assumedGateways is how many gateways share the retry limit of a service:
+	// a deployment runs 4 to 8 on its entry hosts, spare ones included.
+	assumedGateways = 8
+)
+
+// Gateway forwards requests. It is safe for concurrent use.
+type Gateway struct {
+	config Config
+	table  atomic.Pointer[comfreyroute.Table]
+	// isStopping is set by a planned stop.
+	isStopping atomic.Bool
+
+	mu       sync.Mutex
+	mirror   *comfreymirror.Mirror
+	replicas *comfreyreplica.Set
+	health   *comfreyreplica.Health
+	board    *comfreyoccupancy.Board
+	lengths  *comfreylength.Model
+	budgets  map[string]*comfreyrouter.RetryBudget
+	plain    map[string]*plainLoad
+	streams  map[*generation]struct{}
+	waiting  waitList
+	contact  time.Time
+}
+
+// New returns a gateway that knows nothing yet.
+func New(c Config) *Gateway {
+	g := &Gateway{
+		config:   c.withDefaults(),
+		mirror:   comfreymirror.New(),
+		replicas: comfreyreplica.NewSet(comfreyreplica.Config{Drain: c.Drain}),
+		health:   comfreyreplica.NewHealth(),
+		lengths:  comfreylength.New(comfreylength.Config{}),
+		budgets:  map[string]*comfreyrouter.RetryBudget{},
+		plain:    map[string]*plainLoad{},
+		streams:  map[*generation]struct{}{},
+	}
+	fleet := g.lengths.Curve(comfreylength.Key{})
+	g.board = comfreyoccupancy.NewBoard(comfreyoccupancy.Config{Remaining: fleet.Remaining})
+	return g
+}
+
+// Start runs the gateway's own duties in its group.
+func (g *Gateway) Start() {
+	g.config.Group.Go("store", g.followStore)
+	g.config.Group.Go("tick", g.tick)
+	g.config.Group.Go("reports", g.askReports)
+}
+
+// Stop begins a planned stop: the gateway is no longer ready, and finishes
+// what it has.
+func (g *Gateway) Stop() {
+	g.isStopping.Store(true)
+}
+
+// IsReady reports whether callers should be sent to this gateway.
+func (g *Gateway) IsReady() bool {
+	if g.isStopping.Load() || g.table.Load() == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.replicas.All()) > 0
+}
+
+// tick expires beliefs.
+func (g *Gateway) tick(ctx context.Context) error {
+	swept := g.config.Now()
+	for comfreygroup.Sleep(ctx, tickInterval) {
+		now := g.config.Now()
+		g.mu.Lock()
+		changes := g.replicas.Expire(now)
+		if now.Sub(swept) >= sweepInterval {
+			g.board.Expire(now)
+		}
+		g.mu.Unlock()
+		g.noteChanges(changes)
+		if now.Sub(swept) >= sweepInterval {
+			swept = now
+			g.config.Pool.Sweep()
+		}
+	}
+	return nil
+}
+
+// askReports asks every engine for its load, spread over the interval.
+func (g *Gateway) askReports(ctx context.Context) error {
+	for {
+		l := g.engineReplicas()
+		pause := reportInterval
+		if len(l) > 0 {
+			pause /= time.Duration(len(l))
+		}
+		for _, r := range l {
+			if !comfreygroup.Sleep(ctx, pause) {
+				return nil
+			}
+			g.config.Group.Go("report", func(ctx context.Context) error {
+				g.askReport(ctx, r)
+				return nil
+			})
+		}
+		if len(l) == 0 && !comfreygroup.Sleep(ctx, pause) {
+			return nil
+		}
+	}
+}
+
+// engineReplicas returns the replicas that generate text and take new work.
+func (g *Gateway) engineReplicas() []comfreyreplica.Replica {
+	t := g.table.Load()
+	if t == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var l []comfreyreplica.Replica
+	for _, r := range g.replicas.All() {
+		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.TakesWork() {
+			l = append(l, r)
+		}
+	}
+	return l
+}
+
+// askReport asks one engine for its load.
+func (g *Gateway) askReport(ctx context.Context, r comfreyreplica.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	p, err := g.config.Engines.Report(ctx, r.Address)
+	now := g.config.Now()
+	if err != nil {
+		if ctx.Err() == nil {
+			g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConnectionLost, map[string]any{"replica": r.ID, "error": err.Error()})
+		}
+		g.mu.Lock()
+		g.health.Note(now, r.ID, true)
+		g.mu.Unlock()
+		return
+	}
+	g.mu.Lock()
+	var changes []comfreyreplica.Change
+	if p.Born == 0 || r.Born == 0 || p.Born == r.Born {
+		g.board.Report(now, r.ID, p)
+		if p.IsLeaving {
+			changes = g.replicas.Leave(now, r.ID, p.Leaves)
+		}
+	}
+	g.mu.Unlock()
+	g.noteChanges(changes)
+	g.waiting.wake()
+}
+
+// noteChanges records changed beliefs about replicas and starts what follows
+// from them.
+func (g *Gateway) noteChanges(changes []comfreyreplica.Change) {
+	for _, c := range changes {
+		r := c.Replica
+		reason := comfreyverdict.ReasonAccepted
+		if r.State == comfreyreplica.StateLeaving {
+			reason = comfreyverdict.ReasonLeaving
+		}
+		g.record("", comfreydecision.KindUpstream, reason, map[string]any{
+			"replica": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(), "new": c.IsNew, "born": r.Born,
+		})
+		if r.State == comfreyreplica.StateLeaving {
+			g.config.Pool.Forget(r.Address)
+			g.config.Group.Go("move", func(ctx context.Context) error {
+				g.moveAway(ctx, r)
+				return nil
+			})
+		}
+	}
+	if len(changes) > 0 {
+		g.waiting.wake()
+	}
+}
+
+func (g *Gateway) record(request string, k comfreydecision.Kind, r comfreyverdict.Reason, figures map[string]any) {
+	g.config.Recorder.Record(request, k, r, figures)
+}
+
+// retryBudget returns the budget of a service. The mutex must be held.
+func (g *Gateway) retryBudget(service string) *comfreyrouter.RetryBudget {
+	b, ok := g.budgets[service]
+	if !ok {
+		slack := g.config.Retry.Slack / assumedGateways
+		b = comfreyrouter.NewRetryBudget(comfreyrouter.RetryConfig{Ratio: g.config.Retry.Ratio * retryShare, Burst: max(slack, 1), Reserve: slack})
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// retryShare is the part of the allowed ratio of retries that is used, so that
+// requests that this gateway counts and the replicas do not count leave room.
+const retryShare = 0.8
--- /dev/null
+++ b/comfreyforward/generation.go
@@ -0,0 +1,135 @@
+package comfreyforward
+
+import (
+	"context"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreycall"
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyroute"
+)
+
+// continuation says where a generation goes on.
+type continuation struct {
+	candidate comfreyplacement.Candidate
+	comfreycall.Continuation
+	// made is when the copy was complete.
+	made time.Time
+}
+
+// generation is one caller's stream while it runs. Its fields are guarded by
+// the gateway's mutex, but for the constant ones.
+type generation struct {
+	request      string
+	service      comfreyroute.Service
+	promptTokens int
+	maxTokens    int
+	class        string
+
+	replica   comfreyplacement.Candidate
+	events    int
+	lastEvent string
+	hasEnded  bool
+	// isStopping is true from the moment at which the replica was asked to stop
+	// the run, until the outcome is known.
+	isStopping bool
+	// isMoving is true while a move of the run is under way.
+	isMoving bool
+	// next is where the generation goes on if its stream ends early.
+	next *continuation
+	// settled is closed when isStopping ends.
+	settled chan struct{}
+}
+
+// tokens returns the memory that the run holds. The mutex must be held.
+func (n *generation) tokens() int {
+	return n.promptTokens + n.events*n.service.Engine.TokensPerEvent
+}
+
+// track adds a generation to the running ones.
+func (g *Gateway) track(n *generation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.streams[n] = struct{}{}
+}
+
+// noteStart notes at which replica a generation runs. The mutex must be held.
+func (g *Gateway) noteStart(n *generation, c comfreyplacement.Candidate) {
+	n.replica = c
+	grown := n.events * n.service.Engine.TokensPerEvent
+	g.board.Start(comfreyoccupancy.Run{
+		ID: n.request, Replica: c.ID, PromptTokens: n.promptTokens, GrownTokens: grown,
+		RemainingTokens: g.remaining(n, grown), Started: g.config.Now(), HasBegun: n.events > 0,
+	})
+}
+
+// remaining returns how many tokens are expected to follow. The mutex must be
+// held.
+func (g *Gateway) remaining(n *generation, grown int) float64 {
+	left := g.curve(n).Remaining(grown)
+	if n.maxTokens > 0 {
+		left = min(left, float64(max(n.maxTokens-grown, 0)))
+	}
+	return left
+}
+
+// noteEvent notes an event that was passed on.
+func (g *Gateway) noteEvent(n *generation, id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n.events++
+	n.lastEvent = id
+	grown := n.events * n.service.Engine.TokensPerEvent
+	g.curve(n).Pass(grown)
+	if n.events%progressEvents == 1 {
+		g.board.Progress(n.request, grown, g.remaining(n, grown))
+	}
+}
+
+// progressEvents is after how many events the expected growth is worked out
+// again.
+const progressEvents = 8
+
+// untrack removes a generation that has ended.
+func (g *Gateway) untrack(n *generation, isComplete bool) {
+	g.mu.Lock()
+	n.hasEnded = true
+	delete(g.streams, n)
+	g.board.Finish(g.config.Now(), n.request)
+	if isComplete {
+		g.curve(n).End(n.events * n.service.Engine.TokensPerEvent)
+	}
+	next := n.next
+	n.next = nil
+	g.mu.Unlock()
+	if next != nil {
+		g.dropCopy(next)
+	}
+	g.waiting.wake()
+}
+
+// goesOn returns where a generation goes on whose stream ended early. It waits
+// for the outcome of a move that is about to stop the run.
+func (g *Gateway) goesOn(ctx context.Context, n *generation) *continuation {
+	for {
+		g.mu.Lock()
+		if !n.isStopping {
+			next := n.next
+			n.next = nil
+			if next != nil {
+				next.LastEvent = n.lastEvent
+				g.noteStart(n, next.candidate)
+			}
+			g.mu.Unlock()
+			return next
+		}
+		settled := n.settled
+		g.mu.Unlock()
+		select {
+		case <-settled:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/comfreyforward/stream.go
@@ -0,0 +1,266 @@
+package comfreyforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreycall"
+	"comfreyridge.example/comfreyridge/comfreyconnection"
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreylength"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+const (
+	// maxContinuations bounds how often one generation changes its replica; one
+	// of 10 s meets three departures.
+	maxContinuations = 12
+	// writeTimeout is how long a caller may take to read one event.
+	writeTimeout = 5 * time.Second
+)
+
+// curve returns the length distribution of a generation's class. The mutex
+// must be held.
+func (g *Gateway) curve(n *generation) *comfreylength.Curve {
+	return g.lengths.Curve(comfreylength.Key{Service: n.service.Name, Class: n.class})
+}
+
+// forwardStream forwards a request that is answered by a stream of events.
+func (g *Gateway) forwardStream(ctx context.Context, x *exchange) {
+	n := &generation{
+		request: x.call.ID, service: x.service, class: x.route.Name,
+		promptTokens: x.call.PromptTokens, maxTokens: x.call.MaxTokens,
+	}
+	g.mu.Lock()
+	g.retryBudget(x.service.Name).Request(x.started)
+	g.mu.Unlock()
+	g.track(n)
+	isComplete := false
+	defer func() { g.untrack(n, isComplete) }()
+	a, e := g.beginStream(ctx, x, n)
+	if e != nil {
+		g.giveUpStream(ctx, x, e)
+		return
+	}
+	isComplete = g.relayStream(ctx, x, n, a)
+}
+
+// giveUpStream sends the final answer to a stream that has not begun.
+func (g *Gateway) giveUpStream(ctx context.Context, x *exchange, e *attemptError) {
+	if x.sent == 0 && ctx.Err() == nil {
+		g.refuse(x, e.reason, streamRetry)
+		return
+	}
+	g.giveUp(ctx, x, e)
+}
+
+// streamRetry is when callers return for whose generation no replica had room:
+// about the time in which one of some dozen running ones ends.
+const streamRetry = time.Second
+
+// beginStream finds a replica for a generation and returns the head of its
+// answer.
+func (g *Gateway) beginStream(ctx context.Context, x *exchange, n *generation) (*comfreyconnection.Answer, *attemptError) {
+	var last *attemptError
+	for {
+		c, e := g.waitForPlace(ctx, x, n)
+		if e != nil {
+			if last != nil {
+				return nil, last
+			}
+			return nil, e
+		}
+		a, _, e := g.send(ctx, x, c, g.attempt(x, c, nil))
+		if e == nil {
+			return a, nil
+		}
+		last = e
+		if !g.mayRetry(ctx, x, e) {
+			return nil, last
+		}
+	}
+}
+
+// attempt returns what a replica is told about a generation.
+func (g *Gateway) attempt(x *exchange, c comfreyplacement.Candidate, next *continuation) comfreycall.Attempt {
+	t := comfreycall.Attempt{Replica: c.ID, HasPriority: true, Priority: x.route.Priority}
+	if x.customer.HasPriority {
+		t.Priority = x.customer.Priority
+	}
+	if next != nil {
+		t.Continue = &next.Continuation
+	}
+	return t
+}
+
+// waitForPlace waits until a replica has room for a generation.
+func (g *Gateway) waitForPlace(ctx context.Context, x *exchange, n *generation) (comfreyplacement.Candidate, *attemptError) {
+	patience := comfreyplacement.Patience(x.route.Objective, g.config.Now().Sub(x.started), n.promptTokens)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		changed := g.waiting.changed()
+		c, ok := g.place(x, n)
+		if ok {
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return c, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
+		case <-ctx.Done():
+			return c, &attemptError{reason: comfreyverdict.ReasonDeadline, isNotRun: true}
+		}
+	}
+}
+
+// place chooses a replica and takes the room there.
+func (g *Gateway) place(x *exchange, n *generation) (comfreyplacement.Candidate, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Now()
+	l := g.candidates(now, x.service, x.tried)
+	need := comfreyplacement.Need{PromptTokens: n.promptTokens, ExpectedTokens: g.remaining(n, 0)}
+	i := comfreyplacement.Generation(l, need, g.config.Draw)
+	if i < 0 {
+		return comfreyplacement.Candidate{}, false
+	}
+	c := l[i]
+	x.tried[c.ID] = true
+	g.noteStart(n, c)
+	f := x.figures(now)
+	f["replica"], f["running"], f["used-tokens"], f["report-age-ms"] = c.ID, c.Load.Running, c.Load.UsedTokens, c.Load.Age.Milliseconds()
+	f["prompt-tokens"], f["expected-tokens"], f["candidates"] = n.promptTokens, int(need.ExpectedTokens), len(l)
+	g.record(n.request, comfreydecision.KindRoute, comfreyverdict.ReasonLeastLoaded, f)
+	return c, true
+}
+
+// relayStream passes the events of a generation on, wherever it goes on. It
+// reports whether the caller received the whole answer.
+func (g *Gateway) relayStream(ctx context.Context, x *exchange, n *generation, a *comfreyconnection.Answer) bool {
+	o := &output{g: g, x: x, n: n, controller: http.NewResponseController(x.w)}
+	for range maxContinuations {
+		err := o.relay(a)
+		a.Close()
+		if err == nil {
+			g.finishStream(x, n, comfreyverdict.ReasonAccepted, nil)
+			return true
+		}
+		if ctx.Err() != nil || o.isBroken {
+			g.endEarly(ctx, x, n, o, err)
+			return false
+		}
+		next := g.goesOn(ctx, n)
+		if next == nil {
+			g.noteOutcome(n.replica.ID, true)
+			g.endEarly(ctx, x, n, o, err)
+			return false
+		}
+		var e *attemptError
+		a, _, e = g.send(ctx, x, next.candidate, g.attempt(x, next.candidate, next))
+		if e == nil && a.Status >= 300 {
+			a.Close()
+			e = &attemptError{reason: comfreyverdict.ReasonEngineRefused}
+		}
+		f := map[string]any{"replica": next.candidate.ID, "from": next.Source, "handle": next.Handle, "last-event": next.LastEvent, "copy-age-ms": g.config.Now().Sub(next.made).Milliseconds()}
+		if e != nil {
+			f["error"] = e.Error()
+			g.record(n.request, comfreydecision.KindResume, e.reason, f)
+			g.endEarly(ctx, x, n, o, e)
+			return false
+		}
+		g.record(n.request, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, f)
+	}
+	g.endEarly(ctx, x, n, o, errors.New("comfreyforward: too many continuations"))
+	return false
+}
+
+// endEarly ends a stream that is not complete.
+func (g *Gateway) endEarly(ctx context.Context, x *exchange, n *generation, o *output, err error) {
+	reason := comfreyverdict.ReasonAnswerCut
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = comfreyverdict.ReasonDeadline
+	case ctx.Err() != nil || o.isBroken:
+		reason = comfreyverdict.ReasonCallerGone
+	}
+	if !o.hasBegun && !o.isBroken && !errors.Is(ctx.Err(), context.Canceled) {
+		status := http.StatusBadGateway
+		if reason == comfreyverdict.ReasonDeadline {
+			status = http.StatusGatewayTimeout
+		}
+		g.fail(x, status, reason, err)
+		return
+	}
+	g.finishStream(x, n, reason, err)
+	panic(http.ErrAbortHandler)
+}
+
+func (g *Gateway) finishStream(x *exchange, n *generation, reason comfreyverdict.Reason, err error) {
+	f := x.figures(g.config.Now())
+	f["replica"], f["events"] = n.replica.ID, n.events
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	g.record(n.request, comfreydecision.KindFinish, reason, f)
+}
+
+// output writes the events of a generation to its caller.
+type output struct {
+	g          *Gateway
+	x          *exchange
+	n          *generation
+	controller *http.ResponseController
+	hasBegun   bool
+	// isBroken means that the caller cannot be written to.
+	isBroken bool
+}
+
+// relay passes on the events of one answer. It returns nil if the answer is
+// complete.
+func (o *output) relay(a *comfreyconnection.Answer) error {
+	e := newEventReader(a.Body)
+	for {
+		b, err := e.next()
+		isEnd := errors.Is(err, io.EOF)
+		if err != nil && !isEnd {
+			return err
+		}
+		if !o.hasBegun {
+			o.begin(a)
+		}
+		if len(b) > 0 {
+			if err := o.write(b, isEnd || !e.hasMore()); err != nil {
+				return err
+			}
+		}
+		if isEnd {
+			return nil
+		}
+		o.g.noteEvent(o.n, e.id)
+	}
+}
+
+// begin sends the head of the answer to the caller.
+func (o *output) begin(a *comfreyconnection.Answer) {
+	o.hasBegun = true
+	o.g.copyHead(o.x, a)
+	o.x.w.Header().Del("Content-Length")
+	o.x.w.WriteHeader(a.Status)
+}
+
+// write sends bytes to the caller, at once if nothing more is at hand.
+func (o *output) write(b []byte, isLast bool) error {
+	// A connection that takes no deadline is written to without one.
+	_ = o.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := o.x.w.Write(b)
+	if err == nil && isLast {
+		err = o.controller.Flush()
+	}
+	o.isBroken = err != nil
+	return err
+}
--- /dev/null
+++ b/comfreyoccupancy/board.go
@@ -0,0 +1,199 @@
+// Package comfreyoccupancy estimates how full each replica is, from its late
+// reports and from what this gateway knows to be running there. It makes no
+// calls and reads no clock.
+package comfreyoccupancy
+
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyreplica"
+)
+
+const (
+	// reportLag is how old the figures of a report are when it arrives; the
+	// platform speaks of some hundred milliseconds.
+	reportLag = 500 * time.Millisecond
+	// tokensPerSecond is how fast a generation grows: a step of an engine takes
+	// 7 ms and more.
+	tokensPerSecond = 105
+	// keepFinished is how long a finished generation is remembered, so that a
+	// late report does not count it again.
+	keepFinished = 2 * time.Second
+	// keepReport is how long a report without a successor counts.
+	keepReport = 5 * time.Second
+)
+
+// Run is a generation that a gateway has sent to a replica.
+type Run struct {
+	ID      string
+	Replica string
+	// PromptTokens is the size of the prompt.
+	PromptTokens int
+	// GrownTokens is how many tokens were generated so far.
+	GrownTokens int
+	// RemainingTokens is how many tokens are expected to follow.
+	RemainingTokens float64
+	Started         time.Time
+	// HasBegun is true from the first event on.
+	HasBegun bool
+}
+
+// Tokens returns the memory that the run holds.
+func (r Run) Tokens() int {
+	return r.PromptTokens + r.GrownTokens
+}
+
+// Load is the estimate for one replica.
+type Load struct {
+	// Running and Waiting count generations.
+	Running, Waiting int
+	// UsedTokens is the memory in use.
+	UsedTokens int
+	// ExpectedTokens is how much the running generations are expected to grow.
+	ExpectedTokens float64
+	// CapacityTokens is the whole memory; zero if unknown.
+	CapacityTokens int
+	// UnreadTokens are prompts that were sent and have produced no event yet.
+	UnreadTokens int
+	// Age is the age of the last report; negative if there is none.
+	Age time.Duration
+}
+
+type report struct {
+	comfreyreplica.Report
+	at time.Time
+}
+
+// Board holds the reports and the runs of this gateway. It is not safe for
+// concurrent use.
+type Board struct {
+	remaining func(grown int) float64
+	reports   map[string]report
+	runs      map[string]*Run
+	finished  map[string]time.Time
+	// tokensPerEvent is how many tokens an event of a report counts for.
+	tokensPerEvent int
+}
+
+// Config holds the settings of a Board. The zero value of each field selects
+// its default.
+type Config struct {
+	// Remaining returns the expected number of tokens that follow the given
+	// number of tokens of a foreign run; always zero by default.
+	Remaining func(grown int) float64
+	// TokensPerEvent is how many tokens an event holds; 4 by default.
+	TokensPerEvent int
+}
+
+// NewBoard returns a board that knows nothing.
+func NewBoard(c Config) *Board {
+	if c.Remaining == nil {
+		c.Remaining = func(int) float64 { return 0 }
+	}
+	if c.TokensPerEvent <= 0 {
+		c.TokensPerEvent = 4
+	}
+	return &Board{
+		remaining: c.Remaining, tokensPerEvent: c.TokensPerEvent,
+		reports: map[string]report{}, runs: map[string]*Run{}, finished: map[string]time.Time{},
+	}
+}
+
+// Report takes a replica's report.
+func (b *Board) Report(now time.Time, replica string, r comfreyreplica.Report) {
+	b.reports[replica] = report{r, now}
+}
+
+// Start notes a run that is sent to a replica, or that goes on at another one.
+func (b *Board) Start(r Run) {
+	delete(b.finished, r.ID)
+	b.runs[r.ID] = &r
+}
+
+// Progress notes how far a run has come.
+func (b *Board) Progress(id string, grown int, remaining float64) {
+	if r, ok := b.runs[id]; ok {
+		r.GrownTokens, r.RemainingTokens, r.HasBegun = grown, remaining, true
+	}
+}
+
+// Finish notes the end of a run.
+func (b *Board) Finish(now time.Time, id string) {
+	if _, ok := b.runs[id]; ok {
+		delete(b.runs, id)
+		b.finished[id] = now
+	}
+}
+
+// Expire forgets what is too old to matter. It is to be called about every
+// second.
+func (b *Board) Expire(now time.Time) {
+	for id, t := range b.finished {
+		if now.Sub(t) > keepFinished {
+			delete(b.finished, id)
+		}
+	}
+	for id, r := range b.reports {
+		if now.Sub(r.at) > keepReport {
+			delete(b.reports, id)
+		}
+	}
+}
+
+// Load estimates the load of a replica.
+func (b *Board) Load(now time.Time, replica string) Load {
+	l := Load{Age: -1}
+	if r, ok := b.reports[replica]; ok {
+		b.addReport(&l, now, r)
+	}
+	for _, r := range b.runs {
+		if r.Replica != replica {
+			continue
+		}
+		l.Running++
+		l.UsedTokens += r.Tokens()
+		l.ExpectedTokens += r.RemainingTokens
+		if !r.HasBegun {
+			l.UnreadTokens += r.PromptTokens
+		}
+	}
+	return l
+}
+
+// addReport adds what runs at a replica besides this gateway's runs.
+func (b *Board) addReport(l *Load, now time.Time, r report) {
+	l.Age = now.Sub(r.at)
+	l.CapacityTokens = r.CapacityTokens
+	l.Waiting = r.Waiting
+	grown := (l.Age + reportLag).Seconds() * tokensPerSecond
+	known := 0
+	for _, u := range r.Runs {
+		known += u.Tokens
+		if b.isOwn(u.ID) {
+			continue
+		}
+		remaining := b.remaining(u.Events * b.tokensPerEvent)
+		if remaining < grown/2 {
+			continue // It has most likely ended since.
+		}
+		l.Running++
+		l.UsedTokens += u.Tokens + int(grown)
+		l.ExpectedTokens += max(remaining-grown, 0)
+	}
+	l.UsedTokens += max(r.UsedTokens-known, 0)
+}
+
+// isOwn reports whether a run is, or was until a moment ago, this gateway's.
+func (b *Board) isOwn(id string) bool {
+	if _, ok := b.runs[id]; ok {
+		return true
+	}
+	_, ok := b.finished[id]
+	return ok
+}
+
+// Reported returns the last report of a replica and when it arrived.
+func (b *Board) Reported(replica string) (comfreyreplica.Report, time.Time, bool) {
+	r, ok := b.reports[replica]
+	return r.Report, r.at, ok
+}
--- /dev/null
+++ b/comfreyplacement/choose.go
@@ -0,0 +1,171 @@
+// Package comfreyplacement decides at which replica a request runs, whether it
+// waits for a place, and when it is rejected. It makes no calls and reads no
+// clock.
+//
+// The load pattern that it answers: generations of unknown length share the
+// memory of a dozen engines, of which a sixth leaves every few seconds, so that
+// the memory of those that remain has to take in what moves.
+package comfreyplacement
+
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+)
+
+const (
+	// expectedShare is the part of the expected growth that counts as taken
+	// when a generation is placed: the running ones do not end at once, and some
+	// end before others grow.
+	expectedShare = 0.5
+	// otherDataCentreCost is what another data centre adds to a cost. It is
+	// small, because a few milliseconds matter little to a generation.
+	otherDataCentreCost = 0.03
+	// coldCost is added for a replica that is slow after its start.
+	coldCost = 0.2
+	// suspicionCost is added for a replica that failed all recent requests.
+	suspicionCost = 2
+	// unreadTokensPerCost is how many unread prompt tokens weigh as much as a
+	// whole memory: an engine reads 14 tokens in a millisecond, so it is the
+	// time in which a first event would be late.
+	unreadTokensPerCost = 12_000
+)
+
+// Candidate is a replica that takes new work.
+type Candidate struct {
+	ID      string
+	Address string
+	// IsNear is true in this gateway's own data centre.
+	IsNear bool
+	// IsCold is true for some time after the replica's start.
+	IsCold bool
+	// Suspicion is the share of recent requests that failed there, from 0 to 1.
+	Suspicion float64
+	Slots     int
+	Load      comfreyoccupancy.Load
+}
+
+// Need is what a generation takes.
+type Need struct {
+	PromptTokens   int
+	ExpectedTokens float64
+	// ReserveTokens is memory that has to stay free besides.
+	ReserveTokens int
+}
+
+// Generation returns the index of the best candidate for a generation, or -1
+// if none has room. The draw, in [0, 1), breaks near ties, so that gateways
+// with the same view do not all choose the same replica.
+func Generation(candidates []Candidate, n Need, draw func() float64) int {
+	best, least := -1, 0.0
+	for i, c := range candidates {
+		if !HasRoom(c, n) {
+			continue
+		}
+		cost := generationCost(c) + draw()*tieSpread
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+// tieSpread is the size of the random part of a cost: about half a generation
+// of 3,500 tokens in a memory of 34,000.
+const tieSpread = 0.05
+
+// HasRoom reports whether a generation fits into a replica's memory and slots.
+func HasRoom(c Candidate, n Need) bool {
+	if c.Slots > 0 && c.Load.Running+c.Load.Waiting >= c.Slots {
+		return false
+	}
+	if c.Load.CapacityTokens <= 0 {
+		return true
+	}
+	taken := float64(c.Load.UsedTokens) + expectedShare*c.Load.ExpectedTokens
+	need := float64(n.PromptTokens+n.ReserveTokens) + expectedShare*n.ExpectedTokens
+	return taken+need <= float64(c.Load.CapacityTokens)
+}
+
+func generationCost(c Candidate) float64 {
+	cost := suspicionCost * c.Suspicion
+	if c.Load.CapacityTokens > 0 {
+		cost += (float64(c.Load.UsedTokens) + expectedShare*c.Load.ExpectedTokens) / float64(c.Load.CapacityTokens)
+	}
+	if c.Slots > 0 {
+		cost += float64(c.Load.Running+c.Load.Waiting) / float64(c.Slots)
+	}
+	cost += float64(c.Load.UnreadTokens) / unreadTokensPerCost
+	if !c.IsNear {
+		cost += otherDataCentreCost
+	}
+	if c.IsCold {
+		cost += coldCost
+	}
+	return cost
+}
+
+// Plain returns the index of the best candidate for a request to a service
+// that generates nothing, or -1 if there is none.
+func Plain(candidates []Candidate, draw func() float64) int {
+	best, least := -1, 0.0
+	for i, c := range candidates {
+		cost := suspicionCost*c.Suspicion + draw()*tieSpread
+		if c.Slots > 0 {
+			cost += float64(c.Load.Running+c.Load.Waiting) / float64(c.Slots)
+		}
+		if !c.IsNear {
+			cost += otherDataCentreCost
+		}
+		if c.IsCold {
+			cost += coldCost
+		}
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+// Patience returns how long a generation may wait for a place: until there is
+// no time left for its first event within its objective, and at least a short
+// time if it is late already.
+func Patience(objective, waited time.Duration, promptTokens int) time.Duration {
+	read := time.Duration(float64(promptTokens) / readTokensPerSecond * float64(time.Second))
+	return max(objective-waited-2*read-firstEventTime, minPatience)
+}
+
+const (
+	// readTokensPerSecond is how fast an engine reads a prompt.
+	readTokensPerSecond = 14_000
+	// firstEventTime is what passes between a read prompt and its first event:
+	// a few steps of an engine and the way to the caller.
+	firstEventTime = 100 * time.Millisecond
+	// minPatience is a quarter of a second, in which the next place may come
+	// free.
+	minPatience = 250 * time.Millisecond
+)
+
+// farCopyCost is added for a destination in another data centre, to which a
+// copy takes twice as long.
+const farCopyCost = 0.25
+
+// Destination returns the index of the best candidate for a generation that
+// moves, or -1 if none has room. A running generation is worth more than one
+// that has not begun, so the whole memory may be used.
+func Destination(candidates []Candidate, n Need, draw func() float64) int {
+	best, least := -1, 0.0
+	for i, c := range candidates {
+		if c.Load.CapacityTokens > 0 && c.Load.UsedTokens+n.PromptTokens > c.Load.CapacityTokens {
+			continue
+		}
+		cost := generationCost(c) + draw()*tieSpread
+		if !c.IsNear {
+			cost += farCopyCost
+		}
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/comfreyreplica/health.go
@@ -0,0 +1,56 @@
+package comfreyreplica
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// healthWeight is the weight of one outcome in the average: a replica that
+	// fails four of ten requests stands out after about five.
+	healthWeight = 0.25
+	// healthHalfLife is how fast a suspicion fades without new requests, so
+	// that a replica that recovered is tried again.
+	healthHalfLife = 4 * time.Second
+)
+
+type outcome struct {
+	suspicion float64
+	at        time.Time
+}
+
+// Health remembers how requests to each replica ended. It answers replicas
+// that fail part of their requests while their health check passes. It is not
+// safe for concurrent use.
+type Health struct {
+	outcomes map[string]outcome
+}
+
+// NewHealth returns a memory that suspects nobody.
+func NewHealth() *Health {
+	return &Health{outcomes: map[string]outcome{}}
+}
+
+// Note records the outcome of one request.
+func (h *Health) Note(now time.Time, id string, failed bool) {
+	s := h.Suspicion(now, id) * (1 - healthWeight)
+	if failed {
+		s += healthWeight
+	}
+	h.outcomes[id] = outcome{s, now}
+}
+
+// Suspicion returns the weighted share of recent requests that failed, from 0
+// to 1.
+func (h *Health) Suspicion(now time.Time, id string) float64 {
+	o, ok := h.outcomes[id]
+	if !ok {
+		return 0
+	}
+	return o.suspicion * math.Exp2(-now.Sub(o.at).Seconds()/healthHalfLife.Seconds())
+}
+
+// Forget drops what is known of a replica.
+func (h *Health) Forget(id string) {
+	delete(h.outcomes, id)
+}
--- /dev/null
+++ b/comfreyreplica/report.go
@@ -0,0 +1,30 @@
+package comfreyreplica
+
+import "time"
+
+// Run is one generation in a replica's report.
+type Run struct {
+	// ID is the id of the caller's request.
+	ID string
+	// Tokens is the memory that the run holds.
+	Tokens int
+	// Events is how many events it has produced.
+	Events int
+}
+
+// Report is what a replica with an engine says of itself. Its figures are some
+// hundred milliseconds old when it arrives.
+type Report struct {
+	Running, Waiting int
+	// UsedTokens is the memory that cannot yield.
+	UsedTokens, CapacityTokens int
+	// IsLeaving means that the replica takes no new work.
+	IsLeaving bool
+	// Leaves is how much longer it serves; zero if unknown.
+	Leaves time.Duration
+	// NextTokens is the size of the first waiting request.
+	NextTokens int
+	Runs       []Run
+	// Born is when the replica started, in Unix milliseconds; zero if unknown.
+	Born int64
+}
--- /dev/null
+++ b/comfreyroute/service.go
@@ -0,0 +1,59 @@
+package comfreyroute
+
+import "time"
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many generations run at once on one replica.
+	Slots int
+	// CapacityTokens is the memory of one replica.
+	CapacityTokens int
+	// TokenBytes is the size of one token's memory when it is copied.
+	TokenBytes int
+	// LinkBitsPerSecond is the bandwidth between the memories of two replicas.
+	LinkBitsPerSecond float64
+	// TokensPerEvent is how many tokens one event of a stream holds.
+	TokensPerEvent int
+	// CanMove engines copy a running generation to another replica.
+	CanMove bool
+	// CanBackUp engines keep a copy of a running generation on another replica.
+	CanBackUp bool
+	// HandleLife is how long a copy is kept at its destination.
+	HandleLife time.Duration
+}
+
+// CopyTime returns how long the memory of some tokens takes on an idle link.
+func (e Engine) CopyTime(tokens int) time.Duration {
+	if e.LinkBitsPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) * float64(e.TokenBytes) * 8 / e.LinkBitsPerSecond * float64(time.Second))
+}
+
+// Service is what replicas of one kind offer.
+type Service struct {
+	Name string
+	// HealthPath is the path of the health check.
+	HealthPath string
+	// MaxConnections is how many connections a replica accepts from all callers.
+	MaxConnections int
+	// HasEngine is true for services whose replicas generate text.
+	HasEngine bool
+	Engine    Engine
+}
+
+// Customer is the owner of a key.
+type Customer struct {
+	Name string
+	// HasPriority means that Priority replaces that of the route.
+	HasPriority bool
+	Priority    int
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderSizeBytes int
+	BodySizeBytes   int
+	HeaderTimeout   time.Duration
+	IdleTimeout     time.Duration
+}
--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -8,6 +8,7 @@
 const (
 	ReasonAccepted           Reason = "accepted"
 	ReasonAdmissionFull      Reason = "admission-full"
+	ReasonAnswerCut          Reason = "answer-cut"
 	ReasonBadRequest         Reason = "bad-request"
 	ReasonBodyTooLarge       Reason = "body-too-large"
 	ReasonCallerGone         Reason = "caller-gone"
@@ -19,6 +20,7 @@
 	ReasonConfigStale        Reason = "config-stale"
 	ReasonConfigTaken        Reason = "config-taken"
 	ReasonConnectionLost     Reason = "connection-lost"
+	ReasonCopyFailed         Reason = "copy-failed"
 	ReasonCustomerLimit      Reason = "customer-limit"
 	ReasonDeadline           Reason = "deadline"
 	ReasonDialFailed         Reason = "dial-failed"
@@ -28,6 +30,7 @@
 	ReasonEngineRefused      Reason = "engine-refused"
 	ReasonFewChoices         Reason = "few-choices"
 	ReasonForeignGeneration  Reason = "foreign-generation"
+	ReasonForeignReplica     Reason = "foreign-replica"
 	ReasonInternal           Reason = "internal"
 	ReasonLeastLoaded        Reason = "least-loaded"
 	ReasonLeaving            Reason = "leaving"
@@ -55,6 +58,7 @@
 	ReasonTicketVoid         Reason = "ticket-void"
 	ReasonTwoChoices         Reason = "two-choices"
 	ReasonUnauthorized       Reason = "unauthorized"
+	ReasonUnsealedAnswer     Reason = "unsealed-answer"
 	ReasonUnknownGeneration  Reason = "unknown-generation"
 	ReasonUnknownService     Reason = "unknown-service"
 )
