--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -77,6 +77,16 @@
 	g.config.Group.Go("reports", g.askReports)
 }
 
+// Configure takes changed limits of retries.
+func (g *Gateway) Configure(r RetryLimit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.config.Retry != r {
+		g.config.Retry = r
+		clear(g.budgets)
+	}
+}
+
 // Stop begins a planned stop: the gateway is no longer ready, and finishes
 // what it has.
 func (g *Gateway) Stop() {
