comfreyforward: move running generations early and let them go on at once

The last copy of a run, made while its caller waits, queues behind the first copies of other runs on the same link (up to 782 ms). What is left: first events that are late, since gateways choose the same replica within one report interval.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -1,7 +1,6 @@
 package comfreyforward
 
 import (
-	"context"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
@@ -16,6 +15,8 @@
 	comfreycall.Continuation
 	// made is when the copy was complete.
 	made time.Time
+	// took is how long it took.
+	took time.Duration
 }
 
 // generation is one caller's stream while it runs. Its fields are guarded by
@@ -31,15 +32,10 @@
 	events    int
 	lastEvent string
 	hasEnded  bool
-	// isStopping is true from the moment at which the replica was asked to stop
-	// the run, until the outcome is known.
-	isStopping bool
 	// isMoving is true while a move of the run is under way.
 	isMoving bool
 	// next is where the generation goes on if its stream ends early.
 	next *continuation
-	// settled is closed when isStopping ends.
-	settled chan struct{}
 }
 
 // tokens returns the memory that the run holds. The mutex must be held.
@@ -109,27 +105,16 @@
 	g.waiting.wake()
 }
 
-// goesOn returns where a generation goes on whose stream ended early. It waits
-// for the outcome of a move that is about to stop the run.
-func (g *Gateway) goesOn(ctx context.Context, n *generation) *continuation {
-	for {
-		g.mu.Lock()
-		if !n.isStopping {
-			next := n.next
-			n.next = nil
-			if next != nil {
-				next.LastEvent = n.lastEvent
-				g.noteStart(n, next.candidate)
-			}
-			g.mu.Unlock()
-			return next
-		}
-		settled := n.settled
-		g.mu.Unlock()
-		select {
-		case <-settled:
-		case <-ctx.Done():
-			return nil
-		}
+// goesOn returns where a generation goes on whose stream ended early, or nil if
+// it cannot.
+func (g *Gateway) goesOn(n *generation) *continuation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := n.next
+	n.next = nil
+	if next != nil {
+		next.LastEvent = n.lastEvent
+		g.noteStart(n, next.candidate)
 	}
+	return next
 }
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -17,12 +17,15 @@
 )
 
 const (
-	// lastCopyTime is kept before a replica's end for the last, small copies.
-	lastCopyTime = 400 * time.Millisecond
-	// stopTimeout bounds the last copy of a run, whose caller waits meanwhile.
+	// refreshTime is how much time must be left for a second copy.
+	refreshTime = 400 * time.Millisecond
+	// stopTimeout bounds the call that stops a run.
 	stopTimeout = 1500 * time.Millisecond
 	// copyRetry is the pause before a run that has not begun is copied.
 	copyRetry = 100 * time.Millisecond
+	// refreshAfter is how long a first copy may take before what the run made
+	// meanwhile is copied too, rather than read again by the destination.
+	refreshAfter = 200 * time.Millisecond
 	// maxDestinations bounds the destinations that are tried for one run.
 	maxDestinations = 4
 	// dropTimeout bounds the release of a copy.
@@ -32,16 +35,36 @@
 // moveAway moves this gateway's generations away from a leaving replica.
 func (g *Gateway) moveAway(ctx context.Context, r comfreyreplica.Replica) {
 	l := g.generationsAt(r.ID)
-	if len(l) == 0 || !l[0].service.Engine.CanMove {
+	if len(l) == 0 {
 		return
 	}
-	settle := g.settleTime(ctx, r, l)
 	for _, n := range l {
 		g.config.Group.Go("move", func(ctx context.Context) error {
-			g.move(ctx, n, r, settle)
+			g.move(ctx, n, r)
 			return nil
 		})
 	}
+	g.askEnd(ctx, r)
+}
+
+// askEnd asks a leaving replica how long it still serves.
+func (g *Gateway) askEnd(ctx context.Context, r comfreyreplica.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	p, err := g.config.Engines.Report(ctx, r.Address)
+	f := map[string]any{"replica": r.ID, "state": r.State.String()}
+	if err != nil {
+		f["error"] = err.Error()
+		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConnectionLost, f)
+		return
+	}
+	f["leaves-ms"], f["runs"] = p.Leaves.Milliseconds(), len(p.Runs)
+	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonLeaving, f)
+	if p.Leaves > 0 {
+		g.mu.Lock()
+		g.replicas.Leave(g.config.Now(), r.ID, p.Leaves)
+		g.mu.Unlock()
+	}
 }
 
 // generationsAt returns the running generations of a replica that are not
@@ -60,59 +83,30 @@
 	return l
 }
 
-// settleTime returns when the first copies of all generations of a replica,
-// those of other gateways included, are expected to be complete. A last copy
-// before that would wait behind them, and its caller with it.
-func (g *Gateway) settleTime(ctx context.Context, r comfreyreplica.Replica, own []*generation) time.Time {
-	e := own[0].service.Engine
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	asked := g.config.Now()
-	p, err := g.config.Engines.Report(ctx, r.Address)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	tokens := 0
-	if err == nil {
-		if p.Leaves > 0 {
-			g.replicas.Leave(g.config.Now(), r.ID, p.Leaves)
-		}
-		for _, u := range p.Runs {
-			tokens += u.Tokens
-		}
-	} else {
-		for _, n := range own {
-			tokens += n.tokens() * assumedSharers
-		}
-	}
-	return asked.Add(e.CopyTime(tokens))
-}
-
-// assumedSharers is how many gateways are taken to have as many generations at
-// a replica as this one, if the replica does not say.
-const assumedSharers = 4
-
-// move moves one generation.
-func (g *Gateway) move(ctx context.Context, n *generation, r comfreyreplica.Replica, settle time.Time) {
+// move moves one generation: its memory is copied while it runs, copied again
+// if that took long, and then the run is stopped and goes on at the copy, which
+// reads the few tokens that it lacks. Waiting for a copy of the last tokens
+// would take longer, because it queues behind those of other runs.
+func (g *Gateway) move(ctx context.Context, n *generation, r comfreyreplica.Replica) {
 	defer g.endMove(n)
-	g.mu.Lock()
-	if k, ok := g.replicas.Get(r.ID); ok {
-		r = k
-	}
-	g.mu.Unlock()
 	first := g.firstCopy(ctx, n, r)
 	if first == nil {
 		return
 	}
 	g.mu.Lock()
 	n.next = first
-	g.mu.Unlock()
-	if latest := r.Ends.Add(-lastCopyTime); settle.After(latest) {
-		settle = latest
+	if k, ok := g.replicas.Get(r.ID); ok {
+		r = k
 	}
-	if !comfreygroup.Sleep(ctx, settle.Sub(g.config.Now())) {
-		return
+	g.mu.Unlock()
+	if first.took > refreshAfter && r.Ends.Sub(g.config.Now()) > refreshTime {
+		if _, err := g.copy(ctx, n, r, first.candidate, false); err == nil {
+			g.mu.Lock()
+			first.made = g.config.Now()
+			g.mu.Unlock()
+		}
 	}
-	g.lastCopy(ctx, n, r, first)
+	g.stopRun(ctx, n, r, first)
 }
 
 // endMove ends a move, whatever came of it.
@@ -138,10 +132,11 @@
 			g.recordMove(n, r, comfreyverdict.ReasonAdmissionFull, map[string]any{"tried": len(tried) - 1})
 			return nil
 		}
+		began := g.config.Now()
 		c, err := g.copy(ctx, n, r, d, false)
 		switch {
 		case err == nil:
-			return &continuation{candidate: d, made: g.config.Now(), Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
+			return &continuation{candidate: d, made: g.config.Now(), took: g.config.Now().Sub(began), Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
 		case errors.Is(err, comfreycall.ErrNoRun) && !g.hasBegun(n) && g.config.Now().Before(r.Ends):
 			if !comfreygroup.Sleep(ctx, copyRetry) {
 				return nil
@@ -192,7 +187,7 @@
 	ctx, cancel := context.WithTimeout(ctx, max(limit, stopTimeout))
 	defer cancel()
 	c, err := g.config.Engines.Copy(ctx, r.Address, n.request, d.Address, isLast)
-	f := map[string]any{"replica": r.ID, "to": d.ID, "last": isLast, "took-ms": g.config.Now().Sub(began).Milliseconds(), "ends-in-ms": r.Ends.Sub(began).Milliseconds()}
+	f := map[string]any{"replica": r.ID, "to": d.ID, "last": isLast, "handle": c.Handle, "took-ms": g.config.Now().Sub(began).Milliseconds(), "ends-in-ms": r.Ends.Sub(began).Milliseconds()}
 	reason := comfreyverdict.ReasonAccepted
 	if err != nil {
 		reason = comfreyverdict.ReasonCopyFailed
@@ -206,23 +201,16 @@
 // for, because some serve longer.
 const keepTrying = time.Second
 
-// lastCopy stops a run at its replica and lets it go on at the destination.
-func (g *Gateway) lastCopy(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation) {
+// stopRun stops a run at its replica, which closes the stream; the reader of
+// the stream then lets the run go on at the copy.
+func (g *Gateway) stopRun(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation) {
 	g.mu.Lock()
-	if n.hasEnded || n.replica.ID != r.ID {
-		g.mu.Unlock()
-		return
-	}
-	n.isStopping, n.settled = true, make(chan struct{})
+	isOver := n.hasEnded || n.replica.ID != r.ID
 	g.mu.Unlock()
-	c, err := g.copy(ctx, n, r, first.candidate, true)
-	g.mu.Lock()
-	if err == nil && n.next != nil {
-		n.next.Handle, n.next.made = c.Handle, g.config.Now()
+	if !isOver {
+		// Whether or not the replica answers, the stream tells what happened.
+		_, _ = g.copy(ctx, n, r, first.candidate, true)
 	}
-	n.isStopping = false
-	close(n.settled)
-	g.mu.Unlock()
 }
 
 // dropCopy frees a copy that is not needed.
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -147,14 +147,14 @@
 		err := o.relay(a)
 		a.Close()
 		if err == nil {
-			g.finishStream(x, n, comfreyverdict.ReasonAccepted, nil)
+			g.finishStream(x, n, o, comfreyverdict.ReasonAccepted, nil)
 			return true
 		}
 		if ctx.Err() != nil || o.isBroken {
 			g.endEarly(ctx, x, n, o, err)
 			return false
 		}
-		next := g.goesOn(ctx, n)
+		next := g.goesOn(n)
 		if next == nil {
 			g.noteOutcome(n.replica.ID, true)
 			g.endEarly(ctx, x, n, o, err)
@@ -174,6 +174,7 @@
 			return false
 		}
 		g.record(n.request, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, f)
+		o.moves++
 	}
 	g.endEarly(ctx, x, n, o, errors.New("comfreyforward: too many continuations"))
 	return false
@@ -196,13 +197,14 @@
 		g.fail(x, status, reason, err)
 		return
 	}
-	g.finishStream(x, n, reason, err)
+	g.finishStream(x, n, o, reason, err)
 	panic(http.ErrAbortHandler)
 }
 
-func (g *Gateway) finishStream(x *exchange, n *generation, reason comfreyverdict.Reason, err error) {
+func (g *Gateway) finishStream(x *exchange, n *generation, o *output, reason comfreyverdict.Reason, err error) {
 	f := x.figures(g.config.Now())
 	f["replica"], f["events"] = n.replica.ID, n.events
+	f["first-ms"], f["longest-pause-ms"], f["pause-event"], f["moves"] = o.first.Sub(x.started).Milliseconds(), o.pause.Milliseconds(), o.pauseEvent, o.moves
 	if err != nil {
 		f["error"] = err.Error()
 	}
@@ -218,6 +220,25 @@
 	hasBegun   bool
 	// isBroken means that the caller cannot be written to.
 	isBroken bool
+	// first and latest are when the first and the latest event were passed on.
+	first, latest time.Time
+	// pause is the longest time between two events, and pauseEvent the number
+	// of the event that ended it.
+	pause      time.Duration
+	pauseEvent int
+	// moves counts the replicas at which the generation went on.
+	moves int
+}
+
+// noteTime takes the time at which an event was passed on.
+func (o *output) noteTime(now time.Time) {
+	switch d := now.Sub(o.latest); {
+	case o.first.IsZero():
+		o.first = now
+	case d > o.pause:
+		o.pause, o.pauseEvent = d, o.n.events
+	}
+	o.latest = now
 }
 
 // relay passes on the events of one answer. It returns nil if the answer is
@@ -242,6 +263,7 @@
 			return nil
 		}
 		o.g.noteEvent(o.n, e.id)
+		o.noteTime(o.g.config.Now())
 	}
 }
 
