Gateways announce placements to each other and fill each other's copies

Unread prompts weigh twice as much. Ruled out: asking for reports more often (each is priced and its figures are half a second old anyway).

--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -85,6 +85,9 @@
 	Retry      RetryLimit
 	// Drain is how long a leaving replica serves; see comfreyreplica.Config.
 	Drain time.Duration
+	// Placed is called after this gateway has placed a generation; nothing by
+	// default.
+	Placed func()
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 	// Draw returns a number in [0, 1); math/rand/v2 by default.
@@ -98,5 +101,8 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
+	if c.Placed == nil {
+		c.Placed = func() {}
+	}
 	return c
 }
--- /dev/null
+++ b/comfreyforward/peers.go
@@ -0,0 +1,69 @@
+package comfreyforward
+
+import (
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreygossip"
+	"comfreyridge.example/comfreyridge/comfreymirror"
+)
+
+// Complete returns the revision up to which the copy of the store is complete.
+func (g *Gateway) Complete() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mirror.Complete()
+}
+
+// Since returns what another copy of the store lacks; see comfreymirror.Mirror.
+func (g *Gateway) Since(revision uint64) ([]comfreymirror.Item, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mirror.Since(revision)
+}
+
+// Contact returns how long ago the copy of the store was known to be up to
+// date.
+func (g *Gateway) Contact() (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.contact.IsZero() {
+		return 0, false
+	}
+	return g.config.Now().Sub(g.contact), true
+}
+
+// Merge takes what another gateway's copy of the store holds.
+func (g *Gateway) Merge(m comfreygossip.Merge) {
+	g.mu.Lock()
+	if at := g.config.Now().Add(-m.ContactAge); m.HasContact && m.Complete >= g.mirror.Complete() && at.After(g.contact) {
+		g.contact = at
+	}
+	g.mu.Unlock()
+	g.merge(func() []comfreymirror.Item {
+		if m.IsWhole {
+			return g.mirror.Replace(m.Complete, m.Items)
+		}
+		return g.mirror.Apply(m.Complete, m.Items)
+	})
+}
+
+// State returns where this gateway's requests run.
+func (g *Gateway) State() comfreygossip.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := comfreygossip.State{Runs: g.board.Runs(), Plain: map[string]int{}}
+	for id, p := range g.plain {
+		if p.inFlight > 0 {
+			s.Plain[id] = p.inFlight
+		}
+	}
+	return s
+}
+
+// Take takes where another gateway's requests run.
+func (g *Gateway) Take(gateway string, s comfreygossip.State) {
+	g.mu.Lock()
+	g.board.Peer(g.config.Now(), gateway, s.Runs)
+	g.mu.Unlock()
+	g.waiting.wake()
+}
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -39,6 +39,9 @@
 // ServerConfig holds the addresses and limits of a Server.
 type ServerConfig struct {
 	CallerAddress, ReadyAddress, MetricsAddress string
+	// Peers serves the other gateways at PeerAddress.
+	PeerAddress string
+	Peers       http.Handler
 	// ReadyPath is the path of the load balancer's question.
 	ReadyPath string
 	// Grace is the time that a planned stop may take.
@@ -74,6 +77,9 @@
 	if err := s.serveSmall("metrics", s.config.MetricsAddress, s.metricsHandler()); err != nil {
 		return err
 	}
+	if err := s.serveSmall("peers", s.config.PeerAddress, s.config.Peers); err != nil {
+		return err
+	}
 	s.awaitConfiguration(stop)
 	callers, err := s.serveCallers()
 	if err != nil {
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -21,6 +21,9 @@
 	keepFinished = 2 * time.Second
 	// keepReport is how long a report without a successor counts.
 	keepReport = 5 * time.Second
+	// keepPeer is how long what another gateway said counts; it speaks four
+	// times a second.
+	keepPeer = 1500 * time.Millisecond
 )
 
 // Run is a generation that a gateway has sent to a replica.
@@ -64,13 +67,20 @@
 	at time.Time
 }
 
-// Board holds the reports and the runs of this gateway. It is not safe for
+// peer is what another gateway said of its runs.
+type peer struct {
+	runs map[string]Run
+	at   time.Time
+}
+
+// Board holds the reports and the runs of the gateways. It is not safe for
 // concurrent use.
 type Board struct {
 	remaining func(grown int) float64
 	reports   map[string]report
 	runs      map[string]*Run
 	finished  map[string]time.Time
+	peers     map[string]peer
 	// tokensPerEvent is how many tokens an event of a report counts for.
 	tokensPerEvent int
 }
@@ -95,7 +105,7 @@
 	}
 	return &Board{
 		remaining: c.Remaining, tokensPerEvent: c.TokensPerEvent,
-		reports: map[string]report{}, runs: map[string]*Run{}, finished: map[string]time.Time{},
+		reports: map[string]report{}, runs: map[string]*Run{}, finished: map[string]time.Time{}, peers: map[string]peer{},
 	}
 }
 
@@ -125,6 +135,29 @@
 	}
 }
 
+// Peer takes the runs of another gateway.
+func (b *Board) Peer(now time.Time, gateway string, runs []Run) {
+	p := peer{runs: make(map[string]Run, len(runs)), at: now}
+	for _, r := range runs {
+		p.runs[r.ID] = r
+	}
+	for id := range b.peers[gateway].runs {
+		if _, ok := p.runs[id]; !ok {
+			b.finished[id] = now
+		}
+	}
+	b.peers[gateway] = p
+}
+
+// Runs returns the runs of this gateway, in no order.
+func (b *Board) Runs() []Run {
+	l := make([]Run, 0, len(b.runs))
+	for _, r := range b.runs {
+		l = append(l, *r)
+	}
+	return l
+}
+
 // Expire forgets what is too old to matter. It is to be called about every
 // second.
 func (b *Board) Expire(now time.Time) {
@@ -138,6 +171,11 @@
 			delete(b.reports, id)
 		}
 	}
+	for a, p := range b.peers {
+		if now.Sub(p.at) > keepPeer {
+			delete(b.peers, a)
+		}
+	}
 }
 
 // Load estimates the load of a replica.
@@ -147,20 +185,30 @@
 		b.addReport(&l, now, r)
 	}
 	for _, r := range b.runs {
-		if r.Replica != replica {
-			continue
-		}
-		l.Running++
-		l.UsedTokens += r.Tokens()
-		l.ExpectedTokens += r.RemainingTokens
-		if !r.HasBegun {
-			l.UnreadTokens += r.PromptTokens
+		l.add(*r, replica)
+	}
+	for _, p := range b.peers {
+		for _, r := range p.runs {
+			l.add(r, replica)
 		}
 	}
 	return l
 }
 
-// addReport adds what runs at a replica besides this gateway's runs.
+// add counts a run of a gateway if it is at the replica.
+func (l *Load) add(r Run, replica string) {
+	if r.Replica != replica {
+		return
+	}
+	l.Running++
+	l.UsedTokens += r.Tokens()
+	l.ExpectedTokens += r.RemainingTokens
+	if !r.HasBegun {
+		l.UnreadTokens += r.PromptTokens
+	}
+}
+
+// addReport adds what runs at a replica besides the known runs.
 func (b *Board) addReport(l *Load, now time.Time, r report) {
 	l.Age = now.Sub(r.at)
 	l.CapacityTokens = r.CapacityTokens
@@ -169,7 +217,7 @@
 	known := 0
 	for _, u := range r.Runs {
 		known += u.Tokens
-		if b.isOwn(u.ID) {
+		if b.isKnown(u.ID) {
 			continue
 		}
 		remaining := b.remaining(u.Events * b.tokensPerEvent)
@@ -183,11 +231,16 @@
 	l.UsedTokens += max(r.UsedTokens-known, 0)
 }
 
-// isOwn reports whether a run is, or was until a moment ago, this gateway's.
-func (b *Board) isOwn(id string) bool {
+// isKnown reports whether a run is counted already, or has ended a moment ago.
+func (b *Board) isKnown(id string) bool {
 	if _, ok := b.runs[id]; ok {
 		return true
 	}
+	for _, p := range b.peers {
+		if _, ok := p.runs[id]; ok {
+			return true
+		}
+	}
 	_, ok := b.finished[id]
 	return ok
 }
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -26,9 +26,9 @@
 	// suspicionCost is added for a replica that failed all recent requests.
 	suspicionCost = 2
 	// unreadTokensPerCost is how many unread prompt tokens weigh as much as a
-	// whole memory: an engine reads 14 tokens in a millisecond, so it is the
-	// time in which a first event would be late.
-	unreadTokensPerCost = 12_000
+	// whole memory: an engine that also generates reads about 7 tokens in a
+	// millisecond, so this many delay a first event by almost a second.
+	unreadTokensPerCost = 6_000
 )
 
 // Candidate is a replica that takes new work.
