--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -22,6 +22,8 @@
 	// firstConfiguration is how long a starting gateway waits for its first
 	// configuration before it takes connections without one.
 	firstConfiguration = time.Second
+	// startPoll is how often a starting gateway looks for its configuration.
+	startPoll = 10 * time.Millisecond
 	// The limits of callers until a configuration says otherwise.
 	defaultHeaderSize    = 16 << 10
 	defaultHeaderTimeout = 3 * time.Second
@@ -121,7 +123,10 @@
 func (s *Server) awaitConfiguration(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, firstConfiguration)
 	defer cancel()
-	for s.gateway.table.Load() == nil && comfreygroup.Sleep(ctx, 10*time.Millisecond) {
+	for s.gateway.table.Load() == nil {
+		if !comfreygroup.Sleep(ctx, startPoll) {
+			return
+		}
 	}
 }
 
