Relieve full replicas by moving generations to emptier ones

Also: memory of runs that are being read or copied was counted twice, since a report's runs leave them out.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -75,6 +75,7 @@
 	g.config.Group.Go("store", g.followStore)
 	g.config.Group.Go("tick", g.tick)
 	g.config.Group.Go("reports", g.askReports)
+	g.config.Group.Go("relieve", g.relieveAll)
 }
 
 // Configure takes changed limits of retries.
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -34,6 +34,9 @@
 	hasEnded  bool
 	// isMoving is true while a move of the run is under way.
 	isMoving bool
+	// destination is where a move that was decided upon leads; nil if the move
+	// has to choose.
+	destination *comfreyplacement.Candidate
 	// next is where the generation goes on if its stream ends early.
 	next *continuation
 }
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -113,7 +113,7 @@
 func (g *Gateway) endMove(n *generation) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n.isMoving = false
+	n.isMoving, n.destination = false, nil
 	g.board.Finish(g.config.Now(), copyID(n))
 }
 
@@ -163,6 +163,10 @@
 	if n.hasEnded {
 		return comfreyplacement.Candidate{}, false
 	}
+	if d := n.destination; d != nil {
+		n.destination = nil
+		return *d, true
+	}
 	l := g.candidates(g.config.Now(), n.service, excluded)
 	for i := range l {
 		k, _ := g.replicas.Get(l[i].ID)
--- /dev/null
+++ b/comfreyforward/relieve.go
@@ -0,0 +1,96 @@
+package comfreyforward
+
+import (
+	"context"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+const (
+	// relieveInterval is how often a gateway looks whether one of its
+	// generations should move. One move takes some tenths of a second.
+	relieveInterval = 150 * time.Millisecond
+	// relieveTime bounds one move between replicas that stay.
+	relieveTime = 3 * time.Second
+)
+
+// relieveAll moves generations from full replicas to emptier ones, one at a
+// time.
+func (g *Gateway) relieveAll(ctx context.Context) error {
+	for comfreygroup.Sleep(ctx, time.Duration(float64(relieveInterval)*(0.5+g.config.Draw()))) {
+		n, r, ok := g.chooseRelief()
+		if ok {
+			g.move(ctx, n, r)
+		}
+	}
+	return nil
+}
+
+// chooseRelief chooses a generation to move, and marks it as moving.
+func (g *Gateway) chooseRelief() (*generation, comfreyreplica.Replica, bool) {
+	t := g.table.Load()
+	if t == nil {
+		return nil, comfreyreplica.Replica{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Now()
+	byService := map[string][]*generation{}
+	for n := range g.streams {
+		if n.isMoving {
+			return nil, comfreyreplica.Replica{}, false
+		}
+		if n.events > 0 && n.service.Engine.CanMove {
+			byService[n.service.Name] = append(byService[n.service.Name], n)
+		}
+	}
+	for _, l := range byService {
+		if n, r, ok := g.chooseReliefOf(now, l); ok {
+			return n, r, true
+		}
+	}
+	return nil, comfreyreplica.Replica{}, false
+}
+
+// chooseReliefOf chooses among the generations of one service. The mutex must
+// be held.
+func (g *Gateway) chooseReliefOf(now time.Time, l []*generation) (*generation, comfreyreplica.Replica, bool) {
+	candidates := g.candidates(now, l[0].service, nil)
+	index := map[string]int{}
+	for i, c := range candidates {
+		index[c.ID] = i
+	}
+	var movables []comfreyplacement.Movable
+	var owners []*generation
+	for _, n := range l {
+		if i, ok := index[n.replica.ID]; ok {
+			grown := n.events * n.service.Engine.TokensPerEvent
+			movables = append(movables, comfreyplacement.Movable{From: i, Tokens: n.tokens(), RemainingTokens: g.remaining(n, grown)})
+			owners = append(owners, n)
+		}
+	}
+	i, d := comfreyplacement.Relief(candidates, movables, func(a, b int) bool {
+		x, _ := g.replicas.Get(candidates[a].ID)
+		y, _ := g.replicas.Get(candidates[b].ID)
+		return x.DataCentre == y.DataCentre
+	})
+	if i < 0 {
+		return nil, comfreyreplica.Replica{}, false
+	}
+	n, from, to := owners[i], candidates[movables[i].From], candidates[d]
+	r, _ := g.replicas.Get(from.ID)
+	r.Ends = now.Add(relieveTime)
+	n.isMoving, n.destination = true, &to
+	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: to.ID, PromptTokens: n.tokens(), HasBegun: true, Started: now})
+	g.config.Placed()
+	g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonLeastLoaded, map[string]any{
+		"replica": from.ID, "to": to.ID, "used-tokens": from.Load.UsedTokens, "to-used-tokens": to.Load.UsedTokens,
+	})
+	return n, r, true
+}
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -182,24 +182,14 @@
 func (b *Board) Load(now time.Time, replica string) Load {
 	l := Load{Age: -1}
 	if r, ok := b.reports[replica]; ok {
-		b.addReport(&l, now, r)
-	}
-	for _, r := range b.runs {
-		l.add(*r, replica)
-	}
-	for _, p := range b.peers {
-		for _, r := range p.runs {
-			l.add(r, replica)
-		}
+		b.addReport(&l, now, replica, r)
 	}
+	b.each(replica, l.add)
 	return l
 }
 
-// add counts a run of a gateway if it is at the replica.
-func (l *Load) add(r Run, replica string) {
-	if r.Replica != replica {
-		return
-	}
+// add counts a known run.
+func (l *Load) add(r Run) {
 	l.Running++
 	l.UsedTokens += r.Tokens()
 	l.ExpectedTokens += r.RemainingTokens
@@ -209,14 +199,16 @@
 }
 
 // addReport adds what runs at a replica besides the known runs.
-func (b *Board) addReport(l *Load, now time.Time, r report) {
+func (b *Board) addReport(l *Load, now time.Time, replica string, r report) {
 	l.Age = now.Sub(r.at)
 	l.CapacityTokens = r.CapacityTokens
 	l.Waiting = r.Waiting
 	grown := (l.Age + reportLag).Seconds() * tokensPerSecond
-	known := 0
+	counted := 0
+	listed := make(map[string]bool, len(r.Runs))
 	for _, u := range r.Runs {
-		known += u.Tokens
+		counted += u.Tokens
+		listed[u.ID] = true
 		if b.isKnown(u.ID) {
 			continue
 		}
@@ -228,7 +220,30 @@
 		l.UsedTokens += u.Tokens + int(grown)
 		l.ExpectedTokens += max(remaining-grown, 0)
 	}
-	l.UsedTokens += max(r.UsedTokens-known, 0)
+	// A report lists no runs that are being read or copied, though their memory
+	// is in use. What is left over belongs to runs that nobody knows.
+	b.each(replica, func(u Run) {
+		if !listed[u.ID] {
+			counted += u.Tokens()
+		}
+	})
+	l.UsedTokens += max(r.UsedTokens-counted, 0)
+}
+
+// each calls f for each known run at a replica.
+func (b *Board) each(replica string, f func(r Run)) {
+	for _, r := range b.runs {
+		if r.Replica == replica {
+			f(*r)
+		}
+	}
+	for _, p := range b.peers {
+		for _, r := range p.runs {
+			if r.Replica == replica {
+				f(r)
+			}
+		}
+	}
 }
 
 // isKnown reports whether a run is counted already, or has ended a moment ago.
