Choose destinations by the time of the copy on the links

Copies on their way are announced and counted at the destination. Relief no longer stops while a run of the same gateway moves.

--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -95,6 +95,7 @@
 	}
 	g.mu.Lock()
 	n.next = first
+	g.noteCopy(n, first.candidate.ID, false)
 	if k, ok := g.replicas.Get(r.ID); ok {
 		r = k
 	}
@@ -122,6 +123,15 @@
 	return n.request + "/copy"
 }
 
+// noteCopy notes the room that a copy takes at its destination. The mutex must
+// be held.
+func (g *Gateway) noteCopy(n *generation, replica string, isCopying bool) {
+	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: replica, PromptTokens: n.tokens(), HasBegun: true, IsCopying: isCopying, Started: g.config.Now()})
+	if isCopying {
+		g.config.Placed()
+	}
+}
+
 // firstCopy copies a run while it goes on. It returns nil if that is not
 // possible.
 func (g *Gateway) firstCopy(ctx context.Context, n *generation, r comfreyreplica.Replica) *continuation {
@@ -173,11 +183,11 @@
 		l[i].IsNear = k.DataCentre == r.DataCentre
 	}
 	grown := n.events * n.service.Engine.TokensPerEvent
-	i := comfreyplacement.Destination(l, comfreyplacement.Need{PromptTokens: n.tokens(), ExpectedTokens: g.remaining(n, grown)}, g.config.Draw)
+	i := comfreyplacement.Destination(l, comfreyplacement.Need{PromptTokens: n.tokens(), ExpectedTokens: g.remaining(n, grown), CopyRate: n.service.Engine.CopyRate()}, g.config.Draw)
 	if i < 0 {
 		return comfreyplacement.Candidate{}, false
 	}
-	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: l[i].ID, PromptTokens: n.tokens(), HasBegun: true, Started: g.config.Now()})
+	g.noteCopy(n, l[i].ID, true)
 	return l[i], true
 }
 
--- a/comfreyforward/relieve.go
+++ b/comfreyforward/relieve.go
@@ -6,7 +6,6 @@
 
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
-	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
@@ -43,10 +42,7 @@
 	now := g.config.Now()
 	byService := map[string][]*generation{}
 	for n := range g.streams {
-		if n.isMoving {
-			return nil, comfreyreplica.Replica{}, false
-		}
-		if n.events > 0 && n.service.Engine.CanMove {
+		if n.events > 0 && !n.isMoving && n.service.Engine.CanMove {
 			byService[n.service.Name] = append(byService[n.service.Name], n)
 		}
 	}
@@ -87,7 +83,7 @@
 	r, _ := g.replicas.Get(from.ID)
 	r.Ends = now.Add(relieveTime)
 	n.isMoving, n.destination = true, &to
-	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: to.ID, PromptTokens: n.tokens(), HasBegun: true, Started: now})
+	g.noteCopy(n, to.ID, true)
 	g.config.Placed()
 	g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonLeastLoaded, map[string]any{
 		"replica": from.ID, "to": to.ID, "used-tokens": from.Load.UsedTokens, "to-used-tokens": to.Load.UsedTokens,
--- a/comfreygossip/announce.go
+++ b/comfreygossip/announce.go
@@ -82,7 +82,7 @@
 		for _, r := range s.Runs[p*maxRuns : min((p+1)*maxRuns, len(s.Runs))] {
 			d.Runs = append(d.Runs, &comfreyproto.PlacedRun{
 				Id: r.ID, Replica: r.Replica, PromptTokens: uint32(r.PromptTokens), GrownTokens: uint32(r.GrownTokens),
-				RemainingTokens: uint32(max(r.RemainingTokens, 0)), Begun: r.HasBegun,
+				RemainingTokens: uint32(max(r.RemainingTokens, 0)), Begun: r.HasBegun, Copying: r.IsCopying,
 			})
 		}
 		if p == 0 {
@@ -144,7 +144,7 @@
 	for _, r := range d.Runs {
 		a.state.Runs = append(a.state.Runs, comfreyoccupancy.Run{
 			ID: r.Id, Replica: r.Replica, PromptTokens: int(r.PromptTokens), GrownTokens: int(r.GrownTokens),
-			RemainingTokens: float64(r.RemainingTokens), HasBegun: r.Begun,
+			RemainingTokens: float64(r.RemainingTokens), HasBegun: r.Begun, IsCopying: r.Copying,
 		})
 	}
 	for _, p := range d.Plain {
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -39,6 +39,8 @@
 	Started         time.Time
 	// HasBegun is true from the first event on.
 	HasBegun bool
+	// IsCopying means that the memory is on its way to the replica.
+	IsCopying bool
 }
 
 // Tokens returns the memory that the run holds.
@@ -58,6 +60,8 @@
 	CapacityTokens int
 	// UnreadTokens are prompts that were sent and have produced no event yet.
 	UnreadTokens int
+	// CopyTokens is the memory on its way to the replica.
+	CopyTokens int
 	// Age is the age of the last report; negative if there is none.
 	Age time.Duration
 }
@@ -193,7 +197,9 @@
 	l.Running++
 	l.UsedTokens += r.Tokens()
 	l.ExpectedTokens += r.RemainingTokens
-	if !r.HasBegun {
+	if r.IsCopying {
+		l.CopyTokens += r.Tokens()
+	} else if !r.HasBegun {
 		l.UnreadTokens += r.PromptTokens
 	}
 }
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -51,6 +51,9 @@
 	ExpectedTokens float64
 	// ReserveTokens is memory that has to stay free besides.
 	ReserveTokens int
+	// CopyRate is how many tokens a second a link between two replicas carries;
+	// zero if unknown.
+	CopyRate float64
 }
 
 // Generation returns the index of the best candidate for a generation, or -1
@@ -145,27 +148,3 @@
 	// free.
 	minPatience = 250 * time.Millisecond
 )
-
-// farCopyCost is added for a destination in another data centre, to which a
-// copy takes twice as long.
-const farCopyCost = 0.25
-
-// Destination returns the index of the best candidate for a generation that
-// moves, or -1 if none has room. A running generation is worth more than one
-// that has not begun, so the whole memory may be used.
-func Destination(candidates []Candidate, n Need, draw func() float64) int {
-	best, least := -1, 0.0
-	for i, c := range candidates {
-		if c.Load.CapacityTokens > 0 && c.Load.UsedTokens+n.PromptTokens > c.Load.CapacityTokens {
-			continue
-		}
-		cost := generationCost(c) + draw()*tieSpread
-		if !c.IsNear {
-			cost += farCopyCost
-		}
-		if best < 0 || cost < least {
-			best, least = i, cost
-		}
-	}
-	return best
-}
--- /dev/null
+++ b/comfreyplacement/destination.go
@@ -0,0 +1,47 @@
+package comfreyplacement
+
+import "time"
+
+const (
+	// farCopyFactor is how much longer a copy to another data centre takes.
+	farCopyFactor = 2
+	// copyTimePerCost is the time on the link that weighs as much as a whole
+	// memory: a replica leaves with 1.5 s of notice, and half a dozen copies
+	// share its link.
+	copyTimePerCost = 600 * time.Millisecond
+)
+
+// Destination returns the index of the best candidate for a generation that
+// moves, or -1 if none has room. IsNear speaks of the data centre that the
+// generation comes from. A running generation is worth more than one that has
+// not begun, so the whole memory may be used.
+//
+// The load pattern that it answers: a replica with half a dozen generations
+// leaves within 1.5 s, its link and those of the destinations carry one copy
+// after the other, and another replica leaves at the same moment.
+func Destination(candidates []Candidate, n Need, draw func() float64) int {
+	best, least := -1, 0.0
+	for i, c := range candidates {
+		if c.Load.CapacityTokens > 0 && c.Load.UsedTokens+n.PromptTokens > c.Load.CapacityTokens {
+			continue
+		}
+		cost := generationCost(c) + draw()*tieSpread + float64(copyTime(c, n))/float64(copyTimePerCost)
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+// copyTime returns how long the copy of a generation takes to arrive, behind
+// those that are on their way to the same candidate.
+func copyTime(c Candidate, n Need) time.Duration {
+	if n.CopyRate <= 0 {
+		return 0
+	}
+	tokens := float64(n.PromptTokens)
+	if !c.IsNear {
+		tokens *= farCopyFactor
+	}
+	return time.Duration((float64(c.Load.CopyTokens) + tokens) / n.CopyRate * float64(time.Second))
+}
--- a/comfreyplacement/relieve.go
+++ b/comfreyplacement/relieve.go
@@ -8,6 +8,9 @@
 	// reliefGain is by how much the cost of a replica must exceed that of
 	// another, after the move, for one generation to move.
 	reliefGain = 0.25
+	// farReliefCost is what another data centre takes off a gain, because the
+	// copy takes twice as long.
+	farReliefCost = 0.25
 	// minReliefTokens is how many tokens a generation must have left to be
 	// worth a move, which takes up to half a second.
 	minReliefTokens = 150
@@ -34,12 +37,12 @@
 			continue
 		}
 		for d, c := range candidates {
-			if d == r.From || c.IsCold || c.Load.CapacityTokens <= 0 || c.Load.UsedTokens+r.Tokens > c.Load.CapacityTokens {
+			if d == r.From || c.IsCold || c.Load.CopyTokens > 0 || c.Load.CapacityTokens <= 0 || c.Load.UsedTokens+r.Tokens > c.Load.CapacityTokens {
 				continue
 			}
 			gain := memoryCost(candidates[r.From]) - memoryCost(c) - 2*float64(r.Tokens)/float64(c.Load.CapacityTokens)
 			if !isNear(r.From, d) {
-				gain -= farCopyCost
+				gain -= farReliefCost
 			}
 			if gain > best {
 				generation, destination, best = m, d, gain
--- a/comfreyroute/service.go
+++ b/comfreyroute/service.go
@@ -22,12 +22,13 @@
 	HandleLife time.Duration
 }
 
-// CopyTime returns how long the memory of some tokens takes on an idle link.
-func (e Engine) CopyTime(tokens int) time.Duration {
-	if e.LinkBitsPerSecond <= 0 {
+// CopyRate returns how many tokens a second an idle link carries; zero if that
+// is unknown.
+func (e Engine) CopyRate() float64 {
+	if e.TokenBytes <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) * float64(e.TokenBytes) * 8 / e.LinkBitsPerSecond * float64(time.Second))
+	return e.LinkBitsPerSecond / 8 / float64(e.TokenBytes)
 }
 
 // Service is what replicas of one kind offer.
