--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -20,8 +20,14 @@
 // The periods of the gateway's own duties.
 const (
 	// reportInterval is how often each engine is asked for its load. Each
-	// question has a price, and the answer is half a second old.
-	reportInterval = time.Second
+	// question has a price, and the answer is half a second old; what the
+	// gateways run themselves they tell each other.
+	reportInterval = 4 * time.Second
+	// blindReportInterval is how often an engine is asked while the store does
+	// not answer, since only its report tells then that it leaves.
+	blindReportInterval = 400 * time.Millisecond
+	// blindTime is how long the store may be silent before that.
+	blindTime = watchTime + 300*time.Millisecond
 	// reportTimeout bounds one question; an answer takes a few milliseconds.
 	reportTimeout = 700 * time.Millisecond
 	// tickInterval is how often beliefs are looked through for what expired.
@@ -129,10 +135,8 @@
 	for {
 		l := g.engineReplicas()
 		pause := reportInterval
-		if len(l) > 0 {
-			pause /= time.Duration(len(l))
-		}
 		for _, r := range l {
+			pause = g.reportPause() / time.Duration(len(l))
 			if !comfreygroup.Sleep(ctx, pause) {
 				return nil
 			}
@@ -147,6 +151,14 @@
 	}
 }
 
+// reportPause returns how often each engine is asked at present.
+func (g *Gateway) reportPause() time.Duration {
+	if age, ok := g.Contact(); ok && age > blindTime {
+		return blindReportInterval
+	}
+	return reportInterval
+}
+
 // engineReplicas returns the replicas that generate text and take new work.
 func (g *Gateway) engineReplicas() []comfreyreplica.Replica {
 	t := g.table.Load()
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -20,7 +20,7 @@
 	// late report does not count it again.
 	keepFinished = 2 * time.Second
 	// keepReport is how long a report without a successor counts.
-	keepReport = 5 * time.Second
+	keepReport = 6 * time.Second
 	// keepPeer is how long what another gateway said counts; it speaks four
 	// times a second.
 	keepPeer = 1500 * time.Millisecond
