Gateways tell each other which replicas leave

Cause: with the store silent for some gateways (platform_down nodes, node_cut), those learned of a departure only from a report, up to half a second late.

--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -5,6 +5,7 @@
 
 	"comfreyridge.example/comfreyridge/comfreygossip"
 	"comfreyridge.example/comfreyridge/comfreymirror"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 )
 
 // Complete returns the revision up to which the copy of the store is complete.
@@ -57,13 +58,28 @@
 			s.Plain[id] = p.inFlight
 		}
 	}
+	now := g.config.Now()
+	for _, r := range g.replicas.All() {
+		if r.State == comfreyreplica.StateLeaving && now.Sub(r.Since) < leavingNews {
+			s.Leaving = append(s.Leaving, r.ID)
+		}
+	}
 	return s
 }
 
+// leavingNews is how long other gateways are told that a replica leaves.
+const leavingNews = 3 * time.Second
+
 // Take takes where another gateway's requests run.
 func (g *Gateway) Take(gateway string, s comfreygossip.State) {
 	g.mu.Lock()
-	g.board.Peer(g.config.Now(), gateway, s.Runs)
+	now := g.config.Now()
+	g.board.Peer(now, gateway, s.Runs)
+	var changes []comfreyreplica.Change
+	for _, id := range s.Leaving {
+		changes = append(changes, g.replicas.Leave(now, id, 0)...)
+	}
 	g.mu.Unlock()
+	g.noteChanges(changes)
 	g.waiting.wake()
 }
--- a/comfreygossip/announce.go
+++ b/comfreygossip/announce.go
@@ -86,6 +86,7 @@
 			})
 		}
 		if p == 0 {
+			d.Leaving = s.Leaving
 			for id, n := range s.Plain {
 				d.Plain = append(d.Plain, &comfreyproto.PlainLoad{Replica: id, InFlight: uint32(n)})
 			}
@@ -147,6 +148,7 @@
 			RemainingTokens: float64(r.RemainingTokens), HasBegun: r.Begun, IsCopying: r.Copying,
 		})
 	}
+	a.state.Leaving = append(a.state.Leaving, d.Leaving...)
 	for _, p := range d.Plain {
 		a.state.Plain[p.Replica] = int(p.InFlight)
 	}
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -45,6 +45,8 @@
 	Runs []comfreyoccupancy.Run
 	// Plain counts the open requests at replicas that generate nothing.
 	Plain map[string]int
+	// Leaving are the replicas that have lately begun to leave.
+	Leaving []string
 }
 
 // Config holds the parts of a Gossip. All are needed, but for Listen and Now.
