Weigh the number of runs at a replica, and copies to other data centres, more

Cause: each prompt of 3,000 tokens that is read delays every generation beside it by 0.2 s, so placing it where few run keeps drafts short; copies to other data centres hold the link of a leaving replica twice as long.

--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -25,10 +25,13 @@
 	coldCost = 0.2
 	// suspicionCost is added for a replica that failed all recent requests.
 	suspicionCost = 2
+	// runCost is what each generation at a replica adds to its cost: while a
+	// prompt of 3,000 tokens is read, each loses about 0.2 s.
+	runCost = 0.15
 	// unreadTokensPerCost is how many unread prompt tokens weigh as much as a
 	// whole memory: an engine that also generates reads about 7 tokens in a
 	// millisecond, so this many delay a first event by almost a second.
-	unreadTokensPerCost = 6_000
+	unreadTokensPerCost = 7_000
 )
 
 // Candidate is a replica that takes new work.
@@ -95,9 +98,7 @@
 	if c.Load.CapacityTokens > 0 {
 		cost += (float64(c.Load.UsedTokens) + expectedShare*c.Load.ExpectedTokens) / float64(c.Load.CapacityTokens)
 	}
-	if c.Slots > 0 {
-		cost += float64(c.Load.Running+c.Load.Waiting) / float64(c.Slots)
-	}
+	cost += runCost * float64(c.Load.Running+c.Load.Waiting)
 	cost += float64(c.Load.UnreadTokens) / unreadTokensPerCost
 	if !c.IsNear {
 		cost += otherDataCentreCost
--- a/comfreyplacement/destination.go
+++ b/comfreyplacement/destination.go
@@ -8,7 +8,7 @@
 	// copyTimePerCost is the time on the link that weighs as much as a whole
 	// memory: a replica leaves with 1.5 s of notice, and half a dozen copies
 	// share its link.
-	copyTimePerCost = 600 * time.Millisecond
+	copyTimePerCost = 250 * time.Millisecond
 )
 
 // Destination returns the index of the best candidate for a generation that
