Two gateways watch the store and tell the others

The two lowest addresses watch, announce how far their copy goes, and the others fetch the change at once; a gateway whose copy was not confirmed for 1.1 s, or that does not hear the watchers, watches itself, so that a change is still in force within 2 s when both are cut off (TestWatches).

--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -88,6 +88,10 @@
 	// Placed is called after this gateway has placed a generation; nothing by
 	// default.
 	Placed func()
+	// Peers returns the other gateways; none by default.
+	Peers func() []comfreymirror.Peer
+	// Address is this gateway's address among them.
+	Address string
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 	// Draw returns a number in [0, 1); math/rand/v2 by default.
@@ -101,6 +105,9 @@
 	if c.Draw == nil {
 		c.Draw = rand.Float64
 	}
+	if c.Peers == nil {
+		c.Peers = func() []comfreymirror.Peer { return nil }
+	}
 	if c.Placed == nil {
 		c.Placed = func() {}
 	}
--- a/comfreyforward/follow.go
+++ b/comfreyforward/follow.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// watchTime is how long one watch waits. A connection that went silent is
-	// noticed after it, which leaves time within configApplyMs and contactMs.
-	watchTime = 1500 * time.Millisecond
+	// watchTime is how long one watch waits. The gateways that do not watch take
+	// a copy for old that was not confirmed for longer.
+	watchTime = 700 * time.Millisecond
 	// watchSlack is how much later than asked a watch may answer; answers take
 	// 4 ms, and 60 times that when the store is slow.
 	watchSlack = 800 * time.Millisecond
@@ -24,6 +24,9 @@
 	// followPause lets changes gather, so that a storm of one change each 60 ms
 	// does not cost a call for each.
 	followPause = 50 * time.Millisecond
+	// dutyInterval is how often a gateway that does not watch looks whether it
+	// has to.
+	dutyInterval = 100 * time.Millisecond
 	// minFollowRetry and maxFollowRetry bound the pause after a failed call.
 	minFollowRetry = 50 * time.Millisecond
 	maxFollowRetry = 600 * time.Millisecond
@@ -38,6 +41,11 @@
 	retry := minFollowRetry
 	isLost := false
 	for ctx.Err() == nil {
+		if age, ok := g.Contact(); !comfreymirror.Watches(g.config.Address, g.config.Peers(), age, ok) {
+			isListed = true
+			comfreygroup.Sleep(ctx, dutyInterval)
+			continue
+		}
 		err := g.followOnce(ctx, isListed)
 		switch {
 		case ctx.Err() != nil:
@@ -113,7 +121,9 @@
 	g.mu.Lock()
 	var changes []comfreyreplica.Change
 	now := g.config.Now()
+	hasNews := false
 	for _, x := range f() {
+		hasNews = true
 		switch {
 		case g.config.Store.IsConfiguration(x.Key):
 			g.takeConfiguration(x)
@@ -123,6 +133,9 @@
 	}
 	g.mu.Unlock()
 	g.noteChanges(changes)
+	if hasNews {
+		g.config.Placed()
+	}
 }
 
 // takeConfiguration puts a newer configuration into force. The mutex must be
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -27,7 +27,7 @@
 	// not answer, since only its report tells then that it leaves.
 	blindReportInterval = 400 * time.Millisecond
 	// blindTime is how long the store may be silent before that.
-	blindTime = watchTime + 300*time.Millisecond
+	blindTime = watchTime + 600*time.Millisecond
 	// reportTimeout bounds one question; an answer takes a few milliseconds.
 	reportTimeout = 700 * time.Millisecond
 	// tickInterval is how often beliefs are looked through for what expired.
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -35,17 +35,30 @@
 
 // Merge takes what another gateway's copy of the store holds.
 func (g *Gateway) Merge(m comfreygossip.Merge) {
-	g.mu.Lock()
-	if at := g.config.Now().Add(-m.ContactAge); m.HasContact && m.Complete >= g.mirror.Complete() && at.After(g.contact) {
-		g.contact = at
-	}
-	g.mu.Unlock()
 	g.merge(func() []comfreymirror.Item {
 		if m.IsWhole {
 			return g.mirror.Replace(m.Complete, m.Items)
 		}
 		return g.mirror.Apply(m.Complete, m.Items)
 	})
+	if m.HasContact {
+		g.Noted(m.Complete, m.ContactAge)
+	}
+}
+
+// Noted takes how long ago another gateway's copy was known to be up to date.
+// It counts for this copy too if this one is as far.
+func (g *Gateway) Noted(complete uint64, age time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := g.config.Now().Add(-age)
+	if complete > g.mirror.Complete() || !at.After(g.contact) {
+		return
+	}
+	g.contact = at
+	if age < outageTime {
+		g.replicas.PlatformReturned(at)
+	}
 }
 
 // State returns where this gateway's requests run.
--- a/comfreygossip/announce.go
+++ b/comfreygossip/announce.go
@@ -51,6 +51,8 @@
 // announce sends the placements to every known gateway.
 func (g *Gossip) announce() {
 	s := g.config.State()
+	complete := g.config.Complete()
+	age, known := g.config.Contact()
 	g.mu.Lock()
 	g.sequence++
 	sequence := g.sequence
@@ -61,6 +63,7 @@
 	g.mu.Unlock()
 	for _, d := range datagrams(s) {
 		d.Address, d.Incarnation, d.Sequence = g.config.Address, g.incarnation, sequence
+		d.Complete, d.ContactKnown, d.ContactAgeMillis = complete, known, uint64(max(age, 0).Milliseconds())
 		b, err := proto.Marshal(d)
 		if err != nil {
 			g.config.Logger.WithError(err).Warning("placements cannot be encoded")
@@ -158,12 +161,26 @@
 	delete(partial, d.Address)
 	g.mu.Lock()
 	if k := g.gateways[d.Address]; k != nil {
-		k.sequence = d.Sequence
+		k.sequence, k.spoke = d.Sequence, g.config.Now()
 	}
 	g.mu.Unlock()
+	g.noteCopy(d)
 	g.config.Take(d.Address, a.state)
 }
 
+// noteCopy compares the copies of the store.
+func (g *Gossip) noteCopy(d *comfreyproto.PlacementDatagram) {
+	if d.ContactKnown {
+		g.config.Noted(d.Complete, time.Duration(d.ContactAgeMillis)*time.Millisecond)
+	}
+	if d.Complete > g.config.Complete() {
+		select {
+		case g.behind <- d.Address:
+		default:
+		}
+	}
+}
+
 // isNew reports whether a datagram is newer than what its sender said before.
 func (g *Gossip) isNew(d *comfreyproto.PlacementDatagram) bool {
 	g.mu.Lock()
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -71,6 +71,9 @@
 	State func() State
 	// Take takes where another gateway's requests run.
 	Take func(gateway string, s State)
+	// Noted takes how long ago another gateway's copy, complete up to a
+	// revision, was known to be up to date.
+	Noted func(complete uint64, age time.Duration)
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 }
@@ -96,6 +99,8 @@
 	client      comfreyproto.Gateways
 	isLost      bool
 	datagrams   *net.UDPAddr
+	// spoke is when its last announcement arrived.
+	spoke time.Time
 }
 
 // Gossip exchanges with other gateways. It is safe for concurrent use.
@@ -103,6 +108,7 @@
 	config      Config
 	incarnation uint64
 	changed     chan struct{}
+	behind      chan string
 	http        *http.Client
 	socket      *net.UDPConn
 
@@ -120,6 +126,7 @@
 		config:      c,
 		incarnation: uint64(c.Now().UnixNano()),
 		changed:     make(chan struct{}, 1),
+		behind:      make(chan string, 1),
 		http: &http.Client{Timeout: exchangeTimeout, Transport: &http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxListed,
 		}},
@@ -142,6 +149,7 @@
 	g.config.Group.Go("exchange", g.exchangeAll)
 	g.config.Group.Go("announce", g.announceAll)
 	g.config.Group.Go("listen", g.listen)
+	g.config.Group.Go("catch up", g.catchUp)
 	g.config.Group.Go("socket end", func(ctx context.Context) error {
 		<-ctx.Done()
 		return g.socket.Close()
@@ -190,6 +198,18 @@
 	return len(g.gateways)
 }
 
+// Peers returns the other gateways and for how long each was silent.
+func (g *Gossip) Peers() []comfreymirror.Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Now()
+	l := make([]comfreymirror.Peer, 0, len(g.gateways))
+	for a, k := range g.gateways {
+		l = append(l, comfreymirror.Peer{Address: a, Silence: now.Sub(k.spoke)})
+	}
+	return l
+}
+
 // known returns the addresses of all gateways, this one's included. The mutex
 // must be held.
 func (g *Gossip) known() []string {
@@ -220,6 +240,18 @@
 	}
 }
 
+// catchUp asks a gateway at once whose copy of the store is further.
+func (g *Gossip) catchUp(ctx context.Context) error {
+	for {
+		select {
+		case a := <-g.behind:
+			g.exchange(ctx, a)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 func (g *Gossip) shuffled() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/comfreymirror/duty_test.go
@@ -0,0 +1,38 @@
+package comfreymirror_test
+
+import (
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreymirror"
+)
+
+func TestWatches(t *testing.T) {
+	heard := func(addresses ...string) []comfreymirror.Peer {
+		var l []comfreymirror.Peer
+		for _, a := range addresses {
+			l = append(l, comfreymirror.Peer{Address: a})
+		}
+		return l
+	}
+	silent := []comfreymirror.Peer{{Address: "a", Silence: time.Second}, {Address: "b", Silence: time.Second}}
+	for name, c := range map[string]struct {
+		peers      []comfreymirror.Peer
+		age        time.Duration
+		hasContact bool
+		want       bool
+	}{
+		"alone":                      {nil, 0, true, true},
+		"one lower address":          {heard("a"), 0, true, true},
+		"two lower addresses":        {heard("a", "b", "z"), 0, true, false},
+		"both watchers are silent":   {silent, 0, true, true},
+		"the copy gets old":          {heard("a", "b"), 1200 * time.Millisecond, true, true},
+		"nothing was ever read":      {heard("a", "b"), 0, false, true},
+		"higher addresses only":      {heard("x", "y", "z"), 0, true, true},
+		"within the watchers' pause": {heard("a", "b"), 900 * time.Millisecond, true, false},
+	} {
+		if got := comfreymirror.Watches("m", c.peers, c.age, c.hasContact); got != c.want {
+			t.Errorf("%s: got %v", name, got)
+		}
+	}
+}
