--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -105,9 +105,7 @@
 	if g.isStopping.Load() || g.table.Load() == nil {
 		return false
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.replicas.All()) > 0
+	return g.ReplicaCount() > 0
 }
 
 // tick expires beliefs.
@@ -248,3 +246,16 @@
 // retryShare is the part of the allowed ratio of retries that is used, so that
 // requests that this gateway counts and the replicas do not count leave room.
 const retryShare = 0.8
+
+// ReplicaCount returns how many replicas take new work.
+func (g *Gateway) ReplicaCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, r := range g.replicas.All() {
+		if r.TakesWork() {
+			n++
+		}
+	}
+	return n
+}
