--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -33,6 +33,8 @@
 	gatherTime = 10 * time.Millisecond
 	// forgetTime is how long a silent gateway is kept in the list.
 	forgetTime = 15 * time.Second
+	// silentRetry is how often a gateway that does not speak is asked.
+	silentRetry = 2 * time.Second
 	// restartTime is how long a silent gateway must be silent for a state with
 	// an older start to be taken, because its clock may have been set back.
 	restartTime = 2 * time.Second
@@ -101,6 +103,8 @@
 	datagrams   *net.UDPAddr
 	// spoke is when its last announcement arrived.
 	spoke time.Time
+	// asked is when it was asked last.
+	asked time.Time
 }
 
 // Gossip exchanges with other gateways. It is safe for concurrent use.
@@ -191,20 +195,17 @@
 	return k
 }
 
-// Count returns how many other gateways were heard of lately.
-func (g *Gossip) Count() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.gateways)
-}
-
-// Peers returns the other gateways and for how long each was silent.
+// Peers returns the other gateways that ever spoke, and for how long each has
+// been silent.
 func (g *Gossip) Peers() []comfreymirror.Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	l := make([]comfreymirror.Peer, 0, len(g.gateways))
 	for a, k := range g.gateways {
+		if k.spoke.IsZero() {
+			continue
+		}
 		l = append(l, comfreymirror.Peer{Address: a, Silence: now.Sub(k.spoke)})
 	}
 	return l
@@ -226,7 +227,8 @@
 // exchangeAll asks one gateway after the other.
 func (g *Gossip) exchangeAll(ctx context.Context) error {
 	for {
-		for _, a := range g.shuffled() {
+		l := g.shuffled()
+		for _, a := range l {
 			g.exchange(ctx, a)
 			// Exchanges of gateways that started together spread out.
 			if !comfreygroup.Sleep(ctx, time.Duration(float64(exchangeInterval)*(0.75+rand.Float64()/2))) {
@@ -234,7 +236,7 @@
 			}
 		}
 		g.expire()
-		if g.Count() == 0 && !comfreygroup.Sleep(ctx, exchangeInterval) {
+		if len(l) == 0 && !comfreygroup.Sleep(ctx, exchangeInterval) {
 			return nil
 		}
 	}
@@ -252,12 +254,17 @@
 	}
 }
 
+// shuffled returns the gateways to ask, in random order. Those that do not speak
+// are asked less often, because each costs a timeout.
 func (g *Gossip) shuffled() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.config.Now()
 	l := make([]string, 0, len(g.gateways))
-	for a := range g.gateways {
-		l = append(l, a)
+	for a, k := range g.gateways {
+		if now.Sub(k.spoke) < silentRetry || now.Sub(k.asked) >= silentRetry {
+			l = append(l, a)
+		}
 	}
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	return l
@@ -281,6 +288,9 @@
 	g.mu.Lock()
 	k, ok := g.gateways[address]
 	l := g.known()
+	if ok {
+		k.asked = g.config.Now()
+	}
 	g.mu.Unlock()
 	if !ok {
 		return
--- /dev/null
+++ b/comfreygossip/gossip_test.go
@@ -0,0 +1,137 @@
+package comfreygossip_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"comfreyridge.example/comfreyridge/comfreygossip"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreymirror"
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+)
+
+// patience bounds every wait; what is waited for takes fractions of a second.
+const patience = 20 * time.Second
+
+// node is a gateway as far as gossip is concerned.
+type node struct {
+	gossip  *comfreygossip.Gossip
+	address string
+
+	mu     sync.Mutex
+	mirror *comfreymirror.Mirror
+	runs   []comfreyoccupancy.Run
+	heard  map[string]comfreygossip.State
+}
+
+// startNode starts a node on a loopback address of its own, so that all nodes
+// can use the same ports.
+func startNode(t *testing.T, i int, seeds ...string) *node {
+	t.Helper()
+	ip := fmt.Sprintf("127.0.7.%d", i)
+	n := &node{mirror: comfreymirror.New(), heard: map[string]comfreygossip.State{}}
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Skipf("loopback has no address %s: %v", ip, err)
+	}
+	n.address = l.Addr().String()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	group := comfreygroup.New(t.Context())
+	n.gossip = comfreygossip.New(comfreygossip.Config{
+		Address: n.address, DatagramPort: 17201, Seeds: seeds, Group: group, Logger: logger,
+		Complete: func() uint64 { return locked(n, n.mirror.Complete) },
+		Since: func(r uint64) ([]comfreymirror.Item, bool) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.mirror.Since(r)
+		},
+		Contact: func() (time.Duration, bool) { return 0, true },
+		Merge: func(m comfreygossip.Merge) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if m.IsWhole {
+				n.mirror.Replace(m.Complete, m.Items)
+			} else {
+				n.mirror.Apply(m.Complete, m.Items)
+			}
+		},
+		State: func() comfreygossip.State {
+			return locked(n, func() comfreygossip.State {
+				return comfreygossip.State{Runs: slices.Clone(n.runs), Plain: map[string]int{"app": 2}, Leaving: []string{"old"}}
+			})
+		},
+		Take: func(g string, s comfreygossip.State) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.heard[g] = s
+		},
+		Noted: func(uint64, time.Duration) {},
+	})
+	if err := n.gossip.Start(); err != nil {
+		t.Skipf("no datagrams on %s: %v", ip, err)
+	}
+	server := httptest.NewUnstartedServer(n.gossip.Handler())
+	server.Listener = l
+	server.Start()
+	t.Cleanup(func() {
+		group.Stop()
+		server.CloseClientConnections()
+		server.Close()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return n
+}
+
+func locked[T any](n *node, f func() T) T {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return f()
+}
+
+func await(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain until %s", what)
+		}
+	}
+}
+
+func TestGatewaysFindEachOtherAndShareWhatTheyKnow(t *testing.T) {
+	a := startNode(t, 1)
+	b := startNode(t, 2, a.address)
+	c := startNode(t, 3, a.address, "127.0.7.9:1")
+	var runs []comfreyoccupancy.Run
+	for i := range 45 { // More than fit into one datagram.
+		runs = append(runs, comfreyoccupancy.Run{ID: fmt.Sprint(i), Replica: "r", PromptTokens: 100 + i, GrownTokens: i, RemainingTokens: 7, HasBegun: true, IsCopying: i == 3})
+	}
+	locked(b, func() bool { b.runs = runs; return true })
+	b.gossip.Changed()
+	await(t, "c hears the runs of b, which it knows through a", func() bool {
+		return locked(c, func() bool { return slices.Equal(c.heard[b.address].Runs, runs) })
+	})
+	if s := locked(c, func() comfreygossip.State { return c.heard[b.address] }); s.Plain["app"] != 2 || !slices.Equal(s.Leaving, []string{"old"}) {
+		t.Errorf("got %+v", s)
+	}
+	locked(a, func() bool {
+		a.mirror.Apply(9, []comfreymirror.Item{{Key: "k", Revision: 9, Value: []byte("v")}})
+		return true
+	})
+	for _, n := range []*node{b, c} {
+		await(t, "the change reaches the others", func() bool { return locked(n, n.mirror.Complete) == 9 })
+	}
+	if len(a.gossip.Peers()) != 2 {
+		t.Errorf("a knows %d gateways", len(a.gossip.Peers()))
+	}
+}
--- /dev/null
+++ b/comfreyoccupancy/board_test.go
@@ -0,0 +1,60 @@
+package comfreyoccupancy_test
+
+import (
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestRunsAreCountedOnce(t *testing.T) {
+	b := comfreyoccupancy.NewBoard(comfreyoccupancy.Config{Remaining: func(int) float64 { return 500 }})
+	b.Start(comfreyoccupancy.Run{ID: "own", Replica: "a", PromptTokens: 3000, GrownTokens: 400, HasBegun: true})
+	b.Start(comfreyoccupancy.Run{ID: "being read", Replica: "a", PromptTokens: 2000})
+	b.Peer(start, "other gateway", []comfreyoccupancy.Run{{ID: "peer", Replica: "a", PromptTokens: 1000, HasBegun: true}})
+	b.Report(start, "a", comfreyreplica.Report{
+		UsedTokens: 6400 + 700, CapacityTokens: 34371, // 700 tokens belong to nobody known.
+		Runs: []comfreyreplica.Run{{ID: "own", Tokens: 3400}, {ID: "peer", Tokens: 1000}},
+	})
+	l := b.Load(start, "a")
+	if l.UsedTokens != 7100 || l.Running != 3 || l.UnreadTokens != 2000 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+func TestLateReportDoesNotBringBackFinishedRuns(t *testing.T) {
+	b := comfreyoccupancy.NewBoard(comfreyoccupancy.Config{Remaining: func(int) float64 { return 500 }})
+	b.Start(comfreyoccupancy.Run{ID: "own", Replica: "a", PromptTokens: 3000})
+	b.Peer(start, "g", []comfreyoccupancy.Run{{ID: "peer", Replica: "a", PromptTokens: 1000}})
+	b.Finish(start, "own")
+	b.Peer(start, "g", nil)
+	r := comfreyreplica.Report{UsedTokens: 4000, Runs: []comfreyreplica.Run{{ID: "own", Tokens: 3000}, {ID: "peer", Tokens: 1000}}}
+	b.Report(start.Add(300*time.Millisecond), "a", r)
+	if l := b.Load(start.Add(300*time.Millisecond), "a"); l.UsedTokens != 0 || l.Running != 0 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+func TestUnknownRunsGrowWithTheAgeOfTheReport(t *testing.T) {
+	b := comfreyoccupancy.NewBoard(comfreyoccupancy.Config{Remaining: func(int) float64 { return 1000 }})
+	b.Report(start, "a", comfreyreplica.Report{UsedTokens: 3000, Runs: []comfreyreplica.Run{{ID: "foreign", Tokens: 3000}}})
+	early, late := b.Load(start, "a").UsedTokens, b.Load(start.Add(2*time.Second), "a").UsedTokens
+	if early <= 3000 || late <= early {
+		t.Errorf("got %d, then %d", early, late)
+	}
+}
+
+func TestSilentGatewayIsForgotten(t *testing.T) {
+	b := comfreyoccupancy.NewBoard(comfreyoccupancy.Config{})
+	b.Peer(start, "g", []comfreyoccupancy.Run{{ID: "peer", Replica: "a", PromptTokens: 1000, IsCopying: true}})
+	if l := b.Load(start, "a"); l.CopyTokens != 1000 || l.UnreadTokens != 0 {
+		t.Errorf("got %+v", l)
+	}
+	b.Expire(start.Add(3 * time.Second))
+	if l := b.Load(start, "a"); l.UsedTokens != 0 {
+		t.Errorf("got %+v", l)
+	}
+}
--- /dev/null
+++ b/comfreyplacement/placement_test.go
@@ -0,0 +1,138 @@
+package comfreyplacement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
+)
+
+const capacity = 34371
+
+func noDraw() float64 { return 0 }
+
+func candidate(id string, used int) comfreyplacement.Candidate {
+	return comfreyplacement.Candidate{ID: id, IsNear: true, Slots: 24, Load: comfreyoccupancy.Load{UsedTokens: used, CapacityTokens: capacity}}
+}
+
+func ExampleGeneration() {
+	l := []comfreyplacement.Candidate{candidate("busy", 20000), candidate("idle", 3000)}
+	n := comfreyplacement.Need{PromptTokens: 3000, ExpectedTokens: 900}
+	fmt.Println(l[comfreyplacement.Generation(l, n, noDraw)].ID)
+	// Output: idle
+}
+
+// Replays the pattern of a burst on replicas of which one is new: prompts must
+// not all be read at the new one, although it has the most memory.
+func TestBurstDoesNotPileUpAtANewReplica(t *testing.T) {
+	l := []comfreyplacement.Candidate{candidate("new", 0), candidate("a", 14000), candidate("b", 15000), candidate("c", 16000)}
+	for i := 1; i < 4; i++ {
+		l[i].Load.Running = 4
+	}
+	n := comfreyplacement.Need{PromptTokens: 3000, ExpectedTokens: 900}
+	for range 8 {
+		i := comfreyplacement.Generation(l, n, noDraw)
+		l[i].Load.UnreadTokens += n.PromptTokens
+		l[i].Load.UsedTokens += n.PromptTokens
+		l[i].Load.Running++
+	}
+	if u := l[0].Load.UnreadTokens; u > 12000 {
+		t.Errorf("%d unread tokens at the new replica, which it reads in more than 1.7 s", u)
+	}
+}
+
+func TestGenerationWithoutRoomIsNotPlaced(t *testing.T) {
+	l := []comfreyplacement.Candidate{candidate("a", 33000), candidate("b", 34000)}
+	if i := comfreyplacement.Generation(l, comfreyplacement.Need{PromptTokens: 3000}, noDraw); i != -1 {
+		t.Errorf("placed at %s", l[i].ID)
+	}
+	l[0].Load.CapacityTokens = 0
+	if i := comfreyplacement.Generation(l, comfreyplacement.Need{PromptTokens: 3000}, noDraw); i != 0 {
+		t.Error("a replica of unknown size is not tried")
+	}
+}
+
+func TestFailingReplicaIsAvoided(t *testing.T) {
+	grey, sound := candidate("grey", 0), candidate("sound", 20000)
+	grey.Suspicion = 0.6
+	l := []comfreyplacement.Candidate{grey, sound}
+	if i := comfreyplacement.Generation(l, comfreyplacement.Need{PromptTokens: 1000}, noDraw); l[i].ID != "sound" {
+		t.Error("a generation went to the failing replica")
+	}
+	if i := comfreyplacement.Plain(l, noDraw); l[i].ID != "sound" {
+		t.Error("a request went to the failing replica")
+	}
+}
+
+// Replays the departure of a replica with nine generations while another one
+// leaves: copies spread over the destinations of the same data centre first.
+func TestCopiesSpreadOverLinks(t *testing.T) {
+	l := []comfreyplacement.Candidate{candidate("near-1", 12000), candidate("near-2", 12000), candidate("far", 4000)}
+	l[2].IsNear = false
+	n := comfreyplacement.Need{PromptTokens: 3500, ExpectedTokens: 500, CopyRate: 18_310}
+	count := map[string]int{}
+	for range 6 {
+		i := comfreyplacement.Destination(l, n, noDraw)
+		count[l[i].ID]++
+		l[i].Load.CopyTokens += n.PromptTokens
+		l[i].Load.UsedTokens += n.PromptTokens
+	}
+	if count["near-1"] == 0 || count["near-2"] == 0 || count["near-1"]+count["near-2"] < count["far"] {
+		t.Errorf("got %v", count)
+	}
+}
+
+func TestDestinationMustHoldTheMemory(t *testing.T) {
+	l := []comfreyplacement.Candidate{candidate("full", 32000)}
+	if i := comfreyplacement.Destination(l, comfreyplacement.Need{PromptTokens: 3500}, noDraw); i != -1 {
+		t.Error("a full replica was chosen")
+	}
+}
+
+func near(int, int) bool { return true }
+
+func TestReliefMovesFromFullToNew(t *testing.T) {
+	l := []comfreyplacement.Candidate{candidate("full", 30000), candidate("new", 0)}
+	m := []comfreyplacement.Movable{{From: 0, Tokens: 3500, RemainingTokens: 20}, {From: 0, Tokens: 4000, RemainingTokens: 600}}
+	if g, d := comfreyplacement.Relief(l, m, near); g != 1 || d != 1 {
+		t.Errorf("got %d, %d: the run that has most left should go to the new replica", g, d)
+	}
+	l[1].Load.CopyTokens = 3000
+	if g, _ := comfreyplacement.Relief(l, m, near); g != -1 {
+		t.Error("a replica whose link is busy was chosen")
+	}
+}
+
+// Relief must come to rest: moving until nothing is gained ends, and no
+// generation moves back.
+func TestReliefComesToRest(t *testing.T) {
+	l := []comfreyplacement.Candidate{candidate("a", 32000), candidate("b", 8000), candidate("c", 0)}
+	m := []comfreyplacement.Movable{}
+	for range 8 {
+		m = append(m, comfreyplacement.Movable{From: 0, Tokens: 4000, RemainingTokens: 600})
+	}
+	moves := 0
+	for ; moves < 100; moves++ {
+		g, d := comfreyplacement.Relief(l, m, near)
+		if g < 0 {
+			break
+		}
+		l[m[g].From].Load.UsedTokens -= m[g].Tokens
+		l[d].Load.UsedTokens += m[g].Tokens
+		m[g].From = d
+	}
+	if moves == 0 || moves > 6 {
+		t.Errorf("%d moves", moves)
+	}
+}
+
+func TestPatienceEndsWithTheObjective(t *testing.T) {
+	if p := comfreyplacement.Patience(1800*time.Millisecond, 0, 3000); p <= time.Second || p >= 1500*time.Millisecond {
+		t.Errorf("a fresh request waits %v", p)
+	}
+	if p := comfreyplacement.Patience(1800*time.Millisecond, 5*time.Second, 3000); p <= 0 || p > time.Second {
+		t.Errorf("a late request waits %v", p)
+	}
+}
