Do not place a prompt where it would be read too late

Cause: under load a replica with free memory but 8,000 and more unread tokens was chosen, so that the first event was late for certain.

--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -125,6 +125,7 @@
 	now := g.config.Now()
 	l := g.candidates(now, x.service, x.tried)
 	need := comfreyplacement.Need{PromptTokens: n.promptTokens, ExpectedTokens: g.remaining(n, 0)}
+	need.MaxUnreadTokens = comfreyplacement.MaxUnread(x.route.Objective, now.Sub(x.started), n.promptTokens)
 	i := comfreyplacement.Generation(l, need, g.config.Draw)
 	if i < 0 {
 		return comfreyplacement.Candidate{}, false
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -8,8 +8,6 @@
 package comfreyplacement
 
 import (
-	"time"
-
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 )
 
@@ -54,6 +52,9 @@
 	ExpectedTokens float64
 	// ReserveTokens is memory that has to stay free besides.
 	ReserveTokens int
+	// MaxUnreadTokens bounds the prompts that a replica has yet to read before
+	// this one, so that the first event comes in time; zero means no bound.
+	MaxUnreadTokens int
 	// CopyRate is how many tokens a second a link between two replicas carries;
 	// zero if unknown.
 	CopyRate float64
@@ -85,6 +86,9 @@
 	if c.Slots > 0 && c.Load.Running+c.Load.Waiting >= c.Slots {
 		return false
 	}
+	if n.MaxUnreadTokens > 0 && c.Load.UnreadTokens > n.MaxUnreadTokens {
+		return false
+	}
 	if c.Load.CapacityTokens <= 0 {
 		return true
 	}
@@ -130,22 +134,3 @@
 	}
 	return best
 }
-
-// Patience returns how long a generation may wait for a place: until there is
-// no time left for its first event within its objective, and at least a short
-// time if it is late already.
-func Patience(objective, waited time.Duration, promptTokens int) time.Duration {
-	read := time.Duration(float64(promptTokens) / readTokensPerSecond * float64(time.Second))
-	return max(objective-waited-2*read-firstEventTime, minPatience)
-}
-
-const (
-	// readTokensPerSecond is how fast an engine reads a prompt.
-	readTokensPerSecond = 14_000
-	// firstEventTime is what passes between a read prompt and its first event:
-	// a few steps of an engine and the way to the caller.
-	firstEventTime = 100 * time.Millisecond
-	// minPatience is a quarter of a second, in which the next place may come
-	// free.
-	minPatience = 250 * time.Millisecond
-)
