Reject at once what would wait in vain, with the time at which a place is expected

Cause: with every replica full, each generation waited about 1.2 s for a place before it was rejected, although those before it waited as well. TestLineRejectsWhoWouldWaitInVain replays the load.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreylength"
 	"comfreyridge.example/comfreyridge/comfreymirror"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyrouter"
@@ -56,6 +57,7 @@
 	plain    map[string]*plainLoad
 	streams  map[*generation]struct{}
 	waiting  waitList
+	lines    map[string]*comfreyplacement.Line
 	contact  time.Time
 }
 
@@ -70,6 +72,7 @@
 		budgets:  map[string]*comfreyrouter.RetryBudget{},
 		plain:    map[string]*plainLoad{},
 		streams:  map[*generation]struct{}{},
+		lines:    map[string]*comfreyplacement.Line{},
 	}
 	fleet := g.lengths.Curve(comfreylength.Key{})
 	g.board = comfreyoccupancy.NewBoard(comfreyoccupancy.Config{Remaining: fleet.Remaining})
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -52,16 +52,15 @@
 // giveUpStream sends the final answer to a stream that has not begun.
 func (g *Gateway) giveUpStream(ctx context.Context, x *exchange, e *attemptError) {
 	if x.sent == 0 && ctx.Err() == nil {
-		g.refuse(x, e.reason, streamRetry)
+		g.mu.Lock()
+		after := g.line(x.service.Name).Return()
+		g.mu.Unlock()
+		g.refuse(x, e.reason, after)
 		return
 	}
 	g.giveUp(ctx, x, e)
 }
 
-// streamRetry is when callers return for whose generation no replica had room:
-// about the time in which one of some dozen running ones ends.
-const streamRetry = time.Second
-
 // beginStream finds a replica for a generation and returns the head of its
 // answer.
 func (g *Gateway) beginStream(ctx context.Context, x *exchange, n *generation) (*comfreyconnection.Answer, *attemptError) {
@@ -97,23 +96,63 @@
 	return t
 }
 
-// waitForPlace waits until a replica has room for a generation.
+// waitForPlace waits until a replica has room for a generation, if one is
+// expected to have it in time.
 func (g *Gateway) waitForPlace(ctx context.Context, x *exchange, n *generation) (comfreyplacement.Candidate, *attemptError) {
-	patience := comfreyplacement.Patience(x.route.Objective, g.config.Now().Sub(x.started), n.promptTokens)
+	changed := g.waiting.changed()
+	if c, ok := g.place(x, n); ok {
+		return c, nil
+	}
+	entered := g.config.Now()
+	patience := comfreyplacement.Patience(x.route.Objective, entered.Sub(x.started), n.promptTokens)
+	if !g.enterLine(x, patience) {
+		return comfreyplacement.Candidate{}, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
+	}
+	c, e := g.waitInLine(ctx, x, n, changed, patience)
+	g.mu.Lock()
+	g.line(x.service.Name).Leave(g.config.Now().Sub(entered), e == nil)
+	g.mu.Unlock()
+	return c, e
+}
+
+// enterLine reports whether a place is expected within the patience of a
+// request, and counts the request then.
+func (g *Gateway) enterLine(x *exchange, patience time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.line(x.service.Name)
+	if l.Expected() > patience {
+		return false
+	}
+	l.Enter()
+	return true
+}
+
+// line returns the line of a service. The mutex must be held.
+func (g *Gateway) line(service string) *comfreyplacement.Line {
+	l, ok := g.lines[service]
+	if !ok {
+		l = &comfreyplacement.Line{}
+		g.lines[service] = l
+	}
+	return l
+}
+
+// waitInLine looks for a place after each change until the patience ends.
+func (g *Gateway) waitInLine(ctx context.Context, x *exchange, n *generation, changed <-chan struct{}, patience time.Duration) (comfreyplacement.Candidate, *attemptError) {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	for {
-		changed := g.waiting.changed()
-		c, ok := g.place(x, n)
-		if ok {
-			return c, nil
-		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return c, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
+			return comfreyplacement.Candidate{}, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
 		case <-ctx.Done():
-			return c, &attemptError{reason: comfreyverdict.ReasonDeadline, isNotRun: true}
+			return comfreyplacement.Candidate{}, &attemptError{reason: comfreyverdict.ReasonDeadline, isNotRun: true}
+		}
+		changed = g.waiting.changed()
+		if c, ok := g.place(x, n); ok {
+			return c, nil
 		}
 	}
 }
