Urgency decides who gets a place; no priority is sent to the engines

Now a less urgent request leaves the room that a more urgent one in line needs (TestMoreUrgentWaitersKeepTheirRoom), and what runs is not interrupted.

--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -73,7 +73,7 @@
 			}
 			return nil, e
 		}
-		a, _, e := g.send(ctx, x, c, g.attempt(x, c, nil))
+		a, _, e := g.send(ctx, x, c, attempt(c, nil))
 		if e == nil {
 			return a, nil
 		}
@@ -84,12 +84,19 @@
 	}
 }
 
-// attempt returns what a replica is told about a generation.
-func (g *Gateway) attempt(x *exchange, c comfreyplacement.Candidate, next *continuation) comfreycall.Attempt {
-	t := comfreycall.Attempt{Replica: c.ID, HasPriority: true, Priority: x.route.Priority}
+// priority returns the rank of a request; that of the customer goes before that
+// of the route.
+func (x *exchange) priority() int {
 	if x.customer.HasPriority {
-		t.Priority = x.customer.Priority
+		return x.customer.Priority
 	}
+	return x.route.Priority
+}
+
+// attempt returns what a replica is told about a generation. It sends no
+// priority: an engine would interrupt running generations for a more urgent one.
+func attempt(c comfreyplacement.Candidate, next *continuation) comfreycall.Attempt {
+	t := comfreycall.Attempt{Replica: c.ID}
 	if next != nil {
 		t.Continue = &next.Continuation
 	}
@@ -105,26 +112,26 @@
 	}
 	entered := g.config.Now()
 	patience := comfreyplacement.Patience(x.route.Objective, entered.Sub(x.started), n.promptTokens)
-	if !g.enterLine(x, patience) {
+	if !g.enterLine(x, n, patience) {
 		return comfreyplacement.Candidate{}, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
 	}
 	c, e := g.waitInLine(ctx, x, n, changed, patience)
 	g.mu.Lock()
-	g.line(x.service.Name).Leave(g.config.Now().Sub(entered), e == nil)
+	g.line(x.service.Name).Leave(n.request, g.config.Now().Sub(entered), e == nil)
 	g.mu.Unlock()
 	return c, e
 }
 
 // enterLine reports whether a place is expected within the patience of a
 // request, and counts the request then.
-func (g *Gateway) enterLine(x *exchange, patience time.Duration) bool {
+func (g *Gateway) enterLine(x *exchange, n *generation, patience time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.line(x.service.Name)
 	if l.Expected() > patience {
 		return false
 	}
-	l.Enter()
+	l.Enter(comfreyplacement.Waiter{ID: n.request, Priority: x.priority(), PromptTokens: n.promptTokens})
 	return true
 }
 
@@ -164,6 +171,7 @@
 	now := g.config.Now()
 	l := g.candidates(now, x.service, x.tried)
 	need := comfreyplacement.Need{PromptTokens: n.promptTokens, ExpectedTokens: g.remaining(n, 0)}
+	need.ReserveTokens = g.line(x.service.Name).Reserve(x.priority())
 	need.MaxUnreadTokens = comfreyplacement.MaxUnread(x.route.Objective, now.Sub(x.started), n.promptTokens)
 	i := comfreyplacement.Generation(l, need, g.config.Draw)
 	if i < 0 {
@@ -202,7 +210,7 @@
 			return false
 		}
 		var e *attemptError
-		a, _, e = g.send(ctx, x, next.candidate, g.attempt(x, next.candidate, next))
+		a, _, e = g.send(ctx, x, next.candidate, attempt(next.candidate, next))
 		if e == nil && a.Status >= 300 {
 			a.Close()
 			e = &attemptError{reason: comfreyverdict.ReasonEngineRefused}
--- a/comfreyplacement/line.go
+++ b/comfreyplacement/line.go
@@ -1,6 +1,9 @@
 package comfreyplacement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// paceWeight is the weight of the newest observation in the pace of a line.
@@ -19,21 +22,29 @@
 // joins makes those before it no faster and is itself late. It is told so at
 // once, with the time at which a place is expected.
 type Line struct {
-	waiting int
+	waiting []Waiter
 	// pace is the mean time in which the line moves by one.
 	pace time.Duration
 }
 
+// Waiter is a request in line.
+type Waiter struct {
+	ID string
+	// Priority ranks the request; zero is the most urgent.
+	Priority     int
+	PromptTokens int
+}
+
 // Enter notes that a request waits.
-func (l *Line) Enter() {
-	l.waiting++
+func (l *Line) Enter(w Waiter) {
+	l.waiting = append(l.waiting, w)
 }
 
 // Leave notes that a request has stopped waiting after a time, because it was
 // placed or gave up. With n requests in line, the line has moved by about n.
-func (l *Line) Leave(waited time.Duration, placed bool) {
-	n := l.waiting
-	l.waiting--
+func (l *Line) Leave(id string, waited time.Duration, placed bool) {
+	n := len(l.waiting)
+	l.waiting = slices.DeleteFunc(l.waiting, func(w Waiter) bool { return w.ID == id })
 	observed := waited / time.Duration(max(n, 1))
 	if !placed {
 		observed = max(waited, l.pace)
@@ -45,13 +56,26 @@
 	l.pace += time.Duration(paceWeight * float64(observed-l.pace))
 }
 
+// Reserve returns the memory that a request leaves free for more urgent ones
+// that wait. Urgency decides who gets a place; a generation that runs is not
+// interrupted for it.
+func (l *Line) Reserve(priority int) int {
+	reserve := 0
+	for _, w := range l.waiting {
+		if w.Priority < priority {
+			reserve = max(reserve, w.PromptTokens)
+		}
+	}
+	return reserve
+}
+
 // Expected returns how long one more request is expected to wait. An empty line
 // tells nothing: then it is zero.
 func (l *Line) Expected() time.Duration {
-	return time.Duration(l.waiting) * l.pace
+	return time.Duration(len(l.waiting)) * l.pace
 }
 
 // Return returns when a rejected caller should come back.
 func (l *Line) Return() time.Duration {
-	return min(max(time.Duration(l.waiting+1)*l.pace, minReturn), maxReturn)
+	return min(max(time.Duration(len(l.waiting)+1)*l.pace, minReturn), maxReturn)
 }
--- a/comfreyplacement/line_test.go
+++ b/comfreyplacement/line_test.go
@@ -1,6 +1,7 @@
 package comfreyplacement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,14 +17,14 @@
 	inVain, rejected, placed := 0, 0, 0
 	for now := time.Duration(0); now < 20*time.Second; now += tick {
 		for len(entered) > 0 && now-entered[0] > patience {
-			l.Leave(now-entered[0], false)
+			l.Leave(fmt.Sprint(entered[0]), now-entered[0], false)
 			entered = entered[1:]
 			if now > 3*time.Second {
 				inVain++
 			}
 		}
 		if now%pace == 0 && len(entered) > 0 {
-			l.Leave(now-entered[0], true)
+			l.Leave(fmt.Sprint(entered[0]), now-entered[0], true)
 			entered = entered[1:]
 			placed++
 		}
@@ -34,7 +35,7 @@
 			}
 			continue
 		}
-		l.Enter()
+		l.Enter(comfreyplacement.Waiter{ID: fmt.Sprint(now)})
 		entered = append(entered, now)
 	}
 	if inVain > placed/4 || rejected == 0 || placed < 80 {
@@ -44,9 +45,20 @@
 
 func TestEmptyLineRejectsNobody(t *testing.T) {
 	var l comfreyplacement.Line
-	l.Enter()
-	l.Leave(5*time.Second, false)
+	l.Enter(comfreyplacement.Waiter{ID: "x"})
+	l.Leave("x", 5*time.Second, false)
 	if e := l.Expected(); e != 0 {
 		t.Errorf("an empty line expects %v", e)
 	}
 }
+
+func TestMoreUrgentWaitersKeepTheirRoom(t *testing.T) {
+	var l comfreyplacement.Line
+	l.Enter(comfreyplacement.Waiter{ID: "a", Priority: 1, PromptTokens: 3000})
+	if r := l.Reserve(2); r != 3000 {
+		t.Errorf("a less urgent request leaves %d tokens", r)
+	}
+	if r := l.Reserve(1); r != 0 {
+		t.Errorf("an equally urgent request leaves %d tokens", r)
+	}
+}
