--- a/cmd/comfreyridge/main.go
+++ b/cmd/comfreyridge/main.go
@@ -30,7 +30,7 @@
 type commands struct {
 	Gateway *comfreysettings.Gateway     `arg:"subcommand:gateway" help:"run a gateway on an entry host"`
 	Sidecar *comfreysettings.Sidecar     `arg:"subcommand:sidecar" help:"run the sidecar beside an upstream"`
-	Forward *struct{}                    `arg:"subcommand:forward" help:"run a gateway with the settings file of the users' platform"`
+	Forward *forwardCommand              `arg:"subcommand:forward" help:"run a gateway with the settings file of the users' platform"`
 	Config  *configCommand               `arg:"subcommand:config" help:"check, show and compare configuration folders"`
 	Call    *callCommand                 `arg:"subcommand:call" help:"send one request to a gateway, as a caller would"`
 	Explain *explainCommand              `arg:"subcommand:explain" help:"tell what happened to a request, across processes"`
@@ -110,7 +110,7 @@
 	case c.Sidecar != nil:
 		return runSidecar(ctx, kill, *c.Sidecar, stderr)
 	case c.Forward != nil:
-		return runForward(ctx, stdout, stderr)
+		return c.Forward.run(ctx, stdout, stderr)
 	case c.Config != nil:
 		return c.Config.run(stdout, stderr)
 	case c.Call != nil:
--- a/comfreyforward/follow.go
+++ b/comfreyforward/follow.go
@@ -153,8 +153,15 @@
 		g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigStale, map[string]any{"version": t.Version(), "in-force": old.Version(), "revision": x.Revision})
 		return
 	}
+	f := map[string]any{"version": t.Version(), "revision": x.Revision}
+	n := t.Size()
+	f["routes"], f["services"], f["keys"] = n.Routes, n.Services, n.Keys
+	if old := g.table.Load(); old != nil {
+		o := old.Size()
+		f["from-version"], f["more-routes"], f["more-keys"] = old.Version(), n.Routes-o.Routes, n.Keys-o.Keys
+	}
 	g.table.Store(t)
-	g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigTaken, map[string]any{"version": t.Version(), "revision": x.Revision})
+	g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigTaken, f)
 }
 
 // takeListing takes a changed entry of a replica. The mutex must be held.
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -46,6 +46,7 @@
 	table  atomic.Pointer[comfreyroute.Table]
 	// isStopping is set by a planned stop.
 	isStopping atomic.Bool
+	metrics    *metrics
 
 	mu       sync.Mutex
 	mirror   *comfreymirror.Mirror
@@ -74,6 +75,7 @@
 		streams:  map[*generation]struct{}{},
 		lines:    map[string]*comfreyplacement.Line{},
 	}
+	g.metrics = newMetrics(g)
 	fleet := g.lengths.Curve(comfreylength.Key{})
 	g.board = comfreyoccupancy.NewBoard(comfreyoccupancy.Config{Remaining: fleet.Remaining})
 	return g
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -209,6 +209,7 @@
 		f["retry-after"] = e.RetryAfter.String()
 	}
 	g.record(x.call.ID, comfreydecision.KindRefuse, e.Reason, f)
+	g.observe(x, status)
 	x.w.WriteHeader(status)
 	// A caller that left does not read the answer.
 	_, _ = io.WriteString(x.w, `{"verdict":"`+e.Verdict.String()+`","reason":"`+string(e.Reason)+`"}`)
--- a/comfreyforward/plain.go
+++ b/comfreyforward/plain.go
@@ -234,5 +234,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAccepted, f)
+	g.observe(x, a.Status)
 	return nil
 }
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -48,6 +48,8 @@
 	ReadyPath string
 	// Grace is the time that a planned stop may take.
 	Grace time.Duration
+	// MaxConnections bounds the callers' connections; zero means no bound.
+	MaxConnections int
 	// Registry holds the metrics.
 	Registry *prometheus.Registry
 	// Listen opens a listener; net.Listen on TCP by default.
@@ -142,7 +144,7 @@
 		ReadHeaderTimeout: positive(l.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       positive(l.IdleTimeout, defaultIdleTimeout) + idleMargin,
 	}
-	return h, s.serve("callers", s.config.CallerAddress, h)
+	return h, s.serveLimited("callers", s.config.CallerAddress, h, s.config.MaxConnections)
 }
 
 func positive[T int | time.Duration](v, d T) T {
@@ -161,10 +163,19 @@
 }
 
 func (s *Server) serve(name, address string, h *http.Server) error {
+	return s.serveLimited(name, address, h, 0)
+}
+
+// serveLimited serves at most a number of connections at a time; zero means no
+// bound.
+func (s *Server) serveLimited(name, address string, h *http.Server, most int) error {
 	l, err := s.config.Listen(address)
 	if err != nil {
 		return fmt.Errorf("comfreyforward: listening for %s: %w", name, err)
 	}
+	if most > 0 {
+		l = newLimitedListener(l, most)
+	}
 	s.gateway.config.Group.Go(name, func(context.Context) error {
 		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("comfreyforward: serving %s: %w", name, err)
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -258,6 +258,13 @@
 		f["error"] = err.Error()
 	}
 	g.record(n.request, comfreydecision.KindFinish, reason, f)
+	if !o.first.IsZero() {
+		g.metrics.firstEvent.Observe(o.first.Sub(x.started).Seconds())
+		g.metrics.pause.Observe(o.pause.Seconds())
+	}
+	if reason == comfreyverdict.ReasonAccepted {
+		g.observe(x, http.StatusOK)
+	}
 }
 
 // output writes the events of a generation to its caller.
--- a/comfreyroute/table.go
+++ b/comfreyroute/table.go
@@ -46,6 +46,16 @@
 	return t.config.Version
 }
 
+// Size says how much a configuration holds.
+type Size struct {
+	Routes, Services, Keys int
+}
+
+// Size returns how many routes, services and keys the configuration holds.
+func (t *Table) Size() Size {
+	return Size{Routes: len(t.config.Routes), Services: len(t.config.Services), Keys: len(t.config.Keys)}
+}
+
 // Limits returns what callers may send.
 func (t *Table) Limits() Limits {
 	return t.config.Limits
