--- a/comfreyarch/arch.go
+++ b/comfreyarch/arch.go
@@ -18,4 +18,10 @@
 	"comfreyfleet",
 	"comfreymover",
 	"comfreyconfig",
+	"comfreycall",
+	"comfreyroute",
+	"comfreymirror",
+	"comfreyreplica",
+	"comfreyoccupancy",
+	"comfreyplacement",
 }
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -24,6 +24,9 @@
 	// question has a price, and the answer is half a second old; what the
 	// gateways run themselves they tell each other.
 	reportInterval = 4 * time.Second
+	// minReportPause bounds the questions of one gateway to 50 a second, however
+	// many engines there are.
+	minReportPause = 20 * time.Millisecond
 	// blindReportInterval is how often an engine is asked while the store does
 	// not answer, since only its report tells then that it leaves.
 	blindReportInterval = 400 * time.Millisecond
@@ -139,7 +142,7 @@
 		l := g.engineReplicas()
 		pause := reportInterval
 		for _, r := range l {
-			pause = g.reportPause() / time.Duration(len(l))
+			pause = max(g.reportPause()/time.Duration(len(l)), minReportPause)
 			if !comfreygroup.Sleep(ctx, pause) {
 				return nil
 			}
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -198,6 +198,9 @@
 func (g *Gateway) answer(x *exchange, status int, e comfreyverdict.Error) {
 	f := x.figures(g.config.Now())
 	f["status"], f["verdict"] = status, e.Verdict.String()
+	if age, ok := g.Contact(); ok {
+		f["store-age-ms"] = age.Milliseconds()
+	}
 	if e.Detail != "" {
 		f["detail"] = e.Detail
 	}
--- a/comfreygossip/announce.go
+++ b/comfreygossip/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -56,10 +55,7 @@
 	g.mu.Lock()
 	g.sequence++
 	sequence := g.sequence
-	to := make([]*net.UDPAddr, 0, len(g.gateways))
-	for _, k := range g.gateways {
-		to = append(to, k.datagrams)
-	}
+	to := g.neighbours()
 	g.mu.Unlock()
 	for _, d := range datagrams(s) {
 		d.Address, d.Incarnation, d.Sequence = g.config.Address, g.incarnation, sequence
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +42,12 @@
 	restartTime = 2 * time.Second
 	// maxListed bounds the gateways that one message names.
 	maxListed = 64
+	// maxAnnounced bounds the gateways that hear of placements. With more of
+	// them, each speaks to the next ones in the order of the addresses, so that
+	// the cost of a gateway does not grow with the fleet.
+	maxAnnounced = 40
+	// maxKnown bounds the gateways that are remembered.
+	maxKnown = 512
 )
 
 // State is where a gateway's requests run.
@@ -178,7 +186,7 @@
 	if k, ok := g.gateways[address]; ok {
 		return k
 	}
-	if len(g.gateways) >= 2*maxListed {
+	if len(g.gateways) >= maxKnown {
 		return nil
 	}
 	host, _, err := net.SplitHostPort(address)
@@ -270,6 +278,18 @@
 	return l
 }
 
+// neighbours returns where placements are announced: everywhere in a small
+// fleet, else to those whose addresses follow. The mutex must be held.
+func (g *Gossip) neighbours() []*net.UDPAddr {
+	addresses := slices.Sorted(maps.Keys(g.gateways))
+	first, _ := slices.BinarySearch(addresses, g.config.Address)
+	var l []*net.UDPAddr
+	for i := range min(len(addresses), maxAnnounced) {
+		l = append(l, g.gateways[addresses[(first+i)%len(addresses)]].datagrams)
+	}
+	return l
+}
+
 // expire forgets silent gateways. The seeds are tried again for ever.
 func (g *Gossip) expire() {
 	g.mu.Lock()
