Move one generation of a gateway at a time

Cause: all copies of a leaving replica queued on its link at once, so that the second copies and stops of the first runs waited behind the first copies of the last ones, and the replica was gone before any run had moved.

--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -38,15 +38,30 @@
 	if len(l) == 0 {
 		return
 	}
+	g.config.Group.Go("end", func(ctx context.Context) error {
+		g.askEnd(ctx, r)
+		return nil
+	})
+	queue := make(chan *generation, len(l))
 	for _, n := range l {
+		queue <- n
+	}
+	close(queue)
+	for range movesAtOnce {
 		g.config.Group.Go("move", func(ctx context.Context) error {
-			g.move(ctx, n, r)
+			for n := range queue {
+				g.move(ctx, n, r)
+			}
 			return nil
 		})
 	}
-	g.askEnd(ctx, r)
 }
 
+// movesAtOnce is how many generations of one gateway move from a replica at the
+// same time. Its link carries one copy after the other anyway, and a run that
+// has moved needs no more copies.
+const movesAtOnce = 1
+
 // askEnd asks a leaving replica how long it still serves.
 func (g *Gateway) askEnd(ctx context.Context, r comfreyreplica.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
