Generations that have not begun move last

Cause: with one move at a time, a generation without an event, which cannot be copied yet, held up those behind it until the replica was gone. TestMoveOrder.

--- /dev/null
+++ b/comfreyarch/platform_test.go
@@ -0,0 +1,54 @@
+package comfreyarch
+
+import (
+	"go/ast"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// platformNames begin names that only the folder platform may hold: they are
+// those of the users' platform on the wire.
+var platformNames = []string{"X-Replica", "X-Tenant", "X-Expect", "X-Kv-", "Kv-From", "X-Not-Executed", "X-Token-Counts", "/comfreyridge/kv", "/comfreyridge/re", "COMFREYRIDGE_CONFIG"}
+
+// TestOnlyThePlatformFolderKnowsThePlatformsNames looks through the string
+// literals of all other folders.
+func TestOnlyThePlatformFolderKnowsThePlatformsNames(t *testing.T) {
+	dirs, err := os.ReadDir("..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range dirs {
+		if !d.IsDir() || d.Name() == "platform" || strings.HasPrefix(d.Name(), ".") {
+			continue
+		}
+		for _, f := range sources(t, filepath.Join("..", d.Name())) {
+			ast.Inspect(f, func(n ast.Node) bool {
+				l, ok := n.(*ast.BasicLit)
+				if !ok || l.Kind != token.STRING {
+					return true
+				}
+				for _, name := range platformNames {
+					if strings.Contains(l.Value, name) {
+						t.Errorf("package %s holds %s", f.Name.Name, l.Value)
+					}
+				}
+				return true
+			})
+		}
+	}
+}
+
+// TestOnlyTheCommandImportsThePlatformFolder keeps the product free of the
+// adapter.
+func TestOnlyTheCommandImportsThePlatformFolder(t *testing.T) {
+	for _, f := range sources(t, "..") {
+		for _, i := range f.Imports {
+			if i.Path.Value == `"`+module+`platform"` && f.Name.Name != "main" {
+				t.Errorf("package %s imports platform", f.Name.Name)
+			}
+		}
+	}
+}
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -225,10 +225,7 @@
 		if r.State == comfreyreplica.StateLeaving {
 			g.config.Pool.Forget(r.Address)
 			g.config.Placed()
-			g.config.Group.Go("move", func(ctx context.Context) error {
-				g.moveAway(ctx, r)
-				return nil
-			})
+			g.moveAway(r)
 		}
 	}
 	if len(changes) > 0 {
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -46,6 +46,12 @@
 	return n.promptTokens + n.events*n.service.Engine.TokensPerEvent
 }
 
+// movable describes the generation for a decision on moves. The mutex must be
+// held.
+func (n *generation) movable() comfreyplacement.Movable {
+	return comfreyplacement.Movable{Tokens: n.tokens(), HasBegun: n.events > 0}
+}
+
 // track adds a generation to the running ones.
 func (g *Gateway) track(n *generation) {
 	g.mu.Lock()
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -1,7 +1,6 @@
 package comfreyforward
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -32,8 +31,10 @@
 	dropTimeout = time.Second
 )
 
-// moveAway moves this gateway's generations away from a leaving replica.
-func (g *Gateway) moveAway(ctx context.Context, r comfreyreplica.Replica) {
+// moveAway moves this gateway's generations away from a leaving replica, one
+// after the other: its link carries one copy at a time anyway, and a run that
+// has moved needs no more copies.
+func (g *Gateway) moveAway(r comfreyreplica.Replica) {
 	l := g.generationsAt(r.ID)
 	if len(l) == 0 {
 		return
@@ -42,26 +43,14 @@
 		g.askEnd(ctx, r)
 		return nil
 	})
-	queue := make(chan *generation, len(l))
-	for _, n := range l {
-		queue <- n
-	}
-	close(queue)
-	for range movesAtOnce {
-		g.config.Group.Go("move", func(ctx context.Context) error {
-			for n := range queue {
-				g.move(ctx, n, r)
-			}
-			return nil
-		})
-	}
+	g.config.Group.Go("move", func(ctx context.Context) error {
+		for _, n := range l {
+			g.move(ctx, n, r)
+		}
+		return nil
+	})
 }
 
-// movesAtOnce is how many generations of one gateway move from a replica at the
-// same time. Its link carries one copy after the other anyway, and a run that
-// has moved needs no more copies.
-const movesAtOnce = 1
-
 // askEnd asks a leaving replica how long it still serves.
 func (g *Gateway) askEnd(ctx context.Context, r comfreyreplica.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -82,19 +71,19 @@
 	}
 }
 
-// generationsAt returns the running generations of a replica that are not
-// moving yet, the smallest first.
+// generationsAt returns the generations of a replica that can move and are not
+// moving yet, in the order in which they move.
 func (g *Gateway) generationsAt(replica string) []*generation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var l []*generation
 	for n := range g.streams {
-		if n.replica.ID == replica && !n.isMoving && !n.hasEnded {
+		if n.replica.ID == replica && !n.isMoving && !n.hasEnded && n.service.Engine.CanMove {
 			n.isMoving = true
 			l = append(l, n)
 		}
 	}
-	slices.SortFunc(l, func(a, b *generation) int { return cmp.Compare(a.tokens(), b.tokens()) })
+	slices.SortFunc(l, func(a, b *generation) int { return comfreyplacement.MoveOrder(a.movable(), b.movable()) })
 	return l
 }
 
--- a/comfreyplacement/placement_test.go
+++ b/comfreyplacement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,3 +137,11 @@
 		t.Errorf("a late request waits %v", p)
 	}
 }
+
+func TestMoveOrder(t *testing.T) {
+	l := []comfreyplacement.Movable{{Tokens: 100}, {Tokens: 4000, HasBegun: true}, {Tokens: 3000, HasBegun: true}}
+	slices.SortFunc(l, comfreyplacement.MoveOrder)
+	if l[0].Tokens != 3000 || l[1].Tokens != 4000 || l[2].HasBegun {
+		t.Errorf("got %+v", l)
+	}
+}
--- a/comfreyplacement/relieve.go
+++ b/comfreyplacement/relieve.go
@@ -24,6 +24,8 @@
 	// growth.
 	Tokens          int
 	RemainingTokens float64
+	// HasBegun is true from the first event on.
+	HasBegun bool
 }
 
 // Relief chooses a generation to move from a full replica to an emptier one. It
