Bound reliefs of one generation; second copies before relief; clean log fields

Cause: a stream that changed its replica 12 times was ended; relief alone could come near that. The end of a replica that stays was taken from its entry (zero), so that relief made no second copy, and first-ms was negative without an event.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -32,6 +32,8 @@
 	events    int
 	lastEvent string
 	hasEnded  bool
+	// moves counts the replicas at which it went on.
+	moves int
 	// isMoving is true while a move of the run is under way.
 	isMoving bool
 	// destination is where a move that was decided upon leads; nil if the move
@@ -123,6 +125,7 @@
 	next := n.next
 	n.next = nil
 	if next != nil {
+		n.moves++
 		next.LastEvent = n.lastEvent
 		g.noteStart(n, next.candidate)
 		g.board.Finish(g.config.Now(), copyID(n)) // The run has taken the room of its copy.
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -100,8 +100,8 @@
 	g.mu.Lock()
 	n.next = first
 	g.noteCopy(n, first.candidate.ID, false)
-	if k, ok := g.replicas.Get(r.ID); ok {
-		r = k
+	if k, ok := g.replicas.Get(r.ID); ok && k.State == comfreyreplica.StateLeaving {
+		r = k // Its end may be known better by now.
 	}
 	g.mu.Unlock()
 	if first.took > refreshAfter && r.Ends.Sub(g.config.Now()) > refreshTime {
--- a/comfreyforward/relieve.go
+++ b/comfreyforward/relieve.go
@@ -15,6 +15,9 @@
 	// relieveInterval is how often a gateway looks whether one of its
 	// generations should move. One move takes some tenths of a second.
 	relieveInterval = 150 * time.Millisecond
+	// maxRelieved is after how many moves a generation stays until its replica
+	// leaves: each move is a pause of some 70 ms.
+	maxRelieved = 6
 	// relieveTime bounds one move between replicas that stay.
 	relieveTime = 3 * time.Second
 )
@@ -42,7 +45,7 @@
 	now := g.config.Now()
 	byService := map[string][]*generation{}
 	for n := range g.streams {
-		if n.events > 0 && !n.isMoving && n.service.Engine.CanMove {
+		if n.events > 0 && !n.isMoving && n.moves < maxRelieved && n.service.Engine.CanMove {
 			byService[n.service.Name] = append(byService[n.service.Name], n)
 		}
 	}
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// maxContinuations bounds how often one generation changes its replica; one
-	// of 10 s meets three departures.
-	maxContinuations = 12
+	// maxContinuations bounds how often one generation changes its replica, so
+	// that a fault cannot send it around for ever; one of 25 s meets eight
+	// departures.
+	maxContinuations = 50
 	// writeTimeout is how long a caller may take to read one event.
 	writeTimeout = 5 * time.Second
 )
@@ -223,7 +224,6 @@
 			return false
 		}
 		g.record(n.request, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, f)
-		o.moves++
 	}
 	g.endEarly(ctx, x, n, o, errors.New("comfreyforward: too many continuations"))
 	return false
@@ -253,7 +253,10 @@
 func (g *Gateway) finishStream(x *exchange, n *generation, o *output, reason comfreyverdict.Reason, err error) {
 	f := x.figures(g.config.Now())
 	f["replica"], f["events"] = n.replica.ID, n.events
-	f["first-ms"], f["longest-pause-ms"], f["pause-event"], f["moves"] = o.first.Sub(x.started).Milliseconds(), o.pause.Milliseconds(), o.pauseEvent, o.moves
+	f["moves"] = n.moves
+	if !o.first.IsZero() {
+		f["first-ms"], f["longest-pause-ms"], f["pause-event"] = o.first.Sub(x.started).Milliseconds(), o.pause.Milliseconds(), o.pauseEvent
+	}
 	if err != nil {
 		f["error"] = err.Error()
 	}
@@ -282,8 +285,6 @@
 	// of the event that ended it.
 	pause      time.Duration
 	pauseEvent int
-	// moves counts the replicas at which the generation went on.
-	moves int
 }
 
 // noteTime takes the time at which an event was passed on.
