Try moves again that found no room, and moves to a replica that then left

Cause: a generation that found no room at its first try, whose relief failed while its replica began to leave, or whose destination left during the move, stayed until it was cut (11 of 58 cut runs found no room). A copy that was made after its run had ended was not dropped. The slack of the retry limit was shared by 8 gateways where 31 are known. TestMoveIsTriedAgainWhenRoomComesFree fails before.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -38,9 +38,10 @@
 	tickInterval = 100 * time.Millisecond
 	// sweepInterval is how often idle connections are looked through.
 	sweepInterval = time.Second
-	// assumedGateways is how many gateways share the retry limit of a service:
-	// a deployment runs 4 to 8 on its entry hosts, spare ones included.
-	assumedGateways = 8
+	// minGateways is how many gateways share the retry limit of a service at
+	// least, as far as one of them knows: a deployment runs 4 to 8 on its entry
+	// hosts, spare ones included.
+	minGateways = 8
 )
 
 // Gateway forwards requests. It is safe for concurrent use.
@@ -225,7 +226,12 @@
 		if r.State == comfreyreplica.StateLeaving {
 			g.config.Pool.Forget(r.Address)
 			g.config.Placed()
-			g.moveAway(r)
+			if g.moveAway(r) {
+				g.config.Group.Go("end", func(ctx context.Context) error {
+					g.askEnd(ctx, r)
+					return nil
+				})
+			}
 		}
 	}
 	if len(changes) > 0 {
@@ -241,7 +247,7 @@
 func (g *Gateway) retryBudget(service string) *comfreyrouter.RetryBudget {
 	b, ok := g.budgets[service]
 	if !ok {
-		slack := g.config.Retry.Slack / assumedGateways
+		slack := g.config.Retry.Slack / float64(max(minGateways, len(g.config.Peers())+1))
 		b = comfreyrouter.NewRetryBudget(comfreyrouter.RetryConfig{Ratio: g.config.Retry.Ratio * retryShare, Burst: max(slack, 1), Reserve: slack})
 		g.budgets[service] = b
 	}
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -20,7 +20,8 @@
 	refreshTime = 400 * time.Millisecond
 	// stopTimeout bounds the call that stops a run.
 	stopTimeout = 1500 * time.Millisecond
-	// copyRetry is the pause before a run that has not begun is copied.
+	// copyRetry is the pause before a run that has not begun, or that found no
+	// room, is tried again.
 	copyRetry = 100 * time.Millisecond
 	// refreshAfter is how long a first copy may take before what the run made
 	// meanwhile is copied too, rather than read again by the destination.
@@ -33,22 +34,33 @@
 
 // moveAway moves this gateway's generations away from a leaving replica, one
 // after the other: its link carries one copy at a time anyway, and a run that
-// has moved needs no more copies.
-func (g *Gateway) moveAway(r comfreyreplica.Replica) {
+// has moved needs no more copies. It reports whether there are any.
+func (g *Gateway) moveAway(r comfreyreplica.Replica) bool {
 	l := g.generationsAt(r.ID)
 	if len(l) == 0 {
-		return
+		return false
 	}
-	g.config.Group.Go("end", func(ctx context.Context) error {
-		g.askEnd(ctx, r)
-		return nil
-	})
 	g.config.Group.Go("move", func(ctx context.Context) error {
 		for _, n := range l {
 			g.move(ctx, n, r)
 		}
+		// What could not move yet, or came here meanwhile, is tried again.
+		if comfreygroup.Sleep(ctx, copyRetry) {
+			g.moveRest(r.ID)
+		}
 		return nil
 	})
+	return true
+}
+
+// moveRest moves what is left at a replica if it is leaving and still serves.
+func (g *Gateway) moveRest(replica string) {
+	g.mu.Lock()
+	r, ok := g.replicas.Get(replica)
+	g.mu.Unlock()
+	if ok && r.State == comfreyreplica.StateLeaving && g.config.Now().Before(r.Ends) {
+		g.moveAway(r)
+	}
 }
 
 // askEnd asks a leaving replica how long it still serves.
@@ -98,6 +110,11 @@
 		return
 	}
 	g.mu.Lock()
+	if n.hasEnded {
+		g.mu.Unlock()
+		g.dropCopy(first)
+		return
+	}
 	n.next = first
 	g.noteCopy(n, first.candidate.ID, false)
 	if k, ok := g.replicas.Get(r.ID); ok && k.State == comfreyreplica.StateLeaving {
--- a/comfreyforward/relieve.go
+++ b/comfreyforward/relieve.go
@@ -29,6 +29,7 @@
 		n, r, ok := g.chooseRelief()
 		if ok {
 			g.move(ctx, n, r)
+			g.moveRest(r.ID) // The replica may have begun to leave meanwhile.
 		}
 	}
 	return nil
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -10,6 +10,7 @@
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreylength"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
@@ -224,6 +225,13 @@
 			return false
 		}
 		g.record(n.request, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, f)
+		g.config.Group.Go("move", func(ctx context.Context) error {
+			// The destination may have begun to leave during the move.
+			if comfreygroup.Sleep(ctx, copyRetry) {
+				g.moveRest(next.candidate.ID)
+			}
+			return nil
+		})
 	}
 	g.endEarly(ctx, x, n, o, errors.New("comfreyforward: too many continuations"))
 	return false
