--- a/comfreyforward/limit.go
+++ b/comfreyforward/limit.go
@@ -3,9 +3,34 @@
 import (
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 )
 
+const (
+	// fileDescriptors are kept for files; the platform reserves as many.
+	fileDescriptors = 200
+	// callerShare is the part of the other descriptors that callers may take;
+	// the rest is for connections to replicas, the store and other gateways.
+	callerShare = 0.6
+	// memoryShare is the part of the allowed memory that the garbage collector
+	// works with; the rest is for stacks, sockets and what it does not count.
+	memoryShare = 0.75
+)
+
+// callerConnections returns how many connections of callers may be open; zero
+// means no bound.
+func callerConnections(descriptors int) int {
+	return int(callerShare * float64(max(descriptors-fileDescriptors, 0)))
+}
+
+// limitMemory keeps the heap within its part of the allowed memory.
+func limitMemory(allowed int64) {
+	if allowed > 0 {
+		debug.SetMemoryLimit(int64(float64(allowed) * memoryShare))
+	}
+}
+
 // limitedListener accepts at most a number of connections at a time. Further
 // ones wait in the kernel's queue, so that the process never runs out of
 // descriptors for replicas.
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -48,8 +48,10 @@
 	ReadyPath string
 	// Grace is the time that a planned stop may take.
 	Grace time.Duration
-	// MaxConnections bounds the callers' connections; zero means no bound.
-	MaxConnections int
+	// MemoryBytes is the memory above which the process is killed, and
+	// MaxDescriptors bounds sockets and files; zero means no bound.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// Registry holds the metrics.
 	Registry *prometheus.Registry
 	// Listen opens a listener; net.Listen on TCP by default.
@@ -74,6 +76,7 @@
 // grace time.
 func (s *Server) Run(stop context.Context) error {
 	g := s.gateway
+	limitMemory(s.config.MemoryBytes)
 	g.Start()
 	if err := s.serveSmall("ready", s.config.ReadyAddress, s.readyHandler()); err != nil {
 		return err
@@ -144,7 +147,7 @@
 		ReadHeaderTimeout: positive(l.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       positive(l.IdleTimeout, defaultIdleTimeout) + idleMargin,
 	}
-	return h, s.serveLimited("callers", s.config.CallerAddress, h, s.config.MaxConnections)
+	return h, s.serveLimited("callers", s.config.CallerAddress, h, callerConnections(s.config.MaxDescriptors))
 }
 
 func positive[T int | time.Duration](v, d T) T {
