--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -65,12 +65,7 @@
 func (g *Gateway) State() comfreygossip.State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := comfreygossip.State{Runs: g.board.Runs(), Plain: map[string]int{}}
-	for id, p := range g.plain {
-		if p.inFlight > 0 {
-			s.Plain[id] = p.inFlight
-		}
-	}
+	s := comfreygossip.State{Runs: g.board.Runs()}
 	now := g.config.Now()
 	for _, r := range g.replicas.All() {
 		if r.State == comfreyreplica.StateLeaving && now.Sub(r.Since) < leavingNews {
--- a/comfreygossip/announce.go
+++ b/comfreygossip/announce.go
@@ -86,9 +86,6 @@
 		}
 		if p == 0 {
 			d.Leaving = s.Leaving
-			for id, n := range s.Plain {
-				d.Plain = append(d.Plain, &comfreyproto.PlainLoad{Replica: id, InFlight: uint32(n)})
-			}
 		}
 		l = append(l, d)
 	}
@@ -134,7 +131,7 @@
 	}
 	a := partial[d.Address]
 	if a == nil || a.sequence != d.Sequence {
-		a = &assembly{sequence: d.Sequence, parts: map[uint32]bool{}, state: State{Plain: map[string]int{}}}
+		a = &assembly{sequence: d.Sequence, parts: map[uint32]bool{}}
 		partial[d.Address] = a
 	}
 	if a.parts[d.Part] {
@@ -148,9 +145,6 @@
 		})
 	}
 	a.state.Leaving = append(a.state.Leaving, d.Leaving...)
-	for _, p := range d.Plain {
-		a.state.Plain[p.Replica] = int(p.InFlight)
-	}
 	if len(a.parts) < int(d.Parts) {
 		return
 	}
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -53,8 +53,6 @@
 // State is where a gateway's requests run.
 type State struct {
 	Runs []comfreyoccupancy.Run
-	// Plain counts the open requests at replicas that generate nothing.
-	Plain map[string]int
 	// Leaving are the replicas that have lately begun to leave.
 	Leaving []string
 }
