--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -85,9 +85,10 @@
 	Retry      RetryLimit
 	// Drain is how long a leaving replica serves; see comfreyreplica.Config.
 	Drain time.Duration
-	// Placed is called after this gateway has placed a generation; nothing by
-	// default.
-	Placed func()
+	// Announce is called when the other gateways should soon hear of a change: a
+	// placed generation, a replica that leaves, news from the store. It does
+	// nothing by default and must not block.
+	Announce func()
 	// Peers returns the other gateways; none by default.
 	Peers func() []comfreymirror.Peer
 	// Address is this gateway's address among them.
@@ -108,8 +109,8 @@
 	if c.Peers == nil {
 		c.Peers = func() []comfreymirror.Peer { return nil }
 	}
-	if c.Placed == nil {
-		c.Placed = func() {}
+	if c.Announce == nil {
+		c.Announce = func() {}
 	}
 	return c
 }
--- a/comfreyforward/follow.go
+++ b/comfreyforward/follow.go
@@ -134,7 +134,7 @@
 	g.mu.Unlock()
 	g.noteChanges(changes)
 	if hasNews {
-		g.config.Placed()
+		g.config.Announce()
 	}
 }
 
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -225,7 +225,7 @@
 		})
 		if r.State == comfreyreplica.StateLeaving {
 			g.config.Pool.Forget(r.Address)
-			g.config.Placed()
+			g.config.Announce()
 			if g.moveAway(r) {
 				g.config.Group.Go("end", func(ctx context.Context) error {
 					g.askEnd(ctx, r)
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -149,7 +149,7 @@
 func (g *Gateway) noteCopy(n *generation, replica string, isCopying bool) {
 	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: replica, PromptTokens: n.tokens(), HasBegun: true, IsCopying: isCopying, Started: g.config.Now()})
 	if isCopying {
-		g.config.Placed()
+		g.config.Announce()
 	}
 }
 
--- a/comfreyforward/relieve.go
+++ b/comfreyforward/relieve.go
@@ -88,7 +88,7 @@
 	r.Ends = now.Add(relieveTime)
 	n.isMoving, n.destination = true, &to
 	g.noteCopy(n, to.ID, true)
-	g.config.Placed()
+	g.config.Announce()
 	g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonLeastLoaded, map[string]any{
 		"replica": from.ID, "to": to.ID, "used-tokens": from.Load.UsedTokens, "to-used-tokens": to.Load.UsedTokens,
 	})
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -182,7 +182,7 @@
 	c := l[i]
 	x.tried[c.ID] = true
 	g.noteStart(n, c)
-	g.config.Placed()
+	g.config.Announce()
 	f := x.figures(now)
 	f["replica"], f["running"], f["used-tokens"], f["report-age-ms"] = c.ID, c.Load.Running, c.Load.UsedTokens, c.Load.Age.Milliseconds()
 	f["prompt-tokens"], f["expected-tokens"], f["unread-tokens"], f["candidates"] = n.promptTokens, int(need.ExpectedTokens), c.Load.UnreadTokens, len(l)
