One choice of the cheapest candidate; operators' endpoints from comfreyadmin

Placement had three loops for the least cost and two formulas for taken memory; data centres of candidates were looked up again beside them. The gateway's metrics handler was a lesser copy of comfreyadmin's, whose /debug/decisions also serves the history that the recorder kept for nobody. Derived token counts stand in one method, a relief announced itself twice, and a destination's expected growth was worked out and not used. Choices are the same; the tests keep their assertions (Relief's callback gave way to the candidates' data centres).

--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -37,7 +37,7 @@
 // candidate returns what is believed about one replica. The mutex must be held.
 func (g *Gateway) candidate(now time.Time, s comfreyroute.Service, r comfreyreplica.Replica) comfreyplacement.Candidate {
 	c := comfreyplacement.Candidate{
-		ID: r.ID, Address: r.Address, Slots: r.Slots,
+		ID: r.ID, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots,
 		IsNear:    r.DataCentre == g.config.DataCentre,
 		IsCold:    now.Before(r.WarmAt),
 		Suspicion: g.health.Suspicion(now, r.ID),
--- a/comfreyforward/follow.go
+++ b/comfreyforward/follow.go
@@ -149,14 +149,15 @@
 		g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigInvalid, map[string]any{"revision": x.Revision, "error": err.Error()})
 		return
 	}
-	if old := g.table.Load(); old != nil && old.Version() >= t.Version() {
+	old := g.table.Load()
+	if old != nil && old.Version() >= t.Version() {
 		g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigStale, map[string]any{"version": t.Version(), "in-force": old.Version(), "revision": x.Revision})
 		return
 	}
 	f := map[string]any{"version": t.Version(), "revision": x.Revision}
 	n := t.Size()
 	f["routes"], f["services"], f["keys"] = n.Routes, n.Services, n.Keys
-	if old := g.table.Load(); old != nil {
+	if old != nil {
 		o := old.Size()
 		f["from-version"], f["more-routes"], f["more-keys"] = old.Version(), n.Routes-o.Routes, n.Keys-o.Keys
 	}
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -109,12 +109,19 @@
 	g.isStopping.Store(true)
 }
 
-// IsReady reports whether callers should be sent to this gateway.
-func (g *Gateway) IsReady() bool {
-	if g.isStopping.Load() || g.table.Load() == nil {
-		return false
+// Ready returns nil if callers should be sent to this gateway, or the reason
+// why not.
+func (g *Gateway) Ready() error {
+	switch {
+	case g.isStopping.Load():
+		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "")
+	case g.table.Load() == nil:
+		return comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "")
+	case g.ReplicaCount() == 0:
+		return comfreyverdict.NotRun(comfreyverdict.ReasonNoUpstream, "")
+	default:
+		return nil
 	}
-	return g.ReplicaCount() > 0
 }
 
 // tick expires beliefs.
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -43,9 +43,14 @@
 	next *continuation
 }
 
+// grown returns how many tokens were generated. The mutex must be held.
+func (n *generation) grown() int {
+	return n.events * n.service.Engine.TokensPerEvent
+}
+
 // tokens returns the memory that the run holds. The mutex must be held.
 func (n *generation) tokens() int {
-	return n.promptTokens + n.events*n.service.Engine.TokensPerEvent
+	return n.promptTokens + n.grown()
 }
 
 // movable describes the generation for a decision on moves. The mutex must be
@@ -64,19 +69,18 @@
 // noteStart notes at which replica a generation runs. The mutex must be held.
 func (g *Gateway) noteStart(n *generation, c comfreyplacement.Candidate) {
 	n.replica = c
-	grown := n.events * n.service.Engine.TokensPerEvent
 	g.board.Start(comfreyoccupancy.Run{
-		ID: n.request, Replica: c.ID, PromptTokens: n.promptTokens, GrownTokens: grown,
-		RemainingTokens: g.remaining(n, grown), Started: g.config.Now(), HasBegun: n.events > 0,
+		ID: n.request, Replica: c.ID, PromptTokens: n.promptTokens, GrownTokens: n.grown(),
+		RemainingTokens: g.remaining(n), HasBegun: n.events > 0,
 	})
 }
 
 // remaining returns how many tokens are expected to follow. The mutex must be
 // held.
-func (g *Gateway) remaining(n *generation, grown int) float64 {
-	left := g.curve(n).Remaining(grown)
+func (g *Gateway) remaining(n *generation) float64 {
+	left := g.curve(n).Remaining(n.grown())
 	if n.maxTokens > 0 {
-		left = min(left, float64(max(n.maxTokens-grown, 0)))
+		left = min(left, float64(max(n.maxTokens-n.grown(), 0)))
 	}
 	return left
 }
@@ -85,13 +89,12 @@
 func (g *Gateway) noteEvent(n *generation, id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := n.events * n.service.Engine.TokensPerEvent
+	before := n.grown()
 	n.events++
 	n.lastEvent = id
-	grown := n.events * n.service.Engine.TokensPerEvent
-	g.curve(n).Grow(before, grown)
+	g.curve(n).Grow(before, n.grown())
 	if n.events%progressEvents == 1 {
-		g.board.Progress(n.request, grown, g.remaining(n, grown))
+		g.board.Progress(n.request, n.grown(), g.remaining(n))
 	}
 }
 
@@ -106,7 +109,7 @@
 	delete(g.streams, n)
 	g.board.Finish(g.config.Now(), n.request)
 	if isComplete {
-		g.curve(n).End(n.events * n.service.Engine.TokensPerEvent)
+		g.curve(n).End(n.grown())
 	}
 	next := n.next
 	n.next = nil
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -169,10 +169,7 @@
 // has not heard from the platform for a while may lack a new route or key, so
 // it sends the caller elsewhere instead.
 func (g *Gateway) deny(x *exchange, status int, reason comfreyverdict.Reason) {
-	g.mu.Lock()
-	isStale := g.config.Now().Sub(g.contact) > staleTime
-	g.mu.Unlock()
-	if isStale {
+	if age, ok := g.Contact(); !ok || age > staleTime {
 		g.refuse(x, comfreyverdict.ReasonConfigStale, startingRetry)
 		return
 	}
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -147,7 +147,7 @@
 // noteCopy notes the room that a copy takes at its destination. The mutex must
 // be held.
 func (g *Gateway) noteCopy(n *generation, replica string, isCopying bool) {
-	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: replica, PromptTokens: n.tokens(), HasBegun: true, IsCopying: isCopying, Started: g.config.Now()})
+	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: replica, PromptTokens: n.tokens(), HasBegun: true, IsCopying: isCopying})
 	if isCopying {
 		g.config.Announce()
 	}
@@ -160,7 +160,7 @@
 	for len(tried) <= maxDestinations {
 		d, ok := g.destination(n, r, tried)
 		if !ok {
-			g.recordMove(n, r, comfreyverdict.ReasonAdmissionFull, map[string]any{"tried": len(tried) - 1})
+			g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonAdmissionFull, map[string]any{"replica": r.ID, "tried": len(tried) - 1})
 			return nil
 		}
 		began := g.config.Now()
@@ -200,11 +200,9 @@
 	}
 	l := g.candidates(g.config.Now(), n.service, excluded)
 	for i := range l {
-		k, _ := g.replicas.Get(l[i].ID)
-		l[i].IsNear = k.DataCentre == r.DataCentre
+		l[i].IsNear = l[i].DataCentre == r.DataCentre
 	}
-	grown := n.events * n.service.Engine.TokensPerEvent
-	i := comfreyplacement.Destination(l, comfreyplacement.Need{PromptTokens: n.tokens(), ExpectedTokens: g.remaining(n, grown), CopyRate: n.service.Engine.CopyRate()}, g.config.Draw)
+	i := comfreyplacement.Destination(l, comfreyplacement.Need{PromptTokens: n.tokens(), CopyRate: n.service.Engine.CopyRate()}, g.config.Draw)
 	if i < 0 {
 		return comfreyplacement.Candidate{}, false
 	}
@@ -259,8 +257,3 @@
 		return nil
 	})
 }
-
-func (g *Gateway) recordMove(n *generation, r comfreyreplica.Replica, reason comfreyverdict.Reason, f map[string]any) {
-	f["replica"] = r.ID
-	g.record(n.request, comfreydecision.KindMove, reason, f)
-}
--- a/comfreyforward/relieve.go
+++ b/comfreyforward/relieve.go
@@ -70,16 +70,11 @@
 	var owners []*generation
 	for _, n := range l {
 		if i, ok := index[n.replica.ID]; ok {
-			grown := n.events * n.service.Engine.TokensPerEvent
-			movables = append(movables, comfreyplacement.Movable{From: i, Tokens: n.tokens(), RemainingTokens: g.remaining(n, grown)})
+			movables = append(movables, comfreyplacement.Movable{From: i, Tokens: n.tokens(), RemainingTokens: g.remaining(n)})
 			owners = append(owners, n)
 		}
 	}
-	i, d := comfreyplacement.Relief(candidates, movables, func(a, b int) bool {
-		x, _ := g.replicas.Get(candidates[a].ID)
-		y, _ := g.replicas.Get(candidates[b].ID)
-		return x.DataCentre == y.DataCentre
-	})
+	i, d := comfreyplacement.Relief(candidates, movables)
 	if i < 0 {
 		return nil, comfreyreplica.Replica{}, false
 	}
@@ -88,7 +83,6 @@
 	r.Ends = now.Add(relieveTime)
 	n.isMoving, n.destination = true, &to
 	g.noteCopy(n, to.ID, true)
-	g.config.Announce()
 	g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonLeastLoaded, map[string]any{
 		"replica": from.ID, "to": to.ID, "used-tokens": from.Load.UsedTokens, "to-used-tokens": to.Load.UsedTokens,
 	})
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"comfreyridge.example/comfreyridge/comfreyadmin"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyroute"
@@ -81,7 +81,7 @@
 	if err := s.serveSmall("ready", s.config.ReadyAddress, s.readyHandler()); err != nil {
 		return err
 	}
-	if err := s.serveSmall("metrics", s.config.MetricsAddress, s.metricsHandler()); err != nil {
+	if err := s.serveSmall("metrics", s.config.MetricsAddress, s.adminHandler()); err != nil {
 		return err
 	}
 	if err := s.serveSmall("peers", s.config.PeerAddress, s.config.Peers); err != nil {
@@ -195,15 +195,14 @@
 func (s *Server) readyHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get(s.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !s.gateway.IsReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		comfreyadmin.ServeReady(w, s.gateway.Ready)
 	})
 	return r
 }
 
-func (s *Server) metricsHandler() http.Handler {
-	r := chi.NewRouter()
-	r.Handle("/metrics", promhttp.HandlerFor(s.config.Registry, promhttp.HandlerOpts{}))
-	return r
+// adminHandler serves operators what every process serves them.
+func (s *Server) adminHandler() http.Handler {
+	return comfreyadmin.NewHandler(comfreyadmin.Config{
+		Recorder: s.gateway.config.Recorder, Registry: s.config.Registry, Ready: s.gateway.Ready,
+	})
 }
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -172,7 +172,7 @@
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	l := g.candidates(now, x.service, x.tried)
-	need := comfreyplacement.Need{PromptTokens: n.promptTokens, ExpectedTokens: g.remaining(n, 0)}
+	need := comfreyplacement.Need{PromptTokens: n.promptTokens, ExpectedTokens: g.remaining(n)}
 	need.ReserveTokens = g.line(x.service.Name).Reserve(x.priority())
 	need.MaxUnreadTokens = comfreyplacement.MaxUnread(x.route.Objective, now.Sub(x.started), n.promptTokens)
 	i := comfreyplacement.Generation(l, need, g.config.Draw)
@@ -264,15 +264,13 @@
 	f["moves"] = n.moves
 	if !o.first.IsZero() {
 		f["first-ms"], f["longest-pause-ms"], f["pause-event"] = o.first.Sub(x.started).Milliseconds(), o.pause.Milliseconds(), o.pauseEvent
+		g.metrics.firstEvent.Observe(o.first.Sub(x.started).Seconds())
+		g.metrics.pause.Observe(o.pause.Seconds())
 	}
 	if err != nil {
 		f["error"] = err.Error()
 	}
 	g.record(n.request, comfreydecision.KindFinish, reason, f)
-	if !o.first.IsZero() {
-		g.metrics.firstEvent.Observe(o.first.Sub(x.started).Seconds())
-		g.metrics.pause.Observe(o.pause.Seconds())
-	}
 	if reason == comfreyverdict.ReasonAccepted {
 		g.observe(x, http.StatusOK)
 	}
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -36,7 +36,6 @@
 	GrownTokens int
 	// RemainingTokens is how many tokens are expected to follow.
 	RemainingTokens float64
-	Started         time.Time
 	// HasBegun is true from the first event on.
 	HasBegun bool
 	// IsCopying means that the memory is on its way to the replica.
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -36,6 +36,8 @@
 type Candidate struct {
 	ID      string
 	Address string
+	// DataCentre is where the replica runs.
+	DataCentre string
 	// IsNear is true in this gateway's own data centre.
 	IsNear bool
 	// IsCold is true for some time after the replica's start.
@@ -64,25 +66,46 @@
 // if none has room. The draw, in [0, 1), breaks near ties, so that gateways
 // with the same view do not all choose the same replica.
 func Generation(candidates []Candidate, n Need, draw func() float64) int {
+	return cheapest(candidates, draw, func(c Candidate) (float64, bool) {
+		return generationCost(c), hasRoom(c, n)
+	})
+}
+
+// Plain returns the index of the best candidate for a request to a service
+// that generates nothing, or -1 if there is none.
+func Plain(candidates []Candidate, draw func() float64) int {
+	return cheapest(candidates, draw, func(c Candidate) (float64, bool) {
+		cost := replicaCost(c)
+		if c.Slots > 0 {
+			cost += float64(c.Load.Running+c.Load.Waiting) / float64(c.Slots)
+		}
+		return cost, true
+	})
+}
+
+// tieSpread is the size of the random part of a cost: about half a generation
+// of 3,500 tokens in a memory of 34,000.
+const tieSpread = 0.05
+
+// cheapest returns the index of the candidate that can be chosen at the least
+// cost, or -1 if there is none.
+func cheapest(candidates []Candidate, draw func() float64, cost func(c Candidate) (float64, bool)) int {
 	best, least := -1, 0.0
 	for i, c := range candidates {
-		if !HasRoom(c, n) {
+		v, ok := cost(c)
+		if !ok {
 			continue
 		}
-		cost := generationCost(c) + draw()*tieSpread
-		if best < 0 || cost < least {
-			best, least = i, cost
+		v += draw() * tieSpread
+		if best < 0 || v < least {
+			best, least = i, v
 		}
 	}
 	return best
 }
 
-// tieSpread is the size of the random part of a cost: about half a generation
-// of 3,500 tokens in a memory of 34,000.
-const tieSpread = 0.05
-
-// HasRoom reports whether a generation fits into a replica's memory and slots.
-func HasRoom(c Candidate, n Need) bool {
+// hasRoom reports whether a generation fits into a replica's memory and slots.
+func hasRoom(c Candidate, n Need) bool {
 	if c.Slots > 0 && c.Load.Running+c.Load.Waiting >= c.Slots {
 		return false
 	}
@@ -92,18 +115,27 @@
 	if c.Load.CapacityTokens <= 0 {
 		return true
 	}
-	taken := float64(c.Load.UsedTokens) + expectedShare*c.Load.ExpectedTokens
 	need := float64(n.PromptTokens+n.ReserveTokens) + expectedShare*n.ExpectedTokens
-	return taken+need <= float64(c.Load.CapacityTokens)
+	return takenTokens(c)+need <= float64(c.Load.CapacityTokens)
 }
 
-func generationCost(c Candidate) float64 {
-	cost := suspicionCost * c.Suspicion
-	if c.Load.CapacityTokens > 0 {
-		cost += (float64(c.Load.UsedTokens) + expectedShare*c.Load.ExpectedTokens) / float64(c.Load.CapacityTokens)
+// takenTokens is the memory that counts as taken at a replica.
+func takenTokens(c Candidate) float64 {
+	return float64(c.Load.UsedTokens) + expectedShare*c.Load.ExpectedTokens
+}
+
+// memoryCost is the part of a replica's memory that is taken; zero if its
+// memory is unknown.
+func memoryCost(c Candidate) float64 {
+	if c.Load.CapacityTokens <= 0 {
+		return 0
 	}
-	cost += runCost * float64(c.Load.Running+c.Load.Waiting)
-	cost += float64(c.Load.UnreadTokens) / unreadTokensPerCost
+	return takenTokens(c) / float64(c.Load.CapacityTokens)
+}
+
+// replicaCost is the cost of a replica for any request.
+func replicaCost(c Candidate) float64 {
+	cost := suspicionCost * c.Suspicion
 	if !c.IsNear {
 		cost += otherDataCentreCost
 	}
@@ -113,24 +145,7 @@
 	return cost
 }
 
-// Plain returns the index of the best candidate for a request to a service
-// that generates nothing, or -1 if there is none.
-func Plain(candidates []Candidate, draw func() float64) int {
-	best, least := -1, 0.0
-	for i, c := range candidates {
-		cost := suspicionCost*c.Suspicion + draw()*tieSpread
-		if c.Slots > 0 {
-			cost += float64(c.Load.Running+c.Load.Waiting) / float64(c.Slots)
-		}
-		if !c.IsNear {
-			cost += otherDataCentreCost
-		}
-		if c.IsCold {
-			cost += coldCost
-		}
-		if best < 0 || cost < least {
-			best, least = i, cost
-		}
-	}
-	return best
+// generationCost is the cost of a replica for a generation.
+func generationCost(c Candidate) float64 {
+	return replicaCost(c) + memoryCost(c) + runCost*float64(c.Load.Running+c.Load.Waiting) + float64(c.Load.UnreadTokens)/unreadTokensPerCost
 }
--- a/comfreyplacement/destination.go
+++ b/comfreyplacement/destination.go
@@ -20,17 +20,10 @@
 // leaves within 1.5 s, its link and those of the destinations carry one copy
 // after the other, and another replica leaves at the same moment.
 func Destination(candidates []Candidate, n Need, draw func() float64) int {
-	best, least := -1, 0.0
-	for i, c := range candidates {
-		if c.Load.CapacityTokens > 0 && c.Load.UsedTokens+n.PromptTokens > c.Load.CapacityTokens {
-			continue
-		}
-		cost := generationCost(c) + draw()*tieSpread + float64(copyTime(c, n))/float64(copyTimePerCost)
-		if best < 0 || cost < least {
-			best, least = i, cost
-		}
-	}
-	return best
+	return cheapest(candidates, draw, func(c Candidate) (float64, bool) {
+		fits := c.Load.CapacityTokens <= 0 || c.Load.UsedTokens+n.PromptTokens <= c.Load.CapacityTokens
+		return generationCost(c) + float64(copyTime(c, n))/float64(copyTimePerCost), fits
+	})
 }
 
 // copyTime returns how long the copy of a generation takes to arrive, behind
--- a/comfreyplacement/placement_test.go
+++ b/comfreyplacement/placement_test.go
@@ -92,16 +92,14 @@
 	}
 }
 
-func near(int, int) bool { return true }
-
 func TestReliefMovesFromFullToNew(t *testing.T) {
 	l := []comfreyplacement.Candidate{candidate("full", 30000), candidate("new", 0)}
 	m := []comfreyplacement.Movable{{From: 0, Tokens: 3500, RemainingTokens: 20}, {From: 0, Tokens: 4000, RemainingTokens: 600}}
-	if g, d := comfreyplacement.Relief(l, m, near); g != 1 || d != 1 {
+	if g, d := comfreyplacement.Relief(l, m); g != 1 || d != 1 {
 		t.Errorf("got %d, %d: the run that has most left should go to the new replica", g, d)
 	}
 	l[1].Load.CopyTokens = 3000
-	if g, _ := comfreyplacement.Relief(l, m, near); g != -1 {
+	if g, _ := comfreyplacement.Relief(l, m); g != -1 {
 		t.Error("a replica whose link is busy was chosen")
 	}
 }
@@ -116,7 +114,7 @@
 	}
 	moves := 0
 	for ; moves < 100; moves++ {
-		g, d := comfreyplacement.Relief(l, m, near)
+		g, d := comfreyplacement.Relief(l, m)
 		if g < 0 {
 			break
 		}
--- a/comfreyplacement/relieve.go
+++ b/comfreyplacement/relieve.go
@@ -30,8 +30,8 @@
 
 // Relief chooses a generation to move from a full replica to an emptier one. It
 // returns the indexes of the generation and of the destination, or -1 and -1 if
-// nothing is gained. isNear tells whether two candidates share a data centre.
-func Relief(candidates []Candidate, movables []Movable, isNear func(from, to int) bool) (generation, destination int) {
+// nothing is gained.
+func Relief(candidates []Candidate, movables []Movable) (generation, destination int) {
 	generation, destination = -1, -1
 	best := reliefGain
 	for m, r := range movables {
@@ -43,7 +43,7 @@
 				continue
 			}
 			gain := memoryCost(candidates[r.From]) - memoryCost(c) - 2*float64(r.Tokens)/float64(c.Load.CapacityTokens)
-			if !isNear(r.From, d) {
+			if c.DataCentre != candidates[r.From].DataCentre {
 				gain -= farReliefCost
 			}
 			if gain > best {
@@ -53,11 +53,3 @@
 	}
 	return generation, destination
 }
-
-// memoryCost is the part of a replica's memory that is taken.
-func memoryCost(c Candidate) float64 {
-	if c.Load.CapacityTokens <= 0 {
-		return 0
-	}
-	return (float64(c.Load.UsedTokens) + expectedShare*c.Load.ExpectedTokens) / float64(c.Load.CapacityTokens)
-}
