--- a/comfreyarch/arch.go
+++ b/comfreyarch/arch.go
@@ -3,6 +3,16 @@
 // goroutines are started through a group.
 package comfreyarch
 
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+)
+
 // Core lists the decision packages. They hold state and policy, and they use
 // no socket, no wall clock and no goroutine.
 var Core = []string{
@@ -25,3 +35,20 @@
 	"comfreyoccupancy",
 	"comfreyplacement",
 }
+
+// Sources parses the non-test Go files below dir.
+func Sources(dir string) ([]*ast.File, error) {
+	var files []*ast.File
+	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return fmt.Errorf("comfreyarch: %w", err)
+		}
+		files = append(files, f)
+		return nil
+	})
+	return files, err
+}
--- a/comfreyarch/arch_test.go
+++ b/comfreyarch/arch_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"go/ast"
-	"go/parser"
-	"go/token"
-	"io/fs"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -59,20 +56,9 @@
 // sources parses the non-test Go files below dir.
 func sources(t *testing.T, dir string) []*ast.File {
 	t.Helper()
-	var files []*ast.File
-	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return nil
-		}
-		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-		if err != nil {
-			return err
-		}
-		files = append(files, f)
-		return nil
-	})
+	l, err := Sources(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return files
+	return l
 }
--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -18,12 +18,6 @@
 	ErrNoRoom = errors.New("comfreycall: the destination has no room or cannot be reached")
 )
 
-// Part is a piece of a prompt that requests may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Request is what the headers of a caller's request say.
 type Request struct {
 	// ID names one attempt of the caller.
@@ -39,9 +33,6 @@
 	// HintTokens is the caller's estimate of the answer's length, which is
 	// often far off; zero if there is none.
 	HintTokens int
-	// Parts are the pieces of the prompt in their order. The last one belongs
-	// to the request or its session alone.
-	Parts []Part
 }
 
 // Continuation names the copied memory from which a generation goes on.
@@ -64,15 +55,8 @@
 	// true.
 	Left    time.Duration
 	HasLeft bool
-	// Priority ranks a generation among others; zero is the most urgent. It
-	// counts only if HasPriority is true.
-	Priority    int
-	HasPriority bool
 	// Continue is set if the generation ran elsewhere before.
 	Continue *Continuation
-	// Backup is the address of the replica that keeps a copy of the
-	// generation's memory; empty for none.
-	Backup string
 }
 
 // Reply is what the head of a replica's answer says.
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -29,8 +29,6 @@
 	// IDHeader names the header that replicas echo, which tells the answer from
 	// one to an earlier request. Empty means that answers bear no id.
 	IDHeader string
-	// IsFresh requests go on a new connection.
-	IsFresh bool
 }
 
 // SendError is a failure of an exchange.
@@ -81,10 +79,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &SendError{Cause: err}
 	}
-	var c *connection
-	if !r.IsFresh {
-		c = p.take(address)
-	}
+	c := p.take(address)
 	if c == nil {
 		n, err := p.open(ctx, address)
 		if err != nil {
@@ -214,7 +209,7 @@
 		return
 	}
 	a.isClosed = true
-	isLive := a.stop == nil || a.stop()
+	isLive := a.stop()
 	c := a.connection
 	if isLive && a.isComplete && a.isReusable && a.written.Load() && c.reader.Buffered() == 0 {
 		a.pool.put(c)
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -133,6 +133,7 @@
 		changes := g.replicas.Expire(now)
 		if now.Sub(swept) >= sweepInterval {
 			g.board.Expire(now)
+			g.health.Expire(now)
 		}
 		g.mu.Unlock()
 		g.noteChanges(changes)
--- a/comfreymirror/mirror.go
+++ b/comfreymirror/mirror.go
@@ -4,6 +4,7 @@
 package comfreymirror
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 )
@@ -136,12 +137,5 @@
 }
 
 func byRevision(a, b Item) int {
-	switch {
-	case a.Revision < b.Revision:
-		return -1
-	case a.Revision > b.Revision:
-		return 1
-	default:
-		return 0
-	}
+	return cmp.Compare(a.Revision, b.Revision)
 }
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -264,9 +264,3 @@
 	_, ok := b.finished[id]
 	return ok
 }
-
-// Reported returns the last report of a replica and when it arrived.
-func (b *Board) Reported(replica string) (comfreyreplica.Report, time.Time, bool) {
-	r, ok := b.reports[replica]
-	return r.Report, r.at, ok
-}
--- a/comfreyreplica/health.go
+++ b/comfreyreplica/health.go
@@ -12,6 +12,9 @@
 	// healthHalfLife is how fast a suspicion fades without new requests, so
 	// that a replica that recovered is tried again.
 	healthHalfLife = 4 * time.Second
+	// fadedHalfLives is after how many half-lives a suspicion, then below one in
+	// a thousand, is dropped.
+	fadedHalfLives = 10
 )
 
 type outcome struct {
@@ -50,7 +53,12 @@
 	return o.suspicion * math.Exp2(-now.Sub(o.at).Seconds()/healthHalfLife.Seconds())
 }
 
-// Forget drops what is known of a replica.
-func (h *Health) Forget(id string) {
-	delete(h.outcomes, id)
+// Expire drops the outcomes that have faded, such as those of replicas that are
+// gone. It is to be called about every second.
+func (h *Health) Expire(now time.Time) {
+	for id, o := range h.outcomes {
+		if now.Sub(o.at) > fadedHalfLives*healthHalfLife {
+			delete(h.outcomes, id)
+		}
+	}
 }
--- a/comfreyreplica/report.go
+++ b/comfreyreplica/report.go
@@ -22,9 +22,7 @@
 	IsLeaving bool
 	// Leaves is how much longer it serves; zero if unknown.
 	Leaves time.Duration
-	// NextTokens is the size of the first waiting request.
-	NextTokens int
-	Runs       []Run
+	Runs   []Run
 	// Born is when the replica started, in Unix milliseconds; zero if unknown.
 	Born int64
 }
--- a/comfreyroute/service.go
+++ b/comfreyroute/service.go
@@ -16,10 +16,6 @@
 	TokensPerEvent int
 	// CanMove engines copy a running generation to another replica.
 	CanMove bool
-	// CanBackUp engines keep a copy of a running generation on another replica.
-	CanBackUp bool
-	// HandleLife is how long a copy is kept at its destination.
-	HandleLife time.Duration
 }
 
 // CopyRate returns how many tokens a second an idle link carries; zero if that
