comfreyforward: a line that fills the read buffer does not end its event

Cause: the rest of such a line, its end alone, was taken for the blank line that ends an event, so that a partial event counted as whole. TestLineThatFillsTheBufferDoesNotEndItsEvent fails before.

--- a/comfreyforward/events.go
+++ b/comfreyforward/events.go
@@ -35,7 +35,7 @@
 // with what follows the last event.
 func (e *eventReader) next() ([]byte, error) {
 	e.buffer = e.buffer[:0]
-	id, hasID := "", false
+	id, hasID, isPartial := "", false, false
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buffer = append(e.buffer, line...)
@@ -43,11 +43,16 @@
 			return nil, errEventTooLarge
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			isPartial = true
 			continue
 		}
 		if err != nil {
 			return e.buffer, err
 		}
+		if isPartial {
+			isPartial = false
+			continue // The end of a line that is longer than the buffer.
+		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if hasID {
