explain: the life of a request from log files; log lines carry the date

Cause: on-call engineers have only files of logs; explain asked live processes, and the lines had no date. Each gateway's lines of the request are printed in the order of their times, with what that gateway learned of the replicas that the request met.

--- a/cmd/comfreyridge/explain.go
+++ b/cmd/comfreyridge/explain.go
@@ -15,17 +15,21 @@
 	"comfreyridge.example/comfreyridge/comfreydecision"
 )
 
-// explainCommand asks a process, and through it the whole fleet, what happened
-// to a request.
+// explainCommand tells what happened to a request. It reads log files, or asks
+// a process and through it the whole fleet.
 type explainCommand struct {
-	Request string `arg:"positional,required" help:"id of the request, from the header Comfrey-Request-Id"`
-	Admin   string `arg:"--admin,env:COMFREY_ADMIN" default:"http://127.0.0.1:9090" help:"base URL of any process's admin address"`
+	Request string   `arg:"positional,required" help:"id of the request, as its caller knows it"`
+	Logs    []string `arg:"--logs" placeholder:"FILE" help:"read these log files of gateways instead of asking a process"`
+	Admin   string   `arg:"--admin,env:COMFREY_ADMIN" default:"http://127.0.0.1:9090" help:"base URL of any process's admin address"`
 }
 
 // explainTimeout bounds the whole question.
 const explainTimeout = 30 * time.Second
 
 func (c explainCommand) run(ctx context.Context, w io.Writer) error {
+	if len(c.Logs) > 0 {
+		return explainLogs(c.Request, c.Logs, w)
+	}
 	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
 	defer cancel()
 	u := strings.TrimRight(c.Admin, "/") + "/debug/decisions?fleet=true&request=" + url.QueryEscape(c.Request)
--- a/comfreylog/writer.go
+++ b/comfreylog/writer.go
@@ -12,6 +12,10 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 )
 
+// TimeLayout is the form of the time in log lines, with the date, because
+// incidents are read days later.
+const TimeLayout = "2006-01-02T15:04:05.000Z07:00"
+
 // The defaults of Config.
 const (
 	// defaultQueueBytes bounds the memory of waiting lines.
