Generations reserve their room at a replica that is not nearly empty

Views are 0.1 s old; everyone who waits sees the same generation end and sends to the same replica, where all but one wait for memory. Believed against true number of runs: +0.8, sd 1.9. Ruled out: lost announcements (30 of 30 gateways heard, mean age 0.1 s). Now a replica whose memory is taken by 0.4 or more is asked for the room first; one that has none is left out for 150 ms. No gain: reserving always, a random spread of 0.4 in the cost, half of the unread prompts, a back-off of 3 or 8 ms a gateway before waiters look again.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -57,6 +57,9 @@
 	HasLeft bool
 	// Continue is set if the generation ran elsewhere before.
 	Continue *Continuation
+	// Reservation names the room that the replica keeps for the request; empty
+	// if there is none.
+	Reservation string
 }
 
 // Reply is what the head of a replica's answer says.
--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -38,6 +38,9 @@
 type Engines struct {
 	// Report asks for the replica's load.
 	Report func(ctx context.Context, address string) (comfreyreplica.Report, error)
+	// Reserve keeps room for a request that arrives within the given time. It
+	// returns comfreycall.ErrNoRoom if there is none.
+	Reserve func(ctx context.Context, address string, tokens int, life time.Duration) (string, error)
 	// Copy copies the memory of a run to the replica at another address. With
 	// isLast, the run stops first. The errors are those of comfreycall.
 	Copy func(ctx context.Context, address, request, target string, isLast bool) (comfreycall.Copy, error)
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -75,7 +75,9 @@
 			}
 			return nil, e
 		}
-		a, _, e := g.send(ctx, x, c, attempt(c, nil))
+		t := attempt(c.Candidate, nil)
+		t.Reservation = c.reservation
+		a, _, e := g.send(ctx, x, c.Candidate, t)
 		if e == nil {
 			return a, nil
 		}
@@ -105,91 +107,6 @@
 	return t
 }
 
-// waitForPlace waits until a replica has room for a generation, if one is
-// expected to have it in time.
-func (g *Gateway) waitForPlace(ctx context.Context, x *exchange, n *generation) (comfreyplacement.Candidate, *attemptError) {
-	changed := g.waiting.changed()
-	if c, ok := g.place(x, n); ok {
-		return c, nil
-	}
-	entered := g.config.Now()
-	patience := comfreyplacement.Patience(x.route.Objective, entered.Sub(x.started), n.promptTokens)
-	if !g.enterLine(x, n, patience) {
-		return comfreyplacement.Candidate{}, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
-	}
-	c, e := g.waitInLine(ctx, x, n, changed, patience)
-	g.mu.Lock()
-	g.line(x.service.Name).Leave(n.request, g.config.Now().Sub(entered), e == nil)
-	g.mu.Unlock()
-	return c, e
-}
-
-// enterLine reports whether a place is expected within the patience of a
-// request, and counts the request then.
-func (g *Gateway) enterLine(x *exchange, n *generation, patience time.Duration) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := g.line(x.service.Name)
-	if l.Expected() > patience {
-		return false
-	}
-	l.Enter(comfreyplacement.Waiter{ID: n.request, Priority: x.priority(), PromptTokens: n.promptTokens})
-	return true
-}
-
-// line returns the line of a service. The mutex must be held.
-func (g *Gateway) line(service string) *comfreyplacement.Line {
-	l, ok := g.lines[service]
-	if !ok {
-		l = &comfreyplacement.Line{}
-		g.lines[service] = l
-	}
-	return l
-}
-
-// waitInLine looks for a place after each change until the patience ends.
-func (g *Gateway) waitInLine(ctx context.Context, x *exchange, n *generation, changed <-chan struct{}, patience time.Duration) (comfreyplacement.Candidate, *attemptError) {
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	for {
-		select {
-		case <-changed:
-		case <-timer.C:
-			return comfreyplacement.Candidate{}, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
-		case <-ctx.Done():
-			return comfreyplacement.Candidate{}, &attemptError{reason: comfreyverdict.ReasonDeadline, isNotRun: true}
-		}
-		changed = g.waiting.changed()
-		if c, ok := g.place(x, n); ok {
-			return c, nil
-		}
-	}
-}
-
-// place chooses a replica and takes the room there.
-func (g *Gateway) place(x *exchange, n *generation) (comfreyplacement.Candidate, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.config.Now()
-	l := g.candidates(now, x.service, x.tried)
-	need := comfreyplacement.Need{PromptTokens: n.promptTokens, ExpectedTokens: g.remaining(n)}
-	need.ReserveTokens = g.line(x.service.Name).Reserve(x.priority())
-	need.MaxUnreadTokens = comfreyplacement.MaxUnread(x.route.Objective, now.Sub(x.started), n.promptTokens)
-	i := comfreyplacement.Generation(l, need, g.config.Draw)
-	if i < 0 {
-		return comfreyplacement.Candidate{}, false
-	}
-	c := l[i]
-	x.tried[c.ID] = true
-	g.noteStart(n, c)
-	g.config.Announce()
-	f := x.figures(now)
-	f["replica"], f["running"], f["used-tokens"], f["report-age-ms"] = c.ID, c.Load.Running, c.Load.UsedTokens, c.Load.Age.Milliseconds()
-	f["prompt-tokens"], f["expected-tokens"], f["unread-tokens"], f["candidates"] = n.promptTokens, int(need.ExpectedTokens), c.Load.UnreadTokens, len(l)
-	g.record(n.request, comfreydecision.KindRoute, comfreyverdict.ReasonLeastLoaded, f)
-	return c, true
-}
-
 // relayStream passes the events of a generation on, wherever it goes on. It
 // reports whether the caller received the whole answer.
 func (g *Gateway) relayStream(ctx context.Context, x *exchange, n *generation, a *comfreyconnection.Answer) bool {
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -24,6 +24,9 @@
 	// keepPeer is how long what another gateway said counts; it speaks four
 	// times a second.
 	keepPeer = 1500 * time.Millisecond
+	// refusalTime is how long a replica counts as full that refused a request:
+	// about the time in which one of half a dozen generations frees its memory.
+	refusalTime = 150 * time.Millisecond
 )
 
 // Run is a generation that a gateway has sent to a replica.
@@ -61,6 +64,8 @@
 	UnreadTokens int
 	// CopyTokens is the memory on its way to the replica.
 	CopyTokens int
+	// IsRefusing replicas have just had no room for a request.
+	IsRefusing bool
 	// Age is the age of the last report; negative if there is none.
 	Age time.Duration
 }
@@ -83,6 +88,7 @@
 	reports   map[string]report
 	runs      map[string]*Run
 	finished  map[string]time.Time
+	refusals  map[string]time.Time
 	peers     map[string]peer
 	// tokensPerEvent is how many tokens an event of a report counts for.
 	tokensPerEvent int
@@ -108,7 +114,7 @@
 	}
 	return &Board{
 		remaining: c.Remaining, tokensPerEvent: c.TokensPerEvent,
-		reports: map[string]report{}, runs: map[string]*Run{}, finished: map[string]time.Time{}, peers: map[string]peer{},
+		reports: map[string]report{}, runs: map[string]*Run{}, finished: map[string]time.Time{}, refusals: map[string]time.Time{}, peers: map[string]peer{},
 	}
 }
 
@@ -138,6 +144,12 @@
 	}
 }
 
+// Refuse notes that a replica had no room for a run that was to start there.
+func (b *Board) Refuse(now time.Time, replica, id string) {
+	b.Finish(now, id)
+	b.refusals[replica] = now
+}
+
 // Peer takes the runs of another gateway.
 func (b *Board) Peer(now time.Time, gateway string, runs []Run) {
 	p := peer{runs: make(map[string]Run, len(runs)), at: now}
@@ -169,6 +181,11 @@
 			delete(b.finished, id)
 		}
 	}
+	for id, t := range b.refusals {
+		if now.Sub(t) > refusalTime {
+			delete(b.refusals, id)
+		}
+	}
 	for id, r := range b.reports {
 		if now.Sub(r.at) > keepReport {
 			delete(b.reports, id)
@@ -188,6 +205,9 @@
 		b.addReport(&l, now, replica, r)
 	}
 	b.each(replica, l.add)
+	if t, ok := b.refusals[replica]; ok {
+		l.IsRefusing = now.Sub(t) < refusalTime
+	}
 	return l
 }
 
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -112,6 +112,9 @@
 	if n.MaxUnreadTokens > 0 && c.Load.UnreadTokens > n.MaxUnreadTokens {
 		return false
 	}
+	if c.Load.IsRefusing {
+		return false
+	}
 	if c.Load.CapacityTokens <= 0 {
 		return true
 	}
--- a/comfreyplacement/placement_test.go
+++ b/comfreyplacement/placement_test.go
@@ -143,3 +143,41 @@
 		t.Errorf("got %+v", l)
 	}
 }
+
+// Replays the pattern of thirty gateways that see memory come free at the same
+// moment. Each chooses by the same view; what a replica grants in reservations
+// never exceeds its memory, and the others look elsewhere or wait.
+func TestReservationsKeepGatewaysFromFillingOneReplica(t *testing.T) {
+	l := []comfreyplacement.Candidate{candidate("a", 20000), candidate("b", 26000), candidate("c", 27000)}
+	free := map[string]int{"a": 14371, "b": 8371, "c": 7371}
+	n := comfreyplacement.Need{PromptTokens: 3000, ExpectedTokens: 800}
+	placed := 0
+	for range 30 {
+		own := slices.Clone(l)
+		for range 3 {
+			i := comfreyplacement.Generation(own, n, noDraw)
+			if i < 0 {
+				break
+			}
+			tokens := comfreyplacement.Reservation(own[i], n)
+			if tokens < n.PromptTokens {
+				t.Fatalf("%d tokens reserved at %s", tokens, own[i].ID)
+			}
+			if tokens <= free[own[i].ID] {
+				free[own[i].ID] -= tokens
+				placed++
+				break
+			}
+			own[i].Load.IsRefusing = true
+		}
+	}
+	if placed != 8 {
+		t.Errorf("%d placed, of 30; there is room for 8", placed)
+	}
+}
+
+func TestEmptyReplicaIsUsedWithoutAReservation(t *testing.T) {
+	if v := comfreyplacement.Reservation(candidate("a", 3000), comfreyplacement.Need{PromptTokens: 3000}); v != 0 {
+		t.Errorf("%d tokens reserved at an empty replica", v)
+	}
+}
--- a/comfreyroute/service.go
+++ b/comfreyroute/service.go
@@ -16,6 +16,9 @@
 	TokensPerEvent int
 	// CanMove engines copy a running generation to another replica.
 	CanMove bool
+	// MaxReservation is how long a replica keeps room for a request that has
+	// not arrived yet; zero if it cannot.
+	MaxReservation time.Duration
 }
 
 // CopyRate returns how many tokens a second an idle link carries; zero if that
