Relief moves and reports do not grow with the number of gateways

Now the fleet looks as often as four gateways would, and asks each engine two or three times a second together.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -24,6 +24,9 @@
 	// question has a price, and the answer is half a second old; what the
 	// gateways run themselves they tell each other.
 	reportInterval = 4 * time.Second
+	// reportIntervalPerGateway bounds the questions of all gateways together to
+	// two or three a second for each engine.
+	reportIntervalPerGateway = 400 * time.Millisecond
 	// minReportPause bounds the questions of one gateway to 50 a second, however
 	// many engines there are.
 	minReportPause = 20 * time.Millisecond
@@ -171,7 +174,7 @@
 	if age, ok := g.Contact(); ok && age > blindTime {
 		return blindReportInterval
 	}
-	return reportInterval
+	return max(reportInterval, time.Duration(len(g.config.Peers())+1)*reportIntervalPerGateway)
 }
 
 // engineReplicas returns the replicas that generate text and take new work.
--- a/comfreyforward/relieve.go
+++ b/comfreyforward/relieve.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// relieveInterval is how often a gateway looks whether one of its
-	// generations should move. One move takes some tenths of a second.
-	relieveInterval = 150 * time.Millisecond
+	// relieveInterval is how often one of four gateways looks whether one of its
+	// generations should move; more gateways look less often. One move takes some
+	// tenths of a second, and more of them at a time would fill the same replica.
+	relieveInterval  = 150 * time.Millisecond
+	relievedGateways = 4
 	// maxRelieved is after how many moves a generation stays until its replica
 	// leaves: each move is a pause of some 70 ms.
 	maxRelieved = 6
@@ -25,7 +27,7 @@
 // relieveAll moves generations from full replicas to emptier ones, one at a
 // time.
 func (g *Gateway) relieveAll(ctx context.Context) error {
-	for comfreygroup.Sleep(ctx, time.Duration(float64(relieveInterval)*(0.5+g.config.Draw()))) {
+	for comfreygroup.Sleep(ctx, time.Duration(float64(g.relievePause())*(0.5+g.config.Draw()))) {
 		n, r, ok := g.chooseRelief()
 		if ok {
 			g.move(ctx, n, r)
@@ -35,6 +37,12 @@
 	return nil
 }
 
+// relievePause returns how often this gateway looks at present.
+func (g *Gateway) relievePause() time.Duration {
+	n := len(g.config.Peers()) + 1
+	return max(relieveInterval, relieveInterval*time.Duration(n)/relievedGateways)
+}
+
 // chooseRelief chooses a generation to move, and marks it as moving.
 func (g *Gateway) chooseRelief() (*generation, comfreyreplica.Replica, bool) {
 	t := g.table.Load()
