--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -15,7 +15,7 @@
 	// expectedShare is the part of the expected growth that counts as taken
 	// when a generation is placed: the running ones do not end at once, and some
 	// end before others grow.
-	expectedShare = 0.5
+	expectedShare = 0.25
 	// otherDataCentreCost is what another data centre adds to a cost. It is
 	// small, because a few milliseconds matter little to a generation.
 	otherDataCentreCost = 0.03
