--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -96,10 +96,11 @@
 	g.config.Group.Go("relieve", g.relieveAll)
 }
 
-// Configure takes changed limits of retries.
-func (g *Gateway) Configure(r RetryLimit) {
+// Configure takes changed limits of retries and a changed drain time.
+func (g *Gateway) Configure(r RetryLimit, drain time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.replicas.Configure(comfreyreplica.Config{Drain: drain})
 	if g.config.Retry != r {
 		g.config.Retry = r
 		clear(g.budgets)
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -46,13 +46,23 @@
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
+	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}}
+}
+
+func (c Config) withDefaults() Config {
 	if c.Drain <= 0 {
 		c.Drain = defaultDrain
 	}
 	if c.Return <= 0 {
 		c.Return = defaultReturn
 	}
-	return &Set{config: c, replicas: map[string]Replica{}}
+	return c
+}
+
+// Configure changes the settings. Replicas that leave already keep the end that
+// was expected for them.
+func (s *Set) Configure(c Config) {
+	s.config = c.withDefaults()
 }
 
 // List takes an entry of the platform's list.
--- a/comfreyreplica/set_test.go
+++ b/comfreyreplica/set_test.go
@@ -89,3 +89,19 @@
 		t.Errorf("got %v ending at %v", r.State, r.Ends)
 	}
 }
+
+func TestChangedDrainTimeCountsForLaterDepartures(t *testing.T) {
+	s := comfreyreplica.NewSet(comfreyreplica.Config{Drain: 2 * time.Second})
+	now := time.Unix(100, 0)
+	for _, id := range []string{"a", "b"} {
+		s.List(now, comfreyreplica.Listing{ID: id, Service: "llm"})
+	}
+	s.Leave(now, "a", 0)
+	s.Configure(comfreyreplica.Config{Drain: 3 * time.Second})
+	s.Leave(now, "b", 0)
+	for id, want := range map[string]time.Duration{"a": 2 * time.Second, "b": 3 * time.Second} {
+		if r, _ := s.Get(id); r.Ends.Sub(now) != want {
+			t.Errorf("%s ends in %v, want %v", id, r.Ends.Sub(now), want)
+		}
+	}
+}
