--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -23,17 +23,42 @@
 const reportedLife = 500 * time.Millisecond
 
 // candidates returns the replicas of a service that take new work and are not
-// excluded. The mutex must be held.
+// excluded. New engines are left to a few gateways. The mutex must be held.
 func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
 	var l []comfreyplacement.Candidate
+	var others []string
 	for _, r := range g.replicas.Service(s.Name) {
-		if r.TakesWork() && !excluded[r.ID] {
-			l = append(l, g.candidate(now, s, r))
+		if !r.TakesWork() || excluded[r.ID] {
+			continue
 		}
+		if s.HasEngine && now.Sub(r.Since) < comfreyplacement.NewTime {
+			if others == nil {
+				others = g.otherGateways()
+			}
+			if !comfreyplacement.IsAmongFirst(r.ID, g.config.Address, others) {
+				continue
+			}
+		}
+		l = append(l, g.candidate(now, s, r))
 	}
 	return l
 }
 
+// otherGateways returns the addresses of the gateways that speak.
+func (g *Gateway) otherGateways() []string {
+	l := []string{}
+	for _, p := range g.config.Peers() {
+		if p.Silence < peerSilence {
+			l = append(l, p.Address)
+		}
+	}
+	return l
+}
+
+// peerSilence is after how long a gateway that does not speak is left out; each
+// speaks four times a second.
+const peerSilence = 2 * time.Second
+
 // candidate returns what is believed about one replica. The mutex must be held.
 func (g *Gateway) candidate(now time.Time, s comfreyroute.Service, r comfreyreplica.Replica) comfreyplacement.Candidate {
 	c := comfreyplacement.Candidate{
