--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -131,7 +131,7 @@
 		n.moves++
 		next.LastEvent = n.lastEvent
 		g.noteStart(n, next.candidate)
-		g.board.Finish(g.config.Now(), comfreyoccupancy.CopyID(n.request)) // The run has taken the room of its copy.
+		g.board.Finish(g.config.Now(), copyID(n)) // The run has taken the room of its copy.
 	}
 	return next
 }
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -136,13 +136,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n.isMoving, n.destination = false, nil
-	g.board.Finish(g.config.Now(), comfreyoccupancy.CopyID(n.request))
+	g.board.Finish(g.config.Now(), copyID(n))
+}
+
+// copyID names the room that a copy takes on the board.
+func copyID(n *generation) string {
+	return n.request + "/copy"
 }
 
 // noteCopy notes the room that a copy takes at its destination. The mutex must
 // be held.
 func (g *Gateway) noteCopy(n *generation, replica string, isCopying bool) {
-	g.board.Start(comfreyoccupancy.Run{ID: comfreyoccupancy.CopyID(n.request), Replica: replica, PromptTokens: n.tokens(), HasBegun: true, IsCopying: isCopying})
+	g.board.Start(comfreyoccupancy.Run{ID: copyID(n), Replica: replica, PromptTokens: n.tokens(), HasBegun: true, IsCopying: isCopying})
 	if isCopying {
 		g.config.Announce()
 	}
--- a/comfreyforward/place.go
+++ b/comfreyforward/place.go
@@ -8,7 +8,6 @@
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
-	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -119,7 +118,6 @@
 	l := g.candidates(now, x.service, x.tried)
 	need := comfreyplacement.Need{PromptTokens: n.promptTokens, ExpectedTokens: g.remaining(n)}
 	need.ReserveTokens = g.line(x.service.Name).Reserve(x.priority())
-	need.LeavingTokens = g.leavingTokens(now, x.service.Name)
 	need.MaxUnreadTokens = comfreyplacement.MaxUnread(x.route.Objective, now.Sub(x.started), n.promptTokens)
 	i := comfreyplacement.Generation(l, need, g.config.Draw)
 	if i < 0 {
@@ -140,21 +138,6 @@
 	return p, true
 }
 
-// leavingTokens returns the memory of generations that have to move from the
-// leaving replicas of a service. The mutex must be held.
-func (g *Gateway) leavingTokens(now time.Time, service string) int {
-	leaving := map[string]bool{}
-	for _, r := range g.replicas.Service(service) {
-		if r.State == comfreyreplica.StateLeaving && now.Before(r.Ends) {
-			leaving[r.ID] = true
-		}
-	}
-	if len(leaving) == 0 {
-		return 0
-	}
-	return g.board.UnmovedTokens(leaving)
-}
-
 // reserve asks a replica to keep the room of a generation.
 func (g *Gateway) reserve(ctx context.Context, x *exchange, n *generation, p *place) bool {
 	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -4,7 +4,6 @@
 package comfreyoccupancy
 
 import (
-	"strings"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyreplica"
@@ -51,14 +50,6 @@
 	return r.PromptTokens + r.GrownTokens
 }
 
-// copySuffix marks the id of the room that a copy of a run takes.
-const copySuffix = "/copy"
-
-// CopyID names the room that a copy of a run takes at its destination.
-func CopyID(run string) string {
-	return run + copySuffix
-}
-
 // Load is the estimate for one replica.
 type Load struct {
 	// Running and Waiting count generations.
@@ -264,44 +255,18 @@
 	l.UsedTokens += max(r.UsedTokens-counted, 0)
 }
 
-// UnmovedTokens returns the memory of the known runs at the given replicas for
-// which no copy has been begun.
-func (b *Board) UnmovedTokens(replicas map[string]bool) int {
-	tokens := map[string]int{}
-	copied := map[string]bool{}
-	b.all(func(r Run) {
-		if id, ok := strings.CutSuffix(r.ID, copySuffix); ok {
-			copied[id] = true
-		} else if replicas[r.Replica] {
-			tokens[r.ID] = r.Tokens()
-		}
-	})
-	sum := 0
-	for id, n := range tokens {
-		if !copied[id] {
-			sum += n
-		}
-	}
-	return sum
-}
-
 // each calls f for each known run at a replica.
 func (b *Board) each(replica string, f func(r Run)) {
-	b.all(func(r Run) {
+	for _, r := range b.runs {
 		if r.Replica == replica {
-			f(r)
+			f(*r)
 		}
-	})
-}
-
-// all calls f for each known run.
-func (b *Board) all(f func(r Run)) {
-	for _, r := range b.runs {
-		f(*r)
 	}
 	for _, p := range b.peers {
 		for _, r := range p.runs {
-			f(r)
+			if r.Replica == replica {
+				f(r)
+			}
 		}
 	}
 }
--- a/comfreyoccupancy/board_test.go
+++ b/comfreyoccupancy/board_test.go
@@ -58,13 +58,3 @@
 		t.Errorf("got %+v", l)
 	}
 }
-
-func TestRunsWithACopyHaveMoved(t *testing.T) {
-	b := comfreyoccupancy.NewBoard(comfreyoccupancy.Config{})
-	b.Start(comfreyoccupancy.Run{ID: "own", Replica: "old", PromptTokens: 1000})
-	b.Start(comfreyoccupancy.Run{ID: comfreyoccupancy.CopyID("own"), Replica: "new", PromptTokens: 1000})
-	b.Peer(start, "g", []comfreyoccupancy.Run{{ID: "peer", Replica: "old", PromptTokens: 2000, GrownTokens: 300}, {ID: "other", Replica: "new", PromptTokens: 500}})
-	if n := b.UnmovedTokens(map[string]bool{"old": true}); n != 2300 {
-		t.Errorf("%d tokens have to move", n)
-	}
-}
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -57,9 +57,6 @@
 	// MaxUnreadTokens bounds the prompts that a replica has yet to read before
 	// this one, so that the first event comes in time; zero means no bound.
 	MaxUnreadTokens int
-	// LeavingTokens is the memory of generations that have to move to these
-	// candidates soon, because their replicas leave.
-	LeavingTokens int
 	// CopyRate is how many tokens a second a link between two replicas carries;
 	// zero if unknown.
 	CopyRate float64
@@ -69,34 +66,11 @@
 // if none has room. The draw, in [0, 1), breaks near ties, so that gateways
 // with the same view do not all choose the same replica.
 func Generation(candidates []Candidate, n Need, draw func() float64) int {
-	if !leavesRoomForMoves(candidates, n) {
-		return -1
-	}
 	return cheapest(candidates, draw, func(c Candidate) (float64, bool) {
 		return generationCost(c), hasRoom(c, n)
 	})
 }
 
-// leavesRoomForMoves reports whether the candidates have room for a generation
-// besides those that have to move. A generation that runs has cost more than
-// one that has not begun, and it cannot wait.
-func leavesRoomForMoves(candidates []Candidate, n Need) bool {
-	if n.LeavingTokens == 0 {
-		return true
-	}
-	free := 0
-	for _, c := range candidates {
-		if c.Load.CapacityTokens <= 0 {
-			return true
-		}
-		// What is too small for a generation is of no use to those that move.
-		if f := c.Load.CapacityTokens - c.Load.UsedTokens; f >= n.PromptTokens {
-			free += f
-		}
-	}
-	return free >= n.LeavingTokens+n.PromptTokens
-}
-
 // Plain returns the index of the best candidate for a request to a service
 // that generates nothing, or -1 if there is none.
 func Plain(candidates []Candidate, draw func() float64) int {
--- a/comfreyplacement/placement_test.go
+++ b/comfreyplacement/placement_test.go
@@ -181,18 +181,3 @@
 		t.Errorf("%d tokens reserved at an empty replica", v)
 	}
 }
-
-// Replays the pattern of a replica that leaves with six generations while the
-// others have room for them and for little more: what runs moves, and what
-// comes now waits.
-func TestPlacementsLeaveRoomForWhatHasToMove(t *testing.T) {
-	l := []comfreyplacement.Candidate{candidate("a", 24000), candidate("b", 24000), candidate("c", 33000)}
-	n := comfreyplacement.Need{PromptTokens: 3000, LeavingTokens: 20000}
-	if i := comfreyplacement.Generation(l, n, noDraw); i >= 0 {
-		t.Errorf("placed at %s, though what leaves needs the room", l[i].ID)
-	}
-	n.LeavingTokens = 12000
-	if i := comfreyplacement.Generation(l, n, noDraw); i < 0 {
-		t.Error("not placed, though there is room for all")
-	}
-}
