--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -27,6 +27,10 @@
 func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
 	var l []comfreyplacement.Candidate
 	var others []string
+	var load func(replica string) comfreyoccupancy.Load
+	if s.HasEngine {
+		load = g.board.Loads(now)
+	}
 	for _, r := range g.replicas.Service(s.Name) {
 		if !r.TakesWork() || excluded[r.ID] {
 			continue
@@ -39,7 +43,7 @@
 				continue
 			}
 		}
-		l = append(l, g.candidate(now, s, r))
+		l = append(l, g.candidate(now, s, r, load))
 	}
 	return l
 }
@@ -59,8 +63,9 @@
 // speaks four times a second.
 const peerSilence = 2 * time.Second
 
-// candidate returns what is believed about one replica. The mutex must be held.
-func (g *Gateway) candidate(now time.Time, s comfreyroute.Service, r comfreyreplica.Replica) comfreyplacement.Candidate {
+// candidate returns what is believed about one replica. The load is that of
+// engines. The mutex must be held.
+func (g *Gateway) candidate(now time.Time, s comfreyroute.Service, r comfreyreplica.Replica, load func(replica string) comfreyoccupancy.Load) comfreyplacement.Candidate {
 	c := comfreyplacement.Candidate{
 		ID: r.ID, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots,
 		IsNear:    r.DataCentre == g.config.DataCentre,
@@ -68,7 +73,7 @@
 		Suspicion: g.health.Suspicion(now, r.ID),
 	}
 	if s.HasEngine {
-		c.Load = g.board.Load(now, r.ID)
+		c.Load = load(r.ID)
 		if c.Load.CapacityTokens == 0 {
 			c.Load.CapacityTokens = s.Engine.CapacityTokens
 		}
--- a/comfreyforward/place.go
+++ b/comfreyforward/place.go
@@ -7,6 +7,7 @@
 
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -14,6 +15,9 @@
 const (
 	// maxReservations bounds the replicas that are asked for room at a time.
 	maxReservations = 3
+	// settleTime lets changes gather before a request that waits looks again:
+	// each of dozens of gateways speaks several times a second.
+	settleTime = 10 * time.Millisecond
 	// reservationLife is how long a replica keeps room for a request that is on
 	// its way. It takes milliseconds, more on a slow host.
 	reservationLife = 500 * time.Millisecond
@@ -85,6 +89,7 @@
 		case <-ctx.Done():
 			return place{}, &attemptError{reason: comfreyverdict.ReasonDeadline, isNotRun: true}
 		}
+		comfreygroup.Sleep(ctx, settleTime)
 		changed = g.waiting.changed()
 		if p, ok := g.findPlace(ctx, x, n); ok {
 			return p, nil
--- a/comfreyoccupancy/board.go
+++ b/comfreyoccupancy/board.go
@@ -77,7 +77,7 @@
 
 // peer is what another gateway said of its runs.
 type peer struct {
-	runs map[string]Run
+	runs map[string]*Run
 	at   time.Time
 }
 
@@ -152,9 +152,9 @@
 
 // Peer takes the runs of another gateway.
 func (b *Board) Peer(now time.Time, gateway string, runs []Run) {
-	p := peer{runs: make(map[string]Run, len(runs)), at: now}
+	p := peer{runs: make(map[string]*Run, len(runs)), at: now}
 	for _, r := range runs {
-		p.runs[r.ID] = r
+		p.runs[r.ID] = &r
 	}
 	for id := range b.peers[gateway].runs {
 		if _, ok := p.runs[id]; !ok {
@@ -198,13 +198,36 @@
 	}
 }
 
-// Load estimates the load of a replica.
-func (b *Board) Load(now time.Time, replica string) Load {
+// Loads returns a function that estimates the load of a replica. It is valid
+// until the next change.
+func (b *Board) Loads(now time.Time) func(replica string) Load {
+	runs := b.byReplica()
+	return func(replica string) Load { return b.load(now, replica, runs[replica]) }
+}
+
+// byReplica returns the known runs of each replica.
+func (b *Board) byReplica() map[string][]*Run {
+	m := map[string][]*Run{}
+	for _, r := range b.runs {
+		m[r.Replica] = append(m[r.Replica], r)
+	}
+	for _, p := range b.peers {
+		for _, r := range p.runs {
+			m[r.Replica] = append(m[r.Replica], r)
+		}
+	}
+	return m
+}
+
+// load estimates the load of a replica with the given known runs.
+func (b *Board) load(now time.Time, replica string, runs []*Run) Load {
 	l := Load{Age: -1}
 	if r, ok := b.reports[replica]; ok {
-		b.addReport(&l, now, replica, r)
+		b.addReport(&l, now, runs, r)
+	}
+	for _, r := range runs {
+		l.add(*r)
 	}
-	b.each(replica, l.add)
 	if t, ok := b.refusals[replica]; ok {
 		l.IsRefusing = now.Sub(t) < refusalTime
 	}
@@ -224,7 +247,7 @@
 }
 
 // addReport adds what runs at a replica besides the known runs.
-func (b *Board) addReport(l *Load, now time.Time, replica string, r report) {
+func (b *Board) addReport(l *Load, now time.Time, runs []*Run, r report) {
 	l.Age = now.Sub(r.at)
 	l.CapacityTokens = r.CapacityTokens
 	l.Waiting = r.Waiting
@@ -247,28 +270,12 @@
 	}
 	// A report lists no runs that are being read or copied, though their memory
 	// is in use. What is left over belongs to runs that nobody knows.
-	b.each(replica, func(u Run) {
+	for _, u := range runs {
 		if !listed[u.ID] {
 			counted += u.Tokens()
 		}
-	})
-	l.UsedTokens += max(r.UsedTokens-counted, 0)
-}
-
-// each calls f for each known run at a replica.
-func (b *Board) each(replica string, f func(r Run)) {
-	for _, r := range b.runs {
-		if r.Replica == replica {
-			f(*r)
-		}
-	}
-	for _, p := range b.peers {
-		for _, r := range p.runs {
-			if r.Replica == replica {
-				f(r)
-			}
-		}
 	}
+	l.UsedTokens += max(r.UsedTokens-counted, 0)
 }
 
 // isKnown reports whether a run is counted already, or has ended a moment ago.
