A generation waits for a quarter of its objective at most

The test of the patience asked for more than a second; it now asks for the quarter, for less with little time left, and for an end.

--- a/comfreyplacement/patience.go
+++ b/comfreyplacement/patience.go
@@ -13,19 +13,24 @@
 	// long enough for a generation to end somewhere, short enough for its caller
 	// to be told soon.
 	minPatience = 250 * time.Millisecond
+	// maxPatienceShare is the part of the objective for which a request waits at
+	// most. Who would wait longer is told so while there is time to return, and
+	// those that are accepted find replicas that are less full.
+	maxPatienceShare = 0.25
 	// lateUnreadTokens bounds the unread prompts before a request that is late
 	// already, so that it does not make others late.
 	lateUnreadTokens = 1_500
 )
 
-// Patience returns how long a generation may wait for a place: until there is
-// no time left for its first event within its objective.
+// Patience returns how long a generation may wait for a place: a part of its
+// objective, and only while there is time left for its first event within it.
 //
 // The load pattern that it answers: more generations arrive than the memory of
 // the engines holds. Those that would be late are rejected while their callers
 // can still return, and those that are accepted are on time.
 func Patience(objective, waited time.Duration, promptTokens int) time.Duration {
-	return max(slack(objective, waited, promptTokens), minPatience)
+	longest := time.Duration(maxPatienceShare * float64(objective))
+	return max(min(slack(objective, waited, promptTokens), longest), minPatience)
 }
 
 // MaxUnread returns how many tokens a replica may have left to read before a
--- a/comfreyplacement/placement_test.go
+++ b/comfreyplacement/placement_test.go
@@ -127,11 +127,17 @@
 	}
 }
 
-func TestPatienceEndsWithTheObjective(t *testing.T) {
-	if p := comfreyplacement.Patience(1800*time.Millisecond, 0, 3000); p <= time.Second || p >= 1500*time.Millisecond {
+// Replays the pattern of a load beyond the memory: who would wait long is told
+// so early, and nobody waits past the time that its prompt takes to read.
+func TestPatienceIsAPartOfTheObjective(t *testing.T) {
+	const objective = 1800 * time.Millisecond
+	if p := comfreyplacement.Patience(objective, 0, 3000); p != objective/4 {
 		t.Errorf("a fresh request waits %v", p)
 	}
-	if p := comfreyplacement.Patience(1800*time.Millisecond, 5*time.Second, 3000); p <= 0 || p > time.Second {
+	if p := comfreyplacement.Patience(objective, 900*time.Millisecond, 3000); p <= 250*time.Millisecond || p >= 400*time.Millisecond {
+		t.Errorf("a request with little time left waits %v", p)
+	}
+	if p := comfreyplacement.Patience(objective, 5*time.Second, 3000); p <= 0 || p > time.Second {
 		t.Errorf("a late request waits %v", p)
 	}
 }
