--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -46,6 +46,8 @@
 	sent int
 	// offered counts all attempts that reached a replica.
 	offered int
+	// replica is the one that was offered the request last.
+	replica string
 	tried   map[string]bool
 }
 
@@ -221,6 +223,9 @@
 	if x.table != nil {
 		f["route"], f["version"] = x.route.Name, x.table.Version()
 	}
+	if x.replica != "" {
+		f["replica"] = x.replica
+	}
 	return f
 }
 
--- a/comfreyforward/plain.go
+++ b/comfreyforward/plain.go
@@ -165,6 +165,7 @@
 // not for the caller becomes an error.
 func (g *Gateway) send(ctx context.Context, x *exchange, c comfreyplacement.Candidate, t comfreycall.Attempt) (*comfreyconnection.Answer, comfreycall.Reply, *attemptError) {
 	x.offered++
+	x.replica = c.ID
 	a, err := g.config.Pool.Do(ctx, c.Address, g.request(x, t))
 	if err != nil {
 		var s *comfreyconnection.SendError
