A generation that a replica refused runs nowhere while it waits

A refused reservation left the replica in the generation, so that the departure of that replica asked for copies of a request that it does not run, and took room for them on the books. Test fails first (10 waiting requests, one departure).

--- a/comfreyforward/place.go
+++ b/comfreyforward/place.go
@@ -160,6 +160,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.board.Refuse(now, p.ID, n.request)
+	n.replica = comfreyplacement.Candidate{} // It runs nowhere.
 	if errors.Is(err, comfreycall.ErrNoRoom) {
 		delete(x.tried, p.ID) // It may have room later.
 	} else {
