--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -55,11 +55,6 @@
 	// true.
 	Left    time.Duration
 	HasLeft bool
-	// Priority ranks the request among those at the replica; zero is the most
-	// urgent. Without memory, the replica interrupts the least urgent one first.
-	// It counts only if HasPriority is true.
-	Priority    int
-	HasPriority bool
 	// Continue is set if the generation ran elsewhere before.
 	Continue *Continuation
 	// Reservation names the room that the replica keeps for the request; empty
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -75,7 +75,7 @@
 			}
 			return nil, e
 		}
-		t := x.attempt(c.Candidate)
+		t := attempt(c.Candidate, nil)
 		t.Reservation = c.reservation
 		a, _, e := g.send(ctx, x, c.Candidate, t)
 		if e == nil {
@@ -97,11 +97,14 @@
 	return x.route.Priority
 }
 
-// attempt returns what a replica is told about a generation. Where memory runs
-// out, the priority lets short and less urgent generations yield, which are
-// soon read again, and not drafts in the middle of their answer.
-func (x *exchange) attempt(c comfreyplacement.Candidate) comfreycall.Attempt {
-	return comfreycall.Attempt{Replica: c.ID, HasPriority: true, Priority: x.priority()}
+// attempt returns what a replica is told about a generation. It sends no
+// priority: an engine would interrupt running generations for a more urgent one.
+func attempt(c comfreyplacement.Candidate, next *continuation) comfreycall.Attempt {
+	t := comfreycall.Attempt{Replica: c.ID}
+	if next != nil {
+		t.Continue = &next.Continuation
+	}
+	return t
 }
 
 // relayStream passes the events of a generation on, wherever it goes on. It
@@ -126,9 +129,7 @@
 			return false
 		}
 		var e *attemptError
-		t := x.attempt(next.candidate)
-		t.Continue = &next.Continuation
-		a, _, e = g.send(ctx, x, next.candidate, t)
+		a, _, e = g.send(ctx, x, next.candidate, attempt(next.candidate, next))
 		if e == nil && a.Status >= 300 {
 			a.Close()
 			e = &attemptError{reason: comfreyverdict.ReasonEngineRefused}
