Gateways pass on only their own contact with the store

Trace: both watching gateways were refused by the store at 17.6 s; the others went on holding their copies for confirmed until 20.9 s, and only then watched themselves, though a contact counts for 1.1 s. Each gateway told the others how old its contact was, heard ones too; the time on the way was lost at each hop, so the age grew at a third of the speed among 31 gateways. Now only what the store said to a gateway itself is told. Ruled out: slow dials (the first call to the store of any other gateway was at 20.9 s), lost announcements.

--- a/comfreyforward/follow.go
+++ b/comfreyforward/follow.go
@@ -103,7 +103,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	g.contact = now
+	g.contact, g.ownContact = now, now
 	g.replicas.PlatformReturned(now)
 }
 
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -66,7 +66,10 @@
 	streams  map[*generation]struct{}
 	waiting  waitList
 	lines    map[string]*comfreyplacement.Line
-	contact  time.Time
+	// contact is when the copy of the store was last known to be up to date, and
+	// ownContact when the store itself said so to this gateway.
+	contact    time.Time
+	ownContact time.Time
 }
 
 // New returns a gateway that knows nothing yet.
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -33,6 +33,18 @@
 	return g.config.Now().Sub(g.contact), true
 }
 
+// OwnContact returns how long ago the store answered this gateway itself. Only
+// this is told to others: an age that is passed on from gateway to gateway
+// loses the time on the way, and a fleet would hold a lost store for present.
+func (g *Gateway) OwnContact() (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ownContact.IsZero() {
+		return 0, false
+	}
+	return g.config.Now().Sub(g.ownContact), true
+}
+
 // Merge takes what another gateway's copy of the store holds.
 func (g *Gateway) Merge(m comfreygossip.Merge) {
 	g.merge(func() []comfreymirror.Item {
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -71,7 +71,8 @@
 	// comfreymirror.Mirror.
 	Complete func() uint64
 	Since    func(revision uint64) ([]comfreymirror.Item, bool)
-	// Contact returns how long ago the copy was known to be up to date.
+	// Contact returns how long ago the store itself confirmed the copy to this
+	// gateway. What other gateways said must not count.
 	Contact func() (age time.Duration, known bool)
 	// Merge takes what another copy holds.
 	Merge func(m Merge)
