comfreyforward: one age, one count of gateways, a retry budget that locks itself

Found in reading the change: Contact and OwnContact were the same code, three places counted the gateways, four locked the gateway only to find a budget that has a lock of its own, and serve only passed on to serveLimited. The replica is among the figures of every line since the final answers name it. Length hints and health paths were decoded and never read; their headers and fields are passed on as before. Behaviour is the same.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -30,9 +30,6 @@
 	// PromptTokens and MaxTokens are the sizes of the prompt and of the longest
 	// answer; zero if the request does not say.
 	PromptTokens, MaxTokens int
-	// HintTokens is the caller's estimate of the answer's length, which is
-	// often far off; zero if there is none.
-	HintTokens int
 }
 
 // Continuation names the copied memory from which a generation goes on.
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -178,7 +178,7 @@
 	if age, ok := g.Contact(); ok && age > blindTime {
 		return blindReportInterval
 	}
-	return max(reportInterval, time.Duration(len(g.config.Peers())+1)*reportIntervalPerGateway)
+	return max(reportInterval, time.Duration(g.fleetSize())*reportIntervalPerGateway)
 }
 
 // engineReplicas returns the replicas that generate text and take new work.
@@ -258,11 +258,18 @@
 	g.config.Recorder.Record(request, k, r, figures)
 }
 
-// retryBudget returns the budget of a service. The mutex must be held.
+// fleetSize returns how many gateways are known, this one included.
+func (g *Gateway) fleetSize() int {
+	return len(g.config.Peers()) + 1
+}
+
+// retryBudget returns the budget of a service.
 func (g *Gateway) retryBudget(service string) *comfreyrouter.RetryBudget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	b, ok := g.budgets[service]
 	if !ok {
-		slack := g.config.Retry.Slack / float64(max(minGateways, len(g.config.Peers())+1))
+		slack := g.config.Retry.Slack / float64(max(minGateways, g.fleetSize()))
 		b = comfreyrouter.NewRetryBudget(comfreyrouter.RetryConfig{Ratio: g.config.Retry.Ratio * retryShare, Burst: max(slack, 1), Reserve: slack})
 		g.budgets[service] = b
 	}
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -25,24 +25,25 @@
 // Contact returns how long ago the copy of the store was known to be up to
 // date.
 func (g *Gateway) Contact() (time.Duration, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.contact.IsZero() {
-		return 0, false
-	}
-	return g.config.Now().Sub(g.contact), true
+	return g.age(&g.contact)
 }
 
 // OwnContact returns how long ago the store answered this gateway itself. Only
 // this is told to others: an age that is passed on from gateway to gateway
 // loses the time on the way, and a fleet would hold a lost store for present.
 func (g *Gateway) OwnContact() (time.Duration, bool) {
+	return g.age(&g.ownContact)
+}
+
+// age returns how long ago a time was that the mutex guards; false if it never
+// was.
+func (g *Gateway) age(t *time.Time) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ownContact.IsZero() {
+	if t.IsZero() {
 		return 0, false
 	}
-	return g.config.Now().Sub(g.ownContact), true
+	return g.config.Now().Sub(*t), true
 }
 
 // Merge takes what another gateway's copy of the store holds.
--- a/comfreyforward/plain.go
+++ b/comfreyforward/plain.go
@@ -46,10 +46,7 @@
 
 // forwardPlain forwards a request whose answer is not a stream of events.
 func (g *Gateway) forwardPlain(ctx context.Context, x *exchange) {
-	g.mu.Lock()
-	budget := g.retryBudget(x.service.Name)
-	budget.Request(x.started)
-	g.mu.Unlock()
+	g.retryBudget(x.service.Name).Request(x.started)
 	var last *attemptError
 	for {
 		c, ok := g.choosePlain(x)
@@ -100,10 +97,7 @@
 	if e.reason == comfreyverdict.ReasonDialFailed {
 		return true
 	}
-	g.mu.Lock()
-	b := g.retryBudget(x.service.Name)
-	g.mu.Unlock()
-	isAllowed := b.TryRetry(g.config.Now(), e.reason)
+	isAllowed := g.retryBudget(x.service.Name).TryRetry(g.config.Now(), e.reason)
 	f := x.figures(g.config.Now())
 	f["allowed"] = isAllowed
 	g.record(x.call.ID, comfreydecision.KindRetry, e.reason, f)
@@ -139,13 +133,8 @@
 		return e
 	}
 	defer a.Close()
-	if a.Status >= http.StatusInternalServerError && x.route.Kind == comfreyroute.KindIdempotent && x.sent < x.route.MaxAttempts {
-		g.mu.Lock()
-		isSpent := g.retryBudget(x.service.Name).IsSpent()
-		g.mu.Unlock()
-		if !isSpent {
-			return &attemptError{reason: comfreyverdict.ReasonEngineFailed}
-		}
+	if a.Status >= http.StatusInternalServerError && x.route.Kind == comfreyroute.KindIdempotent && x.sent < x.route.MaxAttempts && !g.retryBudget(x.service.Name).IsSpent() {
+		return &attemptError{reason: comfreyverdict.ReasonEngineFailed}
 	}
 	return g.relayPlain(x, c, a, reply)
 }
@@ -228,7 +217,7 @@
 		_, err = io.Copy(x.w, a.Body)
 	}
 	f := x.figures(g.config.Now())
-	f["replica"], f["status"], f["sealed"] = c.ID, a.Status, r.IsSealed
+	f["status"], f["sealed"] = a.Status, r.IsSealed
 	if err != nil {
 		f["error"] = err.Error()
 		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, f)
--- a/comfreyforward/relieve.go
+++ b/comfreyforward/relieve.go
@@ -39,8 +39,7 @@
 
 // relievePause returns how often this gateway looks at present.
 func (g *Gateway) relievePause() time.Duration {
-	n := len(g.config.Peers()) + 1
-	return max(relieveInterval, relieveInterval*time.Duration(n)/relievedGateways)
+	return max(relieveInterval, relieveInterval*time.Duration(g.fleetSize())/relievedGateways)
 }
 
 // chooseRelief chooses a generation to move, and marks it as moving.
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -162,11 +162,7 @@
 	if address == "" {
 		return nil
 	}
-	return s.serve(name, address, &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
-}
-
-func (s *Server) serve(name, address string, h *http.Server) error {
-	return s.serveLimited(name, address, h, 0)
+	return s.serveLimited(name, address, &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}, 0)
 }
 
 // serveLimited serves at most a number of connections at a time; zero means no
--- a/comfreyroute/service.go
+++ b/comfreyroute/service.go
@@ -33,8 +33,6 @@
 // Service is what replicas of one kind offer.
 type Service struct {
 	Name string
-	// HealthPath is the path of the health check.
-	HealthPath string
 	// MaxConnections is how many connections a replica accepts from all callers.
 	MaxConnections int
 	// HasEngine is true for services whose replicas generate text.
