--- a/cmd/comfreyridge/process_random_test.go
+++ b/cmd/comfreyridge/process_random_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,20 +12,16 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycaller"
+	"comfreyridge.example/comfreyridge/comfreyseed"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
 // A random run is repeated from its seed by
 //
-//	go test ./cmd/comfreyridge -run TestProcessesUnderRandomFaults -comfrey.seed=N -comfrey.seeds=1
+//	go test ./cmd/comfreyridge -run TestProcessesUnderRandomFaults -comfrey.seed=N
 //
 // The seed fixes the faults and the requests; the processes' interleaving stays
 // free.
-var (
-	firstSeed = flag.Uint64("comfrey.seed", 1, "first seed of the random runs over processes")
-	seeds     = flag.Uint64("comfrey.seeds", 1, "how many random runs over processes")
-)
-
 const (
 	randomCallers  = 6
 	randomRequests = 12
@@ -36,7 +31,7 @@
 
 func TestProcessesUnderRandomFaults(t *testing.T) {
 	t.Parallel()
-	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+	for seed := range comfreyseed.Seeds(1) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandom(t, seed) })
 	}
 }
--- a/comfreydemo/random_test.go
+++ b/comfreydemo/random_test.go
@@ -1,7 +1,6 @@
 package comfreydemo
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -16,18 +15,14 @@
 	"comfreyridge.example/comfreyridge/comfreygateway"
 	"comfreyridge.example/comfreyridge/comfreyorder"
 	"comfreyridge.example/comfreyridge/comfreyrelay"
+	"comfreyridge.example/comfreyridge/comfreyseed"
 	"comfreyridge.example/comfreyridge/comfreysidecar"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
 // The random fault run is repeated from its seed by
 //
-//	go test ./comfreydemo -run TestRandomFaults -comfrey.seed=N -comfrey.seeds=1
-var (
-	firstSeed = flag.Uint64("comfrey.seed", 1, "first seed of the random fault runs")
-	seeds     = flag.Uint64("comfrey.seeds", 4, "how many random fault runs")
-)
-
+//	go test ./comfreydemo -run TestRandomFaults -comfrey.seed=N
 const (
 	// faultCallers is how many callers work at the same time.
 	faultCallers = 6
@@ -36,7 +31,7 @@
 )
 
 func TestRandomFaultsKeepThePromises(t *testing.T) {
-	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+	for seed := range comfreyseed.Seeds(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed) })
 	}
 }
