Queued generations look again when a prefill or a refusal ends

Cause of the red TestGenerationGoesToReplicaThatGrantedReservation: a replica with a long pending prefill is avoided until its first event, and one that refused a reservation for 150 ms. Neither end woke the queued requests, which waited until their queue timeout although a replica was free.

Cause of the red TestGenerationWithRefusedReservationIsNotMoved: a generation counted as placed while its reservation was requested. A replica that began to leave meanwhile was asked for copies of it and then received it.

The first event of a generation now wakes the queue, and queued requests look for a placement every 100 ms. A generation is placed once its reservation is granted by a replica that still accepts work.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -73,6 +73,12 @@
 // memory there. The mutex must be held.
 func (g *Gateway) trackPlacement(n *generation, c comfreyplacement.Candidate) {
 	n.replica = c
+	g.trackLoad(n, c)
+}
+
+// trackLoad counts the memory of a generation at a replica that executes it or
+// is asked for a reservation. The mutex must be held.
+func (g *Gateway) trackLoad(n *generation, c comfreyplacement.Candidate) {
 	g.estimator.Start(comfreyoccupancy.Generation{
 		ID: n.request, Replica: c.ID, PromptTokens: n.promptTokens, GeneratedTokens: n.generatedTokens(),
 		RemainingTokens: g.remainingTokens(n), IsDecoding: n.events > 0,
@@ -89,7 +95,8 @@
 	return left
 }
 
-// countEvent records an event that was sent to the caller.
+// countEvent records an event that was sent to the caller. The first one ends a
+// prefill, because of which waiting requests may have avoided the replica.
 func (g *Gateway) countEvent(n *generation, id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -100,6 +107,9 @@
 	if n.events%eventsPerEstimate == 1 {
 		g.estimator.Progress(n.request, n.generatedTokens(), g.remainingTokens(n))
 	}
+	if n.events == 1 {
+		g.capacityChanges.notify()
+	}
 }
 
 // eventsPerEstimate is the number of events after which the expected remaining
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -20,6 +20,10 @@
 	// placement again: each of dozens of gateways sends several messages a
 	// second.
 	recheckDelay = 10 * time.Millisecond
+	// recheckInterval is how often a queued request looks for a placement
+	// without a change: a refusal expires and a new replica opens to all
+	// gateways without one.
+	recheckInterval = 100 * time.Millisecond
 	// reservationTTL is how long a replica keeps memory for a request that is
 	// on its way. The request arrives within milliseconds, later from a slow
 	// host.
@@ -83,13 +87,17 @@
 	return q
 }
 
-// waitInQueue looks for a placement after each change until the queue timeout.
+// waitInQueue looks for a placement after each change, and periodically, until
+// the queue timeout.
 func (g *Gateway) waitInQueue(ctx context.Context, x *exchange, n *generation, changed <-chan struct{}, timeout time.Duration) (placement, *attemptError) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	recheck := time.NewTicker(recheckInterval)
+	defer recheck.Stop()
 	for {
 		select {
 		case <-changed:
+		case <-recheck.C:
 		case <-timer.C:
 			return placement{}, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
 		case <-ctx.Done():
@@ -123,7 +131,7 @@
 }
 
 // choosePlacement chooses a replica and counts the generation's memory there as
-// used.
+// used. The generation is placed there unless it needs a reservation.
 func (g *Gateway) choosePlacement(x *exchange, n *generation) (placement, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -138,42 +146,59 @@
 	}
 	c := l[i]
 	x.tried[c.ID] = true
-	g.trackPlacement(n, c)
+	p := placement{Candidate: c}
+	if x.service.Engine.MaxReservationTime > 0 {
+		p.toReserve = comfreyplacement.ReservationTokens(c, demand)
+	}
+	if p.toReserve > 0 {
+		g.trackLoad(n, c)
+	} else {
+		g.trackPlacement(n, c)
+	}
 	g.config.TriggerGossip()
 	f := x.logFields(now)
 	f["replica"], f["running"], f["used-tokens"], f["report-age-ms"] = c.ID, c.Load.Running, c.Load.UsedTokens, c.Load.Age.Milliseconds()
 	f["prompt-tokens"], f["expected-tokens"], f["unread-tokens"], f["candidates"] = n.promptTokens, int(demand.ExpectedTokens), c.Load.PendingPrefillTokens, len(l)
 	g.record(n.request, comfreydecision.KindRoute, comfreyverdict.ReasonLeastLoaded, f)
-	p := placement{Candidate: c}
-	if x.service.Engine.MaxReservationTime > 0 {
-		p.toReserve = comfreyplacement.ReservationTokens(c, demand)
-	}
 	return p, true
 }
 
-// reserve reserves memory for a generation at the replica of p. If that fails,
-// the generation has no placement.
+// reserve reserves memory for a generation at the replica of p, which places it
+// there. It reports false if the replica refuses, or begins to leave meanwhile.
 func (g *Gateway) reserve(ctx context.Context, x *exchange, n *generation, p *placement) bool {
 	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
 	defer cancel()
 	ttl := min(reservationTTL, x.service.Engine.MaxReservationTime)
 	id, err := g.config.Engines.Reserve(ctx, p.Address, p.toReserve, ttl)
+	now := g.config.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r, ok := g.replicas.Get(p.ID); err == nil && (!ok || !r.IsAccepting()) {
+		err = errReplicaLeft // The unused reservation expires at the replica.
+	}
 	if err == nil {
 		p.reservation = id
+		n.replica = p.Candidate
 		return true
 	}
-	now := g.config.Now()
 	f := x.logFields(now)
 	f["replica"], f["tokens"], f["error"] = p.ID, p.toReserve, err.Error()
-	g.record(n.request, comfreydecision.KindRetry, comfreyverdict.ReasonAdmissionFull, f)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.estimator.Refused(now, p.ID, n.request)
-	n.replica = comfreyplacement.Candidate{} // The generation has no placement.
-	if errors.Is(err, comfreycall.ErrNoCapacity) {
+	reason := comfreyverdict.ReasonAdmissionFull
+	switch {
+	case errors.Is(err, errReplicaLeft):
+		reason = comfreyverdict.ReasonLeaving
+		g.estimator.Finish(now, n.request)
+	case errors.Is(err, comfreycall.ErrNoCapacity):
+		g.estimator.Refused(now, p.ID, n.request)
 		delete(x.tried, p.ID) // It may have enough free capacity later.
-	} else {
+	default:
+		g.estimator.Refused(now, p.ID, n.request)
 		g.health.Record(now, p.ID, true)
 	}
+	g.record(n.request, comfreydecision.KindRetry, reason, f)
 	return false
 }
+
+// errReplicaLeft means that a replica granted a reservation but accepts no new
+// work any more.
+var errReplicaLeft = errors.New("comfreyforward: want a replica that accepts new work, got one that has begun to leave")
