--- a/cmd/comfreyridge/process_node_test.go
+++ b/cmd/comfreyridge/process_node_test.go
@@ -93,6 +93,9 @@
 	return n.cmd.ProcessState.ExitCode()
 }
 
+// loggedBytes is how much of its log a node of a failed test shows.
+const loggedBytes = 30_000
+
 // end stops what is left of the node when its test is over, and reports what
 // must never stand in a log.
 func (n *node) end(t testing.TB) {
@@ -107,7 +110,7 @@
 		}
 	}
 	if t.Failed() {
-		t.Logf("%s, end of the log:\n%s", n.name, s[max(0, len(s)-3000):])
+		t.Logf("%s, end of the log:\n%s", n.name, s[max(0, len(s)-loggedBytes):])
 	}
 }
 
--- a/comfreyarch/arch.go
+++ b/comfreyarch/arch.go
@@ -30,6 +30,7 @@
 	"comfreyconfig",
 	"comfreycall",
 	"comfreyroute",
+	"comfreycell",
 	"comfreystorecache",
 	"comfreyreplica",
 	"comfreyoccupancy",
--- /dev/null
+++ b/comfreycell/layout_test.go
@@ -0,0 +1,156 @@
+package comfreycell_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreycell"
+)
+
+// fleet returns n gateways, spread evenly over data centres.
+func fleet(n, dataCentres int) []comfreycell.Gateway {
+	var l []comfreycell.Gateway
+	for i := range n {
+		l = append(l, comfreycell.Gateway{Address: fmt.Sprintf("10.%d.%d.%d:8740", i%dataCentres, i/256, i%256), DataCentre: fmt.Sprint("data-centre-", i%dataCentres)})
+	}
+	return l
+}
+
+// layoutOf returns the layout as gateway i of a fleet sees it.
+func layoutOf(l []comfreycell.Gateway, i int) comfreycell.Layout {
+	return comfreycell.New(l[i], slices.Concat(l[:i], l[i+1:]))
+}
+
+func ExampleLayout() {
+	l := layoutOf(fleet(100, 5), 0)
+	fmt.Println(l.Own(), len(l.Members()))
+	fmt.Println(l.IsHome("replica-1", "data-centre-0"), l.IsHome("replica-1", "data-centre-1"))
+	// Output:
+	// data-centre-0 19
+	// true false
+}
+
+func TestSmallFleetIsOneCell(t *testing.T) {
+	for _, n := range []int{1, 3, 4, 31, comfreycell.MaxMembers} {
+		g := fleet(n, 4)
+		l := layoutOf(g, n-1)
+		if l.Own() != "" || len(l.Members()) != n-1 || len(l.LiveMembers()) != n-1 || len(l.RelayTargets()) != 0 || l.FleetSize() != n {
+			t.Errorf("%d gateways: got cell %q with %d other members, %d relay targets", n, l.Own(), len(l.Members()), len(l.RelayTargets()))
+		}
+		for _, c := range []string{"data-centre-0", "data-centre-9", ""} {
+			if !l.IsHome("replica", c) {
+				t.Errorf("%d gateways: a replica in %q is not used", n, c)
+			}
+		}
+	}
+}
+
+// TestGatewaysAgreeOnCells checks for fleets of several sizes that each gateway
+// is in one cell, that its members consider it a member, that each pair of cells
+// is connected by its relays, and that each replica has one home.
+func TestGatewaysAgreeOnCells(t *testing.T) {
+	for _, n := range []int{41, 100, 300, 1000} {
+		g := fleet(n, 5)
+		layouts := map[string]comfreycell.Layout{}
+		sizes := map[comfreycell.ID]int{}
+		for i := range g {
+			l := layoutOf(g, i)
+			layouts[g[i].Address] = l
+			sizes[l.Own()]++
+		}
+		relays, firsts := map[comfreycell.ID]int{}, 0
+		for a, l := range layouts {
+			if sizes[l.Own()] != len(l.Members())+1 || sizes[l.Own()] > 2*comfreycell.MaxMembers {
+				t.Fatalf("%d gateways: %s has %d members, the cell %s has %d gateways", n, a, len(l.Members()), l.Own(), sizes[l.Own()])
+			}
+			for _, m := range l.Members() {
+				if layouts[m].Own() != l.Own() {
+					t.Fatalf("%d gateways: %s counts %s of the cell %s as a member of %s", n, a, m, layouts[m].Own(), l.Own())
+				}
+			}
+			for _, target := range l.RelayTargets() {
+				if layouts[target.Address].Own() != target.Cell || !layouts[target.Address].IsRelay() {
+					t.Errorf("%d gateways: %s sends to %s, which is not a relay of %s", n, a, target.Address, target.Cell)
+				}
+			}
+			if l.IsRelay() {
+				relays[l.Own()]++
+				if len(l.RelayTargets()) != len(sizes)-1 {
+					t.Errorf("%d gateways: a relay sends to %d of %d other cells", n, len(l.RelayTargets()), len(sizes)-1)
+				}
+			}
+			if l.FleetRank() < 2 {
+				firsts++
+			}
+		}
+		for c := range sizes {
+			if relays[c] != comfreycell.Relays {
+				t.Errorf("%d gateways: %d relays in %s, want %d", n, relays[c], c, comfreycell.Relays)
+			}
+		}
+		if firsts != 2 {
+			t.Errorf("%d gateways: %d are among the first two of the fleet", n, firsts)
+		}
+		for i := range 50 {
+			replica, dataCentre := fmt.Sprint("replica-", i), fmt.Sprint("data-centre-", i%5)
+			home := layouts[g[0].Address].Home(replica, dataCentre)
+			for a, l := range layouts {
+				if l.Home(replica, dataCentre) != home {
+					t.Fatalf("%d gateways: %s has another home for %s", n, a, replica)
+				}
+			}
+		}
+	}
+}
+
+// TestReplicasOfSilentDataCentreAreShared replays the loss of all gateways of a
+// data centre whose replicas still serve: the other cells share them out.
+func TestReplicasOfSilentDataCentreAreShared(t *testing.T) {
+	g := fleet(100, 5)
+	for i := range g {
+		if g[i].DataCentre == "data-centre-3" {
+			g[i].SilentFor = 4 * time.Second
+		}
+	}
+	homes := map[comfreycell.ID]int{}
+	for i := range 40 {
+		id := fmt.Sprint("replica-", i)
+		home := layoutOf(g, 0).Home(id, "data-centre-3")
+		if other := layoutOf(g, 1).Home(id, "data-centre-3"); other != home {
+			t.Errorf("%s: homes %q and %q", id, home, other)
+		}
+		homes[home]++
+	}
+	if homes["data-centre-3"] != 0 || len(homes) != 4 {
+		t.Errorf("homes of the replicas: got %v, want four other cells", homes)
+	}
+}
+
+func TestSilentGatewaysDoNotLead(t *testing.T) {
+	g := fleet(30, 3)
+	first := slices.IndexFunc(g, func(x comfreycell.Gateway) bool {
+		return layoutOf(g, slices.Index(g, x)).Rank() == 0
+	})
+	second := slices.IndexFunc(g, func(x comfreycell.Gateway) bool {
+		return layoutOf(g, slices.Index(g, x)).Rank() == 1
+	})
+	g[first].SilentFor = time.Second
+	l := layoutOf(g, second)
+	if l.Rank() != 0 || l.FleetRank() != 0 || len(l.Members()) != 29 || len(l.LiveMembers()) != 28 {
+		t.Errorf("after the first gateway fell silent: rank %d, fleet rank %d, %d members, %d live", l.Rank(), l.FleetRank(), len(l.Members()), len(l.LiveMembers()))
+	}
+}
+
+// TestGatewayOfOlderBuildIsMember checks that a gateway which does not send its
+// data centre receives the placements of every cell.
+func TestGatewayOfOlderBuildIsMember(t *testing.T) {
+	g := append(fleet(100, 5), comfreycell.Gateway{Address: "10.9.9.9:8740"})
+	for i := range 100 {
+		l := layoutOf(g, i)
+		if !slices.Contains(l.Members(), "10.9.9.9:8740") || slices.ContainsFunc(l.RelayTargets(), func(x comfreycell.RelayTarget) bool { return x.Address == "10.9.9.9:8740" }) {
+			t.Fatalf("%s: the gateway of an unknown data centre is not a plain member", g[i].Address)
+		}
+	}
+}
--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -23,47 +23,47 @@
 const reportedLoadMaxAge = 500 * time.Millisecond
 
 // candidates returns the replicas of a service that accept new work and are not
-// excluded. A new replica with an engine is used by a few gateways only. The
-// mutex must be held.
+// excluded. Engines are those of this gateway's cell, and some for which another
+// cell reports free capacity; a new engine is used by a few gateways of its cell
+// only. The mutex must be held.
 func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
-	var l []comfreyplacement.Candidate
-	var others []string
-	var load func(replica string) comfreyoccupancy.Load
-	if s.HasEngine {
-		load = g.estimator.Loads(now)
+	if !s.HasEngine {
+		return g.unaryCandidates(now, s, excluded)
 	}
+	var l, remote []comfreyplacement.Candidate
+	layout := g.config.Layout()
+	others := layout.LiveMembers()
+	load, summarized := g.estimator.Loads(now), g.estimator.SummarizedLoads(now)
 	for _, r := range g.replicas.ByService(s.Name) {
 		if !r.IsAccepting() || excluded[r.ID] {
 			continue
 		}
-		if s.HasEngine && now.Sub(r.Since) < comfreyplacement.NewReplicaPeriod {
-			if others == nil {
-				others = g.activePeers()
-			}
-			if !comfreyplacement.MayUseNewReplica(r.ID, g.config.Address, others) {
-				continue
+		if !layout.IsHome(r.ID, r.DataCentre) {
+			if p, ok := summarized(r.ID); ok {
+				remote = append(remote, g.candidate(now, s, r, func(string) comfreyoccupancy.Load { return p }))
 			}
+			continue
+		}
+		if now.Sub(r.Since) < comfreyplacement.NewReplicaPeriod && !comfreyplacement.MayUseNewReplica(r.ID, g.config.Address, others) {
+			continue
 		}
 		l = append(l, g.candidate(now, s, r, load))
 	}
-	return l
+	return append(l, comfreyplacement.SampleRemote(remote, g.config.Rand)...)
 }
 
-// activePeers returns the addresses of the gateways that send gossip messages.
-func (g *Gateway) activePeers() []string {
-	l := []string{}
-	for _, p := range g.config.Peers() {
-		if p.LastMessageAge < maxPeerMessageAge {
-			l = append(l, p.Address)
+// unaryCandidates returns the replicas of a service without engines that accept
+// new work and are not excluded. The mutex must be held.
+func (g *Gateway) unaryCandidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
+	var l []comfreyplacement.Candidate
+	for _, r := range g.replicas.ByService(s.Name) {
+		if r.IsAccepting() && !excluded[r.ID] {
+			l = append(l, g.candidate(now, s, r, nil))
 		}
 	}
 	return l
 }
 
-// maxPeerMessageAge is the age of its last gossip message from which on a
-// gateway counts as inactive; each sends four messages a second.
-const maxPeerMessageAge = 2 * time.Second
-
 // candidate returns the local view of one replica. The load function is used
 // for services with engines only. The mutex must be held.
 func (g *Gateway) candidate(now time.Time, s comfreyroute.Service, r comfreyreplica.Replica, load func(replica string) comfreyoccupancy.Load) comfreyplacement.Candidate {
--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
+	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
@@ -104,8 +105,17 @@
 	// replica or a change in the store. It does nothing by default and must not
 	// block.
 	TriggerGossip func()
-	// Peers returns the other gateways; none by default.
-	Peers func() []comfreystorecache.Peer
+	// CellChanged is called when this gateway learns from a source other than
+	// the store that a replica leaves, which other cells have to know. It does
+	// nothing by default and must not block.
+	CellChanged func()
+	// ShareStoreChanges is called with the changes that this gateway received
+	// from the store: those after a revision and up to another. It does nothing
+	// by default and must not block.
+	ShareStoreChanges func(after, revision uint64, changes []comfreystorecache.Item)
+	// Layout returns the division of the fleet into cells; this gateway alone by
+	// default.
+	Layout func() comfreycell.Layout
 	// Address is the address at which the other gateways reach this one.
 	Address string
 	// Now is the clock; time.Now by default.
@@ -121,11 +131,18 @@
 	if c.Rand == nil {
 		c.Rand = rand.Float64
 	}
-	if c.Peers == nil {
-		c.Peers = func() []comfreystorecache.Peer { return nil }
+	if c.Layout == nil {
+		alone := comfreycell.New(comfreycell.Gateway{Address: c.Address, DataCentre: c.DataCentre}, nil)
+		c.Layout = func() comfreycell.Layout { return alone }
 	}
 	if c.TriggerGossip == nil {
 		c.TriggerGossip = func() {}
 	}
+	if c.CellChanged == nil {
+		c.CellChanged = func() {}
+	}
+	if c.ShareStoreChanges == nil {
+		c.ShareStoreChanges = func(uint64, uint64, []comfreystorecache.Item) {}
+	}
 	return c
 }
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -24,15 +24,15 @@
 	// call has a price, and a report is half a second old on arrival. Between
 	// reports, the gateways exchange their own placements by gossip.
 	reportInterval = 4 * time.Second
-	// reportIntervalPerGateway bounds the calls of all gateways together to two
-	// or three a second for each engine.
+	// reportIntervalPerGateway bounds the calls of all gateways of a cell together
+	// to two or three a second for each engine.
 	reportIntervalPerGateway = 400 * time.Millisecond
 	// minReportSpacing bounds the calls of one gateway to 50 a second, for any
 	// number of engines.
 	minReportSpacing = 20 * time.Millisecond
-	// outageReportInterval is how often each engine's load report is fetched
-	// while the store is unreachable, when only the report shows that the
-	// engine leaves.
+	// outageReportInterval is how often each engine's load report is fetched by
+	// the gateways of a cell together while the store is unreachable, when only
+	// the report shows that the engine leaves.
 	outageReportInterval = 400 * time.Millisecond
 	// outageReportAge is the store age from which on outageReportInterval is
 	// used.
@@ -73,8 +73,11 @@
 	queues          map[string]*comfreyplacement.Queue
 	// storeCurrentAt is when the store cache was last known to be current, and
 	// storeReachedAt when the store last responded to this gateway itself.
+	// cellCurrentAt is when the store last responded to a gateway of the own
+	// cell, as far as that gateway itself has sent it.
 	storeCurrentAt time.Time
 	storeReachedAt time.Time
+	cellCurrentAt  time.Time
 }
 
 // New returns a gateway that has no configuration and no replicas until it is
@@ -180,26 +183,29 @@
 	}
 }
 
-// currentReportInterval returns how often each engine's report is to be fetched
-// in the current state of the store and number of gateways.
+// currentReportInterval returns how often this gateway fetches each engine's
+// report, in the current state of the store and number of gateways in the cell.
 func (g *Gateway) currentReportInterval() time.Duration {
+	n := time.Duration(g.cellSize())
 	if age, ok := g.StoreAge(); ok && age > outageReportAge {
-		return outageReportInterval
+		return n * outageReportInterval
 	}
-	return max(reportInterval, time.Duration(g.gatewayCount())*reportIntervalPerGateway)
+	return max(reportInterval, n*reportIntervalPerGateway)
 }
 
-// engineReplicas returns the replicas with engines that accept new work.
+// engineReplicas returns the replicas with engines that accept new work and are
+// used by this gateway's cell.
 func (g *Gateway) engineReplicas() []comfreyreplica.Replica {
 	t := g.table.Load()
 	if t == nil {
 		return nil
 	}
+	layout := g.config.Layout()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var l []comfreyreplica.Replica
 	for _, r := range g.replicas.All() {
-		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() {
+		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && layout.IsHome(r.ID, r.DataCentre) {
 			l = append(l, r)
 		}
 	}
@@ -232,6 +238,7 @@
 	}
 	g.mu.Unlock()
 	g.handleReplicaChanges(changes)
+	g.announceLeaving(changes)
 	g.capacityChanges.notify()
 }
 
@@ -249,7 +256,6 @@
 		})
 		if r.State == comfreyreplica.StateLeaving {
 			g.config.Pool.CloseIdle(r.Address)
-			g.config.TriggerGossip()
 			if g.moveAway(r) {
 				g.config.Group.Go("end", func(ctx context.Context) error {
 					g.fetchLeaveTime(ctx, r)
@@ -269,7 +275,13 @@
 
 // gatewayCount returns the number of known gateways, including this one.
 func (g *Gateway) gatewayCount() int {
-	return len(g.config.Peers()) + 1
+	return g.config.Layout().FleetSize()
+}
+
+// cellSize returns the number of live gateways in this gateway's cell, including
+// itself.
+func (g *Gateway) cellSize() int {
+	return len(g.config.Layout().LiveMembers()) + 1
 }
 
 // retryBudget returns the retry budget of a service.
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -79,7 +79,7 @@
 // trackLoad counts the memory of a generation at a replica that executes it or
 // is asked for a reservation. The mutex must be held.
 func (g *Gateway) trackLoad(n *generation, c comfreyplacement.Candidate) {
-	g.estimator.Start(comfreyoccupancy.Generation{
+	g.estimator.Start(g.config.Now(), comfreyoccupancy.Generation{
 		ID: n.request, Replica: c.ID, PromptTokens: n.promptTokens, GeneratedTokens: n.generatedTokens(),
 		RemainingTokens: g.remainingTokens(n), IsDecoding: n.events > 0,
 	})
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -157,7 +157,7 @@
 // trackCopy counts the memory that a copy occupies at its destination. The
 // mutex must be held.
 func (g *Gateway) trackCopy(n *generation, replica string, isCopying bool) {
-	g.estimator.Start(comfreyoccupancy.Generation{ID: kvCopyID(n), Replica: replica, PromptTokens: n.kvTokens(), IsDecoding: true, IsCopying: isCopying})
+	g.estimator.Start(g.config.Now(), comfreyoccupancy.Generation{ID: kvCopyID(n), Replica: replica, PromptTokens: n.kvTokens(), IsDecoding: true, IsCopying: isCopying})
 	if isCopying {
 		g.config.TriggerGossip()
 	}
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreygossip"
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
@@ -38,6 +41,14 @@
 	return g.age(&g.storeReachedAt)
 }
 
+// CellStoreAge returns the lowest time since the store last responded to a
+// gateway of this one's cell, as far as the gateways themselves have sent it.
+// Only this age is sent to other cells, so that no age returns to the cell from
+// which it came.
+func (g *Gateway) CellStoreAge() (time.Duration, bool) {
+	return g.age(&g.cellCurrentAt)
+}
+
 // age returns how long ago a time was that the mutex guards. It reports false
 // if the time is zero.
 func (g *Gateway) age(t *time.Time) (time.Duration, bool) {
@@ -58,18 +69,25 @@
 		return g.storeCache.Apply(m.Revision, m.Items)
 	})
 	if m.HasStoreAge {
-		g.ObserveStoreAge(m.Revision, m.StoreAge)
+		g.ObserveStoreAge(m.Revision, m.StoreAge, false)
 	}
 }
 
 // ObserveStoreAge applies the store age of another gateway, whose store cache
 // is complete up to a revision. It counts for this gateway too if its own cache
-// is complete up to that revision.
-func (g *Gateway) ObserveStoreAge(revision uint64, age time.Duration) {
+// is complete up to that revision. The other gateway is one of the same cell, or
+// else the age was relayed.
+func (g *Gateway) ObserveStoreAge(revision uint64, age time.Duration, isOwnCell bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at := g.config.Now().Add(-age)
-	if revision > g.storeCache.Revision() || !at.After(g.storeCurrentAt) {
+	if revision > g.storeCache.Revision() {
+		return
+	}
+	if isOwnCell && at.After(g.cellCurrentAt) {
+		g.cellCurrentAt = at
+	}
+	if !at.After(g.storeCurrentAt) {
 		return
 	}
 	g.storeCurrentAt = at
@@ -82,14 +100,20 @@
 func (g *Gateway) Placements() comfreygossip.Placements {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := comfreygossip.Placements{Generations: g.estimator.Generations()}
+	return comfreygossip.Placements{Generations: g.estimator.Generations(), Leaving: g.recentlyLeaving()}
+}
+
+// recentlyLeaving returns the replicas that became leaving within
+// leavingGossipTime. The mutex must be held.
+func (g *Gateway) recentlyLeaving() []string {
+	var l []string
 	now := g.config.Now()
 	for _, r := range g.replicas.All() {
 		if r.State == comfreyreplica.StateLeaving && now.Sub(r.Since) < leavingGossipTime {
-			s.Leaving = append(s.Leaving, r.ID)
+			l = append(l, r.ID)
 		}
 	}
-	return s
+	return l
 }
 
 // leavingGossipTime is how long gossip messages list a replica as leaving.
@@ -100,10 +124,82 @@
 	g.mu.Lock()
 	now := g.config.Now()
 	g.estimator.SetPeer(now, gateway, s.Generations)
+	changes := g.markLeaving(now, s.Leaving)
+	g.mu.Unlock()
+	g.handleReplicaChanges(changes)
+	g.announceLeaving(changes)
+	g.capacityChanges.notify()
+}
+
+// markLeaving marks replicas as leaving. The mutex must be held.
+func (g *Gateway) markLeaving(now time.Time, replicas []string) []comfreyreplica.Change {
 	var changes []comfreyreplica.Change
-	for _, id := range s.Leaving {
+	for _, id := range replicas {
 		changes = append(changes, g.replicas.MarkLeaving(now, id, 0)...)
 	}
+	return changes
+}
+
+// announceLeaving sends the leaving replicas among changes to the other gateways
+// soon. It is needed only for changes that did not come from the store.
+func (g *Gateway) announceLeaving(changes []comfreyreplica.Change) {
+	for _, c := range changes {
+		if c.Replica.State == comfreyreplica.StateLeaving {
+			g.config.TriggerGossip()
+			g.config.CellChanged()
+			return
+		}
+	}
+}
+
+// CellState returns the state of this gateway's cell for another cell: the loads
+// of the replicas that have most free capacity, and the generations that run at
+// replicas of the other cell.
+func (g *Gateway) CellState(receiver comfreycell.ID) comfreygossip.CellState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	layout := g.config.Layout()
+	s := comfreygossip.CellState{Loads: map[string]comfreyoccupancy.Load{}, Leaving: g.recentlyLeaving()}
+	for _, c := range comfreyplacement.LeastLoaded(g.homeCandidates(layout), maxSummarizedLoads) {
+		s.Loads[c.ID] = c.Load
+	}
+	for _, n := range g.estimator.CellGenerations() {
+		if r, ok := g.replicas.Get(n.Replica); ok && layout.Home(r.ID, r.DataCentre) == receiver {
+			s.Generations = append(s.Generations, n)
+		}
+	}
+	return s
+}
+
+// maxSummarizedLoads bounds the replicas whose loads are sent to other cells. The
+// other cells use them only while their own replicas are fuller.
+const maxSummarizedLoads = 8
+
+// homeCandidates returns the engines of this gateway's cell that accept new work
+// and are no longer new. The mutex must be held.
+func (g *Gateway) homeCandidates(layout comfreycell.Layout) []comfreyplacement.Candidate {
+	t := g.table.Load()
+	if t == nil {
+		return nil
+	}
+	now := g.config.Now()
+	load := g.estimator.Loads(now)
+	var l []comfreyplacement.Candidate
+	for _, r := range g.replicas.All() {
+		s, ok := t.Service(r.Service)
+		if ok && s.HasEngine && r.IsAccepting() && now.Sub(r.Since) >= comfreyplacement.NewReplicaPeriod && layout.IsHome(r.ID, r.DataCentre) {
+			l = append(l, g.candidate(now, s, r, load))
+		}
+	}
+	return l
+}
+
+// ApplyCellState applies the state of another cell.
+func (g *Gateway) ApplyCellState(cell comfreycell.ID, s comfreygossip.CellState) {
+	g.mu.Lock()
+	now := g.config.Now()
+	g.estimator.SetCell(now, string(cell), comfreyoccupancy.Cell{Loads: s.Loads, Generations: s.Generations})
+	changes := g.markLeaving(now, s.Leaving)
 	g.mu.Unlock()
 	g.handleReplicaChanges(changes)
 	g.capacityChanges.notify()
--- a/comfreyforward/rebalance.go
+++ b/comfreyforward/rebalance.go
@@ -13,8 +13,8 @@
 
 const (
 	// rebalanceInterval is how often each gateway checks for a rebalancing move
-	// if there are up to rebalanceBaseGateways of them; with more gateways,
-	// each checks less often. One move takes some tenths of a second, and
+	// if there are up to rebalanceBaseGateways of them in a cell; with more
+	// gateways, each checks less often. One move takes some tenths of a second, and
 	// several moves at a time would fill the same replica.
 	rebalanceInterval     = 150 * time.Millisecond
 	rebalanceBaseGateways = 4
@@ -40,9 +40,9 @@
 }
 
 // currentRebalanceInterval returns how often this gateway checks for a move,
-// given the number of gateways.
+// given the number of gateways in the cell.
 func (g *Gateway) currentRebalanceInterval() time.Duration {
-	return max(rebalanceInterval, rebalanceInterval*time.Duration(g.gatewayCount())/rebalanceBaseGateways)
+	return max(rebalanceInterval, rebalanceInterval*time.Duration(g.cellSize())/rebalanceBaseGateways)
 }
 
 // chooseRebalancingMove chooses a generation to move and its source, and marks
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -25,13 +25,17 @@
 	// watchPause is the delay between two watch calls, which batches changes: a
 	// burst with a change every 60 ms does not cost a call for each.
 	watchPause = 50 * time.Millisecond
+	// confirmWait is the same for the first call of a gateway whose store cache
+	// is stale: the response confirms the cache for the other gateways too.
+	confirmWait = 50 * time.Millisecond
+	// fallbackDuration is how long the first gateways of a cell continue to watch
+	// after their store caches were stale: the cell may be cut off from the
+	// gateways that watch for the fleet.
+	fallbackDuration = 3 * time.Second
+	fallbackWatchers = 2
 	// watchCheckInterval is how often a gateway that does not watch checks
 	// whether it has to.
 	watchCheckInterval = 100 * time.Millisecond
-	// minStoreRetryDelay and maxStoreRetryDelay bound the delay after a failed
-	// call.
-	minStoreRetryDelay = 50 * time.Millisecond
-	maxStoreRetryDelay = 600 * time.Millisecond
 	// storeOutageThreshold is how long the store must have been unreachable
 	// before missing registrations are kept; they lapse after three heartbeats
 	// of 1.2 s.
@@ -41,10 +45,26 @@
 // syncStore keeps the store cache current until ctx ends.
 func (g *Gateway) syncStore(ctx context.Context) error {
 	isListed := false
-	retry := minStoreRetryDelay
+	failed := 0
 	isUnreachable := false
+	var watchUntil time.Time
+	wasWatching := false
 	for ctx.Err() == nil {
-		if age, ok := g.StoreAge(); !comfreystorecache.ShouldWatch(g.config.Address, g.config.Peers(), age, ok) {
+		l := g.config.Layout()
+		position := comfreystorecache.Position{InFleet: l.FleetRank(), InCell: l.Rank()}
+		age, isSynced := g.StoreAge()
+		isWatching := comfreystorecache.ShouldWatch(position, age, isSynced)
+		if isWatching && isListed && age > watchWait && position.InCell < fallbackWatchers {
+			watchUntil = g.config.Now().Add(fallbackDuration)
+		}
+		isWatching = isWatching || g.config.Now().Before(watchUntil)
+		if isWatching != wasWatching {
+			wasWatching = isWatching
+			g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonAccepted, map[string]any{
+				"dependency": "store", "watching": isWatching, "age-ms": age.Milliseconds(), "in-fleet": position.InFleet, "in-cell": position.InCell, "cell": string(l.Own()), "gateways": l.FleetSize(),
+			})
+		}
+		if !isWatching {
 			// Peers keep the cache complete, so that a later watch needs no
 			// listing.
 			isListed = true
@@ -58,7 +78,7 @@
 			if isUnreachable {
 				g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonAccepted, map[string]any{"dependency": "store", "state": "regained"})
 			}
-			isListed, isUnreachable, retry = true, false, minStoreRetryDelay
+			isListed, isUnreachable, failed = true, false, 0
 			comfreygroup.Sleep(ctx, watchPause)
 		default:
 			if errors.Is(err, comfreystorecache.ErrCompacted) {
@@ -69,8 +89,8 @@
 				g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConnectionLost, map[string]any{"dependency": "store", "state": "lost", "error": err.Error()})
 			}
 			g.markStoreUnreachable()
-			comfreygroup.Sleep(ctx, time.Duration(float64(retry)*(0.5+g.config.Rand())))
-			retry = min(2*retry, maxStoreRetryDelay)
+			failed++
+			comfreygroup.Sleep(ctx, time.Duration(float64(comfreystorecache.RetryDelay(position, failed))*(0.5+g.config.Rand())))
 		}
 	}
 	return nil
@@ -87,20 +107,30 @@
 			return err
 		}
 		g.markStoreReachable()
-		g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Replace(revision, items) })
+		if g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Replace(revision, items) }) {
+			g.config.TriggerGossip()
+		}
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	wait := watchWait
+	if age, ok := g.StoreAge(); ok && age > watchWait {
+		wait = confirmWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	g.mu.Lock()
-	after := g.storeCache.Revision()
-	g.mu.Unlock()
-	revision, items, err := g.config.Store.Watch(ctx, after, watchWait)
+	after := g.StoreRevision()
+	revision, items, err := g.config.Store.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
 	g.markStoreReachable()
-	g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Apply(revision, items) })
+	isNew := g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Apply(revision, items) })
+	if isNew {
+		g.config.ShareStoreChanges(after, revision, items)
+	}
+	if isNew || wait == confirmWait {
+		g.config.TriggerGossip() // The message also holds the store age.
+	}
 	return nil
 }
 
@@ -109,7 +139,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	g.storeCurrentAt, g.storeReachedAt = now, now
+	g.storeCurrentAt, g.cellCurrentAt, g.storeReachedAt = now, now, now
 	g.replicas.PlatformReachable(now)
 }
 
@@ -124,14 +154,13 @@
 }
 
 // mergeItems merges items into the store cache through f, which returns those
-// that were new, and applies them.
-func (g *Gateway) mergeItems(f func() []comfreystorecache.Item) {
+// that were new, and applies them. It reports whether any were new.
+func (g *Gateway) mergeItems(f func() []comfreystorecache.Item) bool {
 	g.mu.Lock()
 	var changes []comfreyreplica.Change
 	now := g.config.Now()
-	hasChanges := false
-	for _, x := range f() {
-		hasChanges = true
+	items := f()
+	for _, x := range items {
 		switch {
 		case g.config.Store.IsConfigurationKey(x.Key):
 			g.applyConfiguration(x)
@@ -141,9 +170,7 @@
 	}
 	g.mu.Unlock()
 	g.handleReplicaChanges(changes)
-	if hasChanges {
-		g.config.TriggerGossip()
-	}
+	return len(items) > 0
 }
 
 // applyConfiguration activates a configuration if it is newer than the active
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -7,16 +7,15 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
@@ -28,6 +27,9 @@
 	// other gateway. With a third of the gateways refused by the store, a change
 	// reaches all of them in about three rounds, within configApplyMs.
 	exchangeInterval = 300 * time.Millisecond
+	// cellExchangeInterval is the same for a fleet of several cells, in which
+	// datagrams carry the changes of the store.
+	cellExchangeInterval = time.Second
 	// exchangeTimeout bounds one exchange, which usually takes a few milliseconds.
 	exchangeTimeout = 700 * time.Millisecond
 	// placementInterval is the interval at which placements are sent without a
@@ -45,14 +47,16 @@
 	// before a lower incarnation of it is accepted. The incarnation is the start
 	// time, so it is lower after a restart if the clock was set back.
 	clockResetDelay = 2 * time.Second
-	// maxPeersPerMessage bounds the gateway addresses in one exchange.
+	// maxPeersPerMessage bounds the gateway addresses in one exchange. Gateways
+	// in the data centre of the receiver come first.
 	maxPeersPerMessage = 64
-	// maxPlacementPeers bounds the gateways that placements are sent to. In a
-	// larger fleet, each gateway sends to those that follow it in the order of
-	// the addresses, so that its cost does not grow with the fleet.
-	maxPlacementPeers = 40
+	// maxRemotePeersPerMessage bounds those in other data centres, in a fleet of
+	// several cells.
+	maxRemotePeersPerMessage = 8
 	// maxPeers bounds the gateways that are retained.
-	maxPeers = 512
+	maxPeers = 2048
+	// layoutInterval is how often the layout of the fleet is computed again.
+	layoutInterval = 100 * time.Millisecond
 )
 
 // Placements are the generations of a gateway, each with its replica.
@@ -68,6 +72,8 @@
 	// host. Both ports are the same on all gateways.
 	Address      string
 	DatagramPort int
+	// DataCentre is where this gateway runs.
+	DataCentre string
 	// Seeds are the addresses of the gateways to contact first.
 	Seeds  []string
 	Group  *comfreygroup.Group
@@ -87,8 +93,16 @@
 	// ApplyPlacements applies the placements of another gateway.
 	ApplyPlacements func(gateway string, s Placements)
 	// ObserveStoreAge records how long ago another gateway's store cache, which
-	// is complete up to a revision, was known to be current.
-	ObserveStoreAge func(complete uint64, age time.Duration)
+	// is complete up to a revision, was known to be current. The gateway is one
+	// of the own cell, or else the age was relayed.
+	ObserveStoreAge func(complete uint64, age time.Duration, isOwnCell bool)
+	// CellStoreAge returns the lowest store age among the gateways of the own
+	// cell, as far as it was received from them directly.
+	CellStoreAge func() (age time.Duration, known bool)
+	// CellState returns the state of the own cell for another cell, and
+	// ApplyCellState applies that of another cell.
+	CellState      func(receiver comfreycell.ID) CellState
+	ApplyCellState func(cell comfreycell.ID, s CellState)
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 }
@@ -109,7 +123,11 @@
 
 // peer is another gateway.
 type peer struct {
+	dataCentre string
+	// lastMessage is when the gateway was last heard of, or added. lastAlive is
+	// when it was last known to be running; zero if it never was.
 	lastMessage     time.Time
+	lastAlive       time.Time
 	incarnation     uint64
 	sequence        uint64
 	client          comfreyproto.Gateways
@@ -130,9 +148,16 @@
 	http        *http.Client
 	socket      *net.UDPConn
 
+	// cellChanged wakes the task that sends the cell's state to other cells.
+	cellChanged chan struct{}
+
 	mu       sync.Mutex
 	sequence uint64
 	peers    map[string]*peer
+	layout   comfreycell.Layout
+	layoutAt time.Time
+	// relays holds the latest state of each relay of another cell.
+	relays map[string]relay
 }
 
 // New returns a Gossip that has not been started.
@@ -145,10 +170,12 @@
 		incarnation: uint64(c.Now().UnixNano()),
 		changed:     make(chan struct{}, 1),
 		newer:       make(chan string, 1),
+		cellChanged: make(chan struct{}, 1),
 		http: &http.Client{Timeout: exchangeTimeout, Transport: &http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
 		}},
-		peers: map[string]*peer{},
+		peers:  map[string]*peer{},
+		relays: map[string]relay{},
 	}
 	g.AddPeers(c.Seeds)
 	return g
@@ -166,6 +193,7 @@
 	}
 	g.config.Group.Go("exchange", g.runExchanges)
 	g.config.Group.Go("announce", g.runPlacements)
+	g.config.Group.Go("cells", g.runCellStates)
 	g.config.Group.Go("listen", g.listen)
 	g.config.Group.Go("catch up", g.catchUp)
 	g.config.Group.Go("socket close", func(ctx context.Context) error {
@@ -178,10 +206,17 @@
 // AddPeers adds gateways by address. It skips this gateway's own address and
 // malformed ones.
 func (g *Gossip) AddPeers(addresses []string) {
+	g.addPeers(addresses, nil)
+}
+
+// addPeers adds gateways with their data centres, as far as these are known.
+func (g *Gossip) addPeers(addresses, dataCentres []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, a := range addresses {
-		g.addPeer(a)
+	for i, a := range addresses {
+		if k := g.addPeer(a); k != nil && len(dataCentres) == len(addresses) && dataCentres[i] != "" {
+			k.dataCentre = dataCentres[i]
+		}
 	}
 }
 
@@ -212,33 +247,54 @@
 	return k
 }
 
-// Peers returns the other gateways that have sent placements, with the time since
-// the last ones.
-func (g *Gossip) Peers() []comfreystorecache.Peer {
+// Layout returns the division of the fleet into cells. It consists of the
+// gateways that have shown to be running; a seed may be out of date.
+func (g *Gossip) Layout() comfreycell.Layout {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.currentLayout()
+}
+
+// currentLayout returns the layout, which it computes again every
+// layoutInterval. The mutex must be held.
+func (g *Gossip) currentLayout() comfreycell.Layout {
 	now := g.config.Now()
-	l := make([]comfreystorecache.Peer, 0, len(g.peers))
+	if !g.layoutAt.IsZero() && now.Sub(g.layoutAt) < layoutInterval {
+		return g.layout
+	}
+	var others []comfreycell.Gateway
 	for a, k := range g.peers {
-		if k.lastDatagram.IsZero() {
-			continue
+		if !k.lastAlive.IsZero() {
+			others = append(others, comfreycell.Gateway{Address: a, DataCentre: k.dataCentre, SilentFor: now.Sub(k.lastAlive)})
 		}
-		l = append(l, comfreystorecache.Peer{Address: a, LastMessageAge: now.Sub(k.lastDatagram)})
 	}
-	return l
+	g.layout, g.layoutAt = comfreycell.New(comfreycell.Gateway{Address: g.config.Address, DataCentre: g.config.DataCentre}, others), now
+	return g.layout
 }
 
-// peerAddresses returns the addresses to send in an exchange: this gateway's own
-// and those of its peers, up to maxPeersPerMessage. The mutex must be held.
-func (g *Gossip) peerAddresses() []string {
-	l := []string{g.config.Address}
-	for a := range g.peers {
-		if len(l) == maxPeersPerMessage {
+// peerAddresses returns the addresses to send in an exchange, with their data
+// centres: this gateway's own and those of its peers that are running, up to
+// maxPeersPerMessage. The mutex must be held.
+func (g *Gossip) peerAddresses(receiverDataCentre string) (addresses, dataCentres []string) {
+	addresses, dataCentres = []string{g.config.Address}, []string{g.config.DataCentre}
+	isLarge := g.currentLayout().FleetSize() > comfreycell.MaxMembers
+	remote := 0
+	for a, k := range g.peers {
+		if k.lastAlive.IsZero() {
+			continue
+		}
+		if isLarge && k.dataCentre != receiverDataCentre {
+			if remote == maxRemotePeersPerMessage {
+				continue
+			}
+			remote++
+		}
+		if len(addresses) == maxPeersPerMessage {
 			break
 		}
-		l = append(l, a)
+		addresses, dataCentres = append(addresses, a), append(dataCentres, k.dataCentre)
 	}
-	return l
+	return addresses, dataCentres
 }
 
 // runExchanges exchanges with one gateway after the other.
@@ -248,7 +304,7 @@
 		for _, a := range l {
 			g.exchange(ctx, a)
 			// Jitter spreads the exchanges of gateways that started together.
-			if !comfreygroup.Sleep(ctx, time.Duration(float64(exchangeInterval)*(0.75+rand.Float64()/2))) {
+			if !comfreygroup.Sleep(ctx, time.Duration(float64(g.exchangeInterval())*(0.75+rand.Float64()/2))) {
 				return nil
 			}
 		}
@@ -259,6 +315,14 @@
 	}
 }
 
+// exchangeInterval returns the mean time between two exchanges.
+func (g *Gossip) exchangeInterval() time.Duration {
+	if g.Layout().FleetSize() > comfreycell.MaxMembers {
+		return cellExchangeInterval
+	}
+	return exchangeInterval
+}
+
 // catchUp exchanges at once with a gateway whose store cache has a higher
 // revision.
 func (g *Gossip) catchUp(ctx context.Context) error {
@@ -272,15 +336,27 @@
 	}
 }
 
-// exchangeTargets returns the gateways to exchange with, in random order. Those
-// that send no placements are asked less often, because each costs a timeout.
+// exchangeTargets returns the gateways to exchange with, in random order: those
+// of the own cell, those that have not shown to be running, and one of another
+// cell. Those that send no placements are asked less often, because each costs a
+// timeout.
 func (g *Gossip) exchangeTargets() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	l := make([]string, 0, len(g.peers))
+	isMember := map[string]bool{}
+	for _, a := range g.currentLayout().Members() {
+		isMember[a] = true
+	}
+	l := make([]string, 0, len(isMember))
+	hasRemote := false
 	for a, k := range g.peers {
-		if now.Sub(k.lastDatagram) < silentPeerInterval || now.Sub(k.lastExchange) >= silentPeerInterval {
+		switch {
+		case !isMember[a] && !k.lastAlive.IsZero():
+			if !hasRemote {
+				l, hasRemote = append(l, a), true
+			}
+		case now.Sub(k.lastDatagram) < silentPeerInterval || now.Sub(k.lastExchange) >= silentPeerInterval:
 			l = append(l, a)
 		}
 	}
@@ -288,15 +364,18 @@
 	return l
 }
 
-// placementTargets returns the gateways that placements are sent to: all of them
-// in a small fleet, otherwise those that follow in the order of the addresses. The
-// mutex must be held.
+// placementTargets returns the gateways that placements are sent to: those of
+// the own cell, and those that have not shown to be running, so that they learn
+// of this one. The mutex must be held.
 func (g *Gossip) placementTargets() []*net.UDPAddr {
-	addresses := slices.Sorted(maps.Keys(g.peers))
-	first, _ := slices.BinarySearch(addresses, g.config.Address)
 	var l []*net.UDPAddr
-	for i := range min(len(addresses), maxPlacementPeers) {
-		l = append(l, g.peers[addresses[(first+i)%len(addresses)]].datagramAddress)
+	for _, a := range g.currentLayout().Members() {
+		l = append(l, g.peers[a].datagramAddress)
+	}
+	for _, k := range g.peers {
+		if k.lastAlive.IsZero() {
+			l = append(l, k.datagramAddress)
+		}
 	}
 	return l
 }
@@ -320,36 +399,37 @@
 func (g *Gossip) exchange(ctx context.Context, address string) {
 	g.mu.Lock()
 	k, ok := g.peers[address]
-	l := g.peerAddresses()
-	if ok {
-		k.lastExchange = g.config.Now()
-	}
-	g.mu.Unlock()
 	if !ok {
+		g.mu.Unlock()
 		return
 	}
+	l, dataCentres := g.peerAddresses(k.dataCentre)
+	k.lastExchange = g.config.Now()
+	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{Address: g.config.Address, Complete: g.config.StoreRevision(), Gateways: l})
-	g.recordExchange(address, k, err)
+	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{
+		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: g.config.StoreRevision(), Gateways: l, DataCentres: dataCentres,
+	})
+	g.recordExchange(address, k, r.GetDataCentre(), err)
 	if err != nil {
 		return
 	}
-	g.AddPeers(r.Gateways)
+	g.addPeers(r.Gateways, r.DataCentres)
 	m := StoreUpdate{Gateway: address, Revision: r.Complete, IsSnapshot: r.Whole, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
 	for _, x := range r.Items {
-		m.Items = append(m.Items, comfreystorecache.Item{Key: x.Key, Revision: x.Revision, Value: x.Value, IsDeleted: x.Deleted})
+		m.Items = append(m.Items, decodeItem(x))
 	}
 	g.config.MergeStore(m)
 }
 
-// recordExchange records whether a gateway is reachable.
-func (g *Gossip) recordExchange(address string, k *peer, err error) {
+// recordExchange records whether a gateway is reachable, and its data centre.
+func (g *Gossip) recordExchange(address string, k *peer, dataCentre string, err error) {
 	g.mu.Lock()
 	wasUnreachable := k.isUnreachable
 	k.isUnreachable = err != nil
 	if err == nil {
-		k.lastMessage = g.config.Now()
+		g.markAlive(k, dataCentre)
 	}
 	g.mu.Unlock()
 	f := logrus.Fields{"event": "dependency", "dependency": "gateway", "address": address}
@@ -363,19 +443,28 @@
 	}
 }
 
+// markAlive records a sign of life of a gateway. The mutex must be held.
+func (g *Gossip) markAlive(k *peer, dataCentre string) {
+	k.lastMessage = g.config.Now()
+	k.lastAlive = k.lastMessage
+	if dataCentre != "" {
+		k.dataCentre = dataCentre
+	}
+}
+
 // Exchange implements comfreyproto.Gateways.
 func (g *Gossip) Exchange(_ context.Context, r *comfreyproto.CopyExchange) (*comfreyproto.CopyExchangeReply, error) {
 	g.mu.Lock()
 	if k := g.addPeer(r.Address); k != nil {
-		k.lastMessage = g.config.Now()
+		g.markAlive(k, r.DataCentre)
 	}
-	l := g.peerAddresses()
+	l, dataCentres := g.peerAddresses(r.DataCentre)
 	g.mu.Unlock()
-	g.AddPeers(r.Gateways)
+	g.addPeers(r.Gateways, r.DataCentres)
 	items, isDelta := g.config.StoreChangesSince(r.Complete)
 	age, known := g.config.DirectStoreAge()
 	p := &comfreyproto.CopyExchangeReply{
-		Complete: g.config.StoreRevision(), Whole: !isDelta, Gateways: l,
+		Complete: g.config.StoreRevision(), Whole: !isDelta, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres,
 		ContactAgeMillis: uint64(max(age, 0).Milliseconds()), ContactKnown: known,
 	}
 	for _, x := range items {
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreygossip"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
@@ -30,14 +31,22 @@
 	cache       *comfreystorecache.Cache
 	generations []comfreyoccupancy.Generation
 	placements  map[string]comfreygossip.Placements
+	cells       map[comfreycell.ID]comfreygossip.CellState
+	// relayedRevision is the highest revision whose age came from another cell.
+	relayedRevision uint64
 }
 
 // startNode starts a node on a loopback address of its own, so that all nodes
 // can use the same ports.
 func startNode(t *testing.T, i int, seeds ...string) *node {
+	return startNodeIn(t, "north", i, seeds...)
+}
+
+// startNodeIn is startNode in a data centre.
+func startNodeIn(t *testing.T, dataCentre string, i int, seeds ...string) *node {
 	t.Helper()
 	ip := fmt.Sprintf("127.0.7.%d", i)
-	n := &node{cache: comfreystorecache.New(), placements: map[string]comfreygossip.Placements{}}
+	n := &node{cache: comfreystorecache.New(), placements: map[string]comfreygossip.Placements{}, cells: map[comfreycell.ID]comfreygossip.CellState{}}
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Skipf("loopback has no address %s: %v", ip, err)
@@ -47,7 +56,7 @@
 	logger.SetOutput(io.Discard)
 	group := comfreygroup.New(t.Context())
 	n.gossip = comfreygossip.New(comfreygossip.Config{
-		Address: n.address, DatagramPort: 17201, Seeds: seeds, Group: group, Logger: logger,
+		Address: n.address, DatagramPort: 17201, DataCentre: dataCentre, Seeds: seeds, Group: group, Logger: logger,
 		StoreRevision: func() uint64 { return locked(n, n.cache.Revision) },
 		StoreChangesSince: func(r uint64) ([]comfreystorecache.Item, bool) {
 			n.mu.Lock()
@@ -74,7 +83,27 @@
 			defer n.mu.Unlock()
 			n.placements[g] = s
 		},
-		ObserveStoreAge: func(uint64, time.Duration) {},
+		ObserveStoreAge: func(r uint64, _ time.Duration, isOwnCell bool) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if !isOwnCell {
+				n.relayedRevision = max(n.relayedRevision, r)
+			}
+		},
+		CellStoreAge: func() (time.Duration, bool) { return 0, true },
+		CellState: func(receiver comfreycell.ID) comfreygossip.CellState {
+			s := comfreygossip.CellState{Loads: map[string]comfreyoccupancy.Load{}, Leaving: []string{"old"}}
+			for i := range 40 { // More than fit into one datagram.
+				s.Loads[fmt.Sprint(dataCentre, i)] = comfreyoccupancy.Load{Running: 1 + i, CapacityTokens: 30_000}
+				s.Generations = append(s.Generations, comfreyoccupancy.Generation{ID: fmt.Sprint(dataCentre, " ", i), Replica: string(receiver)})
+			}
+			return s
+		},
+		ApplyCellState: func(c comfreycell.ID, s comfreygossip.CellState) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.cells[c] = s
+		},
 	})
 	if err := n.gossip.Start(); err != nil {
 		t.Skipf("no datagrams on %s: %v", ip, err)
@@ -133,5 +162,50 @@
 	for _, n := range []*node{b, c} {
 		await(t, "the store change reaches the other gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
 	}
-	await(t, "a knows both other gateways", func() bool { return len(a.gossip.Peers()) == 2 })
+	await(t, "a knows both other gateways", func() bool { return len(a.gossip.Layout().LiveMembers()) == 2 })
+}
+
+// TestStateReachesOtherCells checks that a fleet which is too large for one cell
+// divides itself by data centre, that each gateway receives the states of the
+// other cells, and that a change which one gateway received from the store
+// reaches all of them.
+func TestStateReachesOtherCells(t *testing.T) {
+	const gateways = comfreycell.MaxMembers + 5
+	dataCentres := []string{"north", "south", "west"}
+	seed := startNodeIn(t, "north", 20)
+	nodes := []*node{seed}
+	for i := 1; i < gateways; i++ {
+		nodes = append(nodes, startNodeIn(t, dataCentres[i%3], 20+i, seed.address))
+	}
+	for i, n := range nodes {
+		await(t, "the gateways of a data centre form a cell", func() bool {
+			l := n.gossip.Layout()
+			return l.Own() == comfreycell.ID(dataCentres[i%3]) && len(l.LiveMembers()) == gateways/3-1
+		})
+	}
+	for i, n := range nodes {
+		for _, c := range dataCentres {
+			if c == dataCentres[i%3] {
+				continue
+			}
+			await(t, "the state of another cell arrives", func() bool { return locked(n, func() bool { return len(n.cells[comfreycell.ID(c)].Loads) > 0 }) })
+			s := locked(n, func() comfreygossip.CellState { return n.cells[comfreycell.ID(c)] })
+			if len(s.Loads) != 40 || s.Loads[c+"7"].Running != 8 || len(s.Generations) != 40 || s.Generations[0].Replica != dataCentres[i%3] || !slices.Equal(s.Leaving, []string{"old"}) {
+				t.Fatalf("state of %s at a gateway of %s: got %+v", c, dataCentres[i%3], s)
+			}
+		}
+	}
+	items := []comfreystorecache.Item{{Key: "k", Revision: 9, Value: []byte("v")}}
+	locked(seed, func() bool { seed.cache.Apply(9, items); return true })
+	seed.gossip.ShareStoreChanges(0, 9, items)
+	for _, n := range nodes {
+		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
+	}
+	for _, n := range nodes[1:] {
+		if n.gossip.Layout().Own() != "north" {
+			await(t, "the age of the new revision reaches the other cells", func() bool {
+				return locked(n, func() uint64 { return n.relayedRevision }) == 9
+			})
+		}
+	}
 }
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -59,17 +60,22 @@
 	to := g.placementTargets()
 	g.mu.Unlock()
 	for _, d := range datagrams(s) {
-		d.Address, d.Incarnation, d.Sequence = g.config.Address, g.incarnation, sequence
+		d.Address, d.DataCentre, d.Incarnation, d.Sequence = g.config.Address, g.config.DataCentre, g.incarnation, sequence
 		d.Complete, d.ContactKnown, d.ContactAgeMillis = revision, known, uint64(max(age, 0).Milliseconds())
-		b, err := proto.Marshal(d)
-		if err != nil {
-			g.config.Logger.WithError(err).Warning("cannot encode placements")
-			return
-		}
-		for _, a := range to {
-			// No retry: if a datagram is lost, the next one replaces it.
-			_, _ = g.socket.WriteToUDP(b, a)
-		}
+		g.send(d, to...)
+	}
+}
+
+// send sends a datagram. It is not repeated: if it is lost, the next one replaces
+// it.
+func (g *Gossip) send(d *comfreyproto.PlacementDatagram, to ...*net.UDPAddr) {
+	b, err := proto.Marshal(d)
+	if err != nil {
+		g.config.Logger.WithError(err).Warning("cannot encode a datagram")
+		return
+	}
+	for _, a := range to {
+		_, _ = g.socket.WriteToUDP(b, a)
 	}
 }
 
@@ -79,12 +85,7 @@
 	var l []*comfreyproto.PlacementDatagram
 	for p := range parts {
 		d := &comfreyproto.PlacementDatagram{Part: uint32(p), Parts: uint32(parts)}
-		for _, r := range s.Generations[p*maxGenerations : min((p+1)*maxGenerations, len(s.Generations))] {
-			d.Runs = append(d.Runs, &comfreyproto.PlacedRun{
-				Id: r.ID, Replica: r.Replica, PromptTokens: uint32(r.PromptTokens), GrownTokens: uint32(r.GeneratedTokens),
-				RemainingTokens: uint32(max(r.RemainingTokens, 0)), Begun: r.IsDecoding, Copying: r.IsCopying,
-			})
-		}
+		d.Runs = encodeGenerations(s.Generations[p*maxGenerations : min((p+1)*maxGenerations, len(s.Generations))])
 		if p == 0 {
 			d.Leaving = s.Leaving
 		}
@@ -93,7 +94,29 @@
 	return l
 }
 
-// listen receives the placements of other gateways.
+func encodeGenerations(l []comfreyoccupancy.Generation) []*comfreyproto.PlacedRun {
+	var runs []*comfreyproto.PlacedRun
+	for _, r := range l {
+		runs = append(runs, &comfreyproto.PlacedRun{
+			Id: r.ID, Replica: r.Replica, PromptTokens: uint32(r.PromptTokens), GrownTokens: uint32(r.GeneratedTokens),
+			RemainingTokens: uint32(max(r.RemainingTokens, 0)), Begun: r.IsDecoding, Copying: r.IsCopying,
+		})
+	}
+	return runs
+}
+
+func decodeGenerations(runs []*comfreyproto.PlacedRun) []comfreyoccupancy.Generation {
+	var l []comfreyoccupancy.Generation
+	for _, r := range runs {
+		l = append(l, comfreyoccupancy.Generation{
+			ID: r.Id, Replica: r.Replica, PromptTokens: int(r.PromptTokens), GeneratedTokens: int(r.GrownTokens),
+			RemainingTokens: float64(r.RemainingTokens), IsDecoding: r.Begun, IsCopying: r.Copying,
+		})
+	}
+	return l
+}
+
+// listen receives the datagrams of other gateways.
 func (g *Gossip) listen(ctx context.Context) error {
 	b := make([]byte, maxDatagram)
 	partial := map[string]*assembly{}
@@ -112,18 +135,40 @@
 		}
 		var d comfreyproto.PlacementDatagram
 		if err := proto.Unmarshal(b[:n], &d); err != nil {
-			g.config.Logger.WithError(err).Debug("cannot decode placement datagram")
+			g.config.Logger.WithError(err).Debug("cannot decode a datagram")
 			continue
 		}
-		g.receive(partial, &d)
+		switch {
+		case d.Cell != nil:
+			g.receiveCellState(partial, d.Cell)
+		case d.Store != nil:
+			g.receiveStoreChanges(d.Store)
+		default:
+			g.receive(partial, &d)
+		}
 	}
 }
 
-// assembly collects the parts of one gateway's placements.
+// assembly collects the parts of one sender's state.
 type assembly struct {
-	sequence   uint64
-	parts      map[uint32]bool
+	sequence uint64
+	parts    map[uint32]bool
+	// placements are those of a gateway, or else cell is the state of a cell.
 	placements Placements
+	cell       CellState
+}
+
+// assemble returns the assembly to which a part belongs, and whether the part is
+// new. A later sequence replaces an incomplete one.
+func assemble(partial map[string]*assembly, sender string, sequence uint64, part uint32) (*assembly, bool) {
+	a := partial[sender]
+	if a == nil || a.sequence != sequence {
+		a = &assembly{sequence: sequence, parts: map[uint32]bool{}}
+		partial[sender] = a
+	}
+	isNew := !a.parts[part]
+	a.parts[part] = true
+	return a, isNew
 }
 
 // receive adds one datagram to its assembly, and applies the placements once all
@@ -132,21 +177,11 @@
 	if !g.isNew(d) {
 		return
 	}
-	a := partial[d.Address]
-	if a == nil || a.sequence != d.Sequence {
-		a = &assembly{sequence: d.Sequence, parts: map[uint32]bool{}}
-		partial[d.Address] = a
-	}
-	if a.parts[d.Part] {
+	a, isNew := assemble(partial, d.Address, d.Sequence, d.Part)
+	if !isNew {
 		return
 	}
-	a.parts[d.Part] = true
-	for _, r := range d.Runs {
-		a.placements.Generations = append(a.placements.Generations, comfreyoccupancy.Generation{
-			ID: r.Id, Replica: r.Replica, PromptTokens: int(r.PromptTokens), GeneratedTokens: int(r.GrownTokens),
-			RemainingTokens: float64(r.RemainingTokens), IsDecoding: r.Begun, IsCopying: r.Copying,
-		})
-	}
+	a.placements.Generations = append(a.placements.Generations, decodeGenerations(d.Runs)...)
 	a.placements.Leaving = append(a.placements.Leaving, d.Leaving...)
 	if len(a.parts) < int(d.Parts) {
 		return
@@ -157,21 +192,22 @@
 		k.sequence, k.lastDatagram = d.Sequence, g.config.Now()
 	}
 	g.mu.Unlock()
-	g.compareStores(d)
+	if d.ContactKnown {
+		g.config.ObserveStoreAge(d.Complete, time.Duration(d.ContactAgeMillis)*time.Millisecond, true)
+	}
+	g.requestIfNewer(d.Address, d.Complete)
 	g.config.ApplyPlacements(d.Address, a.placements)
 }
 
-// compareStores compares the sender's store cache with this gateway's, and
-// requests an exchange if the sender's revision is higher.
-func (g *Gossip) compareStores(d *comfreyproto.PlacementDatagram) {
-	if d.ContactKnown {
-		g.config.ObserveStoreAge(d.Complete, time.Duration(d.ContactAgeMillis)*time.Millisecond)
+// requestIfNewer requests an exchange with a gateway whose store cache is
+// complete up to a higher revision than this one's.
+func (g *Gossip) requestIfNewer(address string, revision uint64) {
+	if revision <= g.config.StoreRevision() {
+		return
 	}
-	if d.Complete > g.config.StoreRevision() {
-		select {
-		case g.newer <- d.Address:
-		default:
-		}
+	select {
+	case g.newer <- address:
+	default:
 	}
 }
 
@@ -195,6 +231,6 @@
 	default:
 		k.incarnation, k.sequence = d.Incarnation, 0
 	}
-	k.lastMessage = now
+	g.markAlive(k, d.DataCentre)
 	return true
 }
--- a/comfreyoccupancy/estimator.go
+++ b/comfreyoccupancy/estimator.go
@@ -24,6 +24,10 @@
 	// peerRetention is how long a peer's generations are counted after its last
 	// message; peers send four a second.
 	peerRetention = 1500 * time.Millisecond
+	// summaryLag is how long a placement may take to be counted in the load that
+	// another cell reports: it travels to that cell and back with the cells'
+	// states, which are sent every 250 ms.
+	summaryLag = 600 * time.Millisecond
 	// refusalPeriod is how long a replica that refused a request counts as full:
 	// about the time until one of half a dozen generations frees its KV cache.
 	refusalPeriod = 150 * time.Millisecond
@@ -44,6 +48,9 @@
 	IsDecoding bool
 	// IsCopying means that the KV cache is being copied to the replica.
 	IsCopying bool
+	// KnownSince is when the estimator first counted the generation at its
+	// replica. It is set by the estimator.
+	KnownSince time.Time
 }
 
 // Tokens returns the size of the generation's KV cache.
@@ -86,6 +93,29 @@
 	receivedAt  time.Time
 }
 
+// addTo adds the generations to those at each replica.
+func (p peer) addTo(m map[string][]*Generation) {
+	for _, r := range p.generations {
+		m[r.Replica] = append(m[r.Replica], r)
+	}
+}
+
+// Cell is the state of another cell of gateways.
+type Cell struct {
+	// Loads are the loads that the cell's gateways estimate for some of the
+	// replicas that they use.
+	Loads map[string]Load
+	// Generations are those that the cell's gateways have sent to replicas of
+	// this gateway's cell.
+	Generations []Generation
+}
+
+// cell holds the state of another cell, as of its last message.
+type cell struct {
+	loads map[string]Load
+	peer
+}
+
 // Estimator combines the load reports of the replicas with the generations of
 // this gateway and its peers. A generation that appears in a load report only
 // (one that no known gateway sent) is counted at its reported size plus the
@@ -98,6 +128,7 @@
 	finished        map[string]time.Time
 	refusals        map[string]time.Time
 	peers           map[string]peer
+	cells           map[string]cell
 	// tokensPerEvent converts the event counts of load reports to tokens.
 	tokensPerEvent int
 }
@@ -123,7 +154,7 @@
 	}
 	return &Estimator{
 		remainingTokens: c.RemainingTokens, tokensPerEvent: c.TokensPerEvent,
-		reports: map[string]report{}, generations: map[string]*Generation{}, finished: map[string]time.Time{}, refusals: map[string]time.Time{}, peers: map[string]peer{},
+		reports: map[string]report{}, generations: map[string]*Generation{}, finished: map[string]time.Time{}, refusals: map[string]time.Time{}, peers: map[string]peer{}, cells: map[string]cell{},
 	}
 }
 
@@ -134,8 +165,9 @@
 
 // Start adds a generation that is sent to a replica, or replaces one that
 // continues at another replica.
-func (e *Estimator) Start(g Generation) {
+func (e *Estimator) Start(now time.Time, g Generation) {
 	delete(e.finished, g.ID)
+	g.KnownSince = now
 	e.generations[g.ID] = &g
 }
 
@@ -165,16 +197,32 @@
 // SetPeer replaces the generations of another gateway. Those that are no
 // longer among them count as finished.
 func (e *Estimator) SetPeer(now time.Time, gateway string, generations []Generation) {
+	e.peers[gateway] = e.updatePeer(now, e.peers[gateway], generations)
+}
+
+// SetCell replaces the state of another cell. Generations that are no longer
+// part of it count as finished.
+func (e *Estimator) SetCell(now time.Time, name string, c Cell) {
+	e.cells[name] = cell{loads: c.Loads, peer: e.updatePeer(now, e.cells[name].peer, c.Generations)}
+}
+
+// updatePeer returns a peer with new generations. Those that are no longer among
+// them count as finished.
+func (e *Estimator) updatePeer(now time.Time, old peer, generations []Generation) peer {
 	p := peer{generations: make(map[string]*Generation, len(generations)), receivedAt: now}
 	for _, r := range generations {
+		r.KnownSince = now
+		if o, ok := old.generations[r.ID]; ok && o.Replica == r.Replica {
+			r.KnownSince = o.KnownSince
+		}
 		p.generations[r.ID] = &r
 	}
-	for id := range e.peers[gateway].generations {
+	for id := range old.generations {
 		if _, ok := p.generations[id]; !ok {
 			e.finished[id] = now
 		}
 	}
-	e.peers[gateway] = p
+	return p
 }
 
 // Generations returns the generations of this gateway, in no order.
@@ -186,7 +234,19 @@
 	return l
 }
 
-// Expire drops reports, peers, refusals and finished generations whose
+// CellGenerations returns the generations of this gateway and its peers, but not
+// those of other cells, in no order.
+func (e *Estimator) CellGenerations() []Generation {
+	l := e.Generations()
+	for _, p := range e.peers {
+		for _, r := range p.generations {
+			l = append(l, *r)
+		}
+	}
+	return l
+}
+
+// Expire drops reports, peers, cells, refusals and finished generations whose
 // retention has passed. The caller calls it about once a second.
 func (e *Estimator) Expire(now time.Time) {
 	for id, t := range e.finished {
@@ -209,6 +269,11 @@
 			delete(e.peers, a)
 		}
 	}
+	for a, c := range e.cells {
+		if now.Sub(c.receivedAt) > peerRetention {
+			delete(e.cells, a)
+		}
+	}
 }
 
 // Loads returns a function that estimates the load of a replica. The function
@@ -218,6 +283,37 @@
 	return func(replica string) Load { return e.load(now, replica, generations[replica]) }
 }
 
+// SummarizedLoads returns a function that estimates the load of a replica from
+// what another cell reports: the reported load, and the generations of this cell
+// that are too new to be counted in it. It reports false for a replica of which
+// no cell has reported the load lately. The function is valid until the
+// estimator is next changed.
+func (e *Estimator) SummarizedLoads(now time.Time) func(replica string) (Load, bool) {
+	generations := e.byReplica()
+	return func(replica string) (Load, bool) {
+		var l Load
+		var at time.Time
+		for _, c := range e.cells {
+			if s, ok := c.loads[replica]; ok && c.receivedAt.After(at) {
+				l, at = s, c.receivedAt
+			}
+		}
+		if now.Sub(at) > peerRetention {
+			return Load{}, false
+		}
+		l.Age = now.Sub(at)
+		for _, r := range generations[replica] {
+			if r.KnownSince.After(at.Add(-summaryLag)) {
+				l.add(*r)
+			}
+		}
+		if t, ok := e.refusals[replica]; ok {
+			l.IsRefusing = now.Sub(t) < refusalPeriod
+		}
+		return l, true
+	}
+}
+
 // byReplica returns the generations of all gateways at each replica.
 func (e *Estimator) byReplica() map[string][]*Generation {
 	m := map[string][]*Generation{}
@@ -225,9 +321,10 @@
 		m[r.Replica] = append(m[r.Replica], r)
 	}
 	for _, p := range e.peers {
-		for _, r := range p.generations {
-			m[r.Replica] = append(m[r.Replica], r)
-		}
+		p.addTo(m)
+	}
+	for _, c := range e.cells {
+		c.addTo(m)
 	}
 	return m
 }
@@ -304,6 +401,11 @@
 			return true
 		}
 	}
+	for _, c := range e.cells {
+		if _, ok := c.generations[id]; ok {
+			return true
+		}
+	}
 	_, ok := e.finished[id]
 	return ok
 }
--- a/comfreyoccupancy/estimator_test.go
+++ b/comfreyoccupancy/estimator_test.go
@@ -13,8 +13,8 @@
 
 func TestGenerationsAreCountedOnce(t *testing.T) {
 	e := comfreyoccupancy.NewEstimator(comfreyoccupancy.Config{RemainingTokens: func(int) float64 { return 500 }})
-	e.Start(comfreyoccupancy.Generation{ID: "own", Replica: "a", PromptTokens: 3000, GeneratedTokens: 400, IsDecoding: true})
-	e.Start(comfreyoccupancy.Generation{ID: "being read", Replica: "a", PromptTokens: 2000})
+	e.Start(start, comfreyoccupancy.Generation{ID: "own", Replica: "a", PromptTokens: 3000, GeneratedTokens: 400, IsDecoding: true})
+	e.Start(start, comfreyoccupancy.Generation{ID: "being read", Replica: "a", PromptTokens: 2000})
 	e.SetPeer(start, "other gateway", []comfreyoccupancy.Generation{{ID: "peer", Replica: "a", PromptTokens: 1000, IsDecoding: true}})
 	e.SetReport(start, "a", comfreyreplica.Report{
 		UsedTokens: 6400 + 700, CapacityTokens: 34371, // 700 tokens belong to unknown generations.
@@ -28,7 +28,7 @@
 
 func TestDelayedReportDoesNotCountFinishedGenerations(t *testing.T) {
 	e := comfreyoccupancy.NewEstimator(comfreyoccupancy.Config{RemainingTokens: func(int) float64 { return 500 }})
-	e.Start(comfreyoccupancy.Generation{ID: "own", Replica: "a", PromptTokens: 3000})
+	e.Start(start, comfreyoccupancy.Generation{ID: "own", Replica: "a", PromptTokens: 3000})
 	e.SetPeer(start, "g", []comfreyoccupancy.Generation{{ID: "peer", Replica: "a", PromptTokens: 1000}})
 	e.Finish(start, "own")
 	e.SetPeer(start, "g", nil)
@@ -79,3 +79,43 @@
 		}
 	}
 }
+
+// TestSummarizedLoadCountsNewPlacements checks that the load which another cell
+// reports for a replica includes this cell's placements there that are too new
+// for the report, and no others.
+func TestSummarizedLoadCountsNewPlacements(t *testing.T) {
+	e := comfreyoccupancy.NewEstimator(comfreyoccupancy.Config{})
+	if _, ok := e.SummarizedLoads(start)("a"); ok {
+		t.Error("there is a load of a replica that no cell has reported")
+	}
+	e.Start(start, comfreyoccupancy.Generation{ID: "old", Replica: "a", PromptTokens: 1000})
+	now := start.Add(2 * time.Second)
+	e.SetPeer(now, "g", []comfreyoccupancy.Generation{{ID: "peer", Replica: "a", PromptTokens: 300}})
+	e.SetCell(now, "south", comfreyoccupancy.Cell{Loads: map[string]comfreyoccupancy.Load{"a": {Running: 4, UsedTokens: 9000, CapacityTokens: 30_000}}})
+	e.Start(now, comfreyoccupancy.Generation{ID: "new", Replica: "a", PromptTokens: 2000})
+	l, ok := e.SummarizedLoads(now)("a")
+	if !ok || l.Running != 6 || l.UsedTokens != 11_300 || l.PendingPrefillTokens != 2300 || l.CapacityTokens != 30_000 {
+		t.Errorf("got %+v, want the reported load and two new generations", l)
+	}
+	if _, ok := e.SummarizedLoads(now.Add(2 * time.Second))("a"); ok {
+		t.Error("the load of a cell that has fallen silent is still used")
+	}
+}
+
+// TestGenerationsOfOtherCellsAreCounted checks that the generations which
+// another cell has sent to a replica of this one count there once.
+func TestGenerationsOfOtherCellsAreCounted(t *testing.T) {
+	e := comfreyoccupancy.NewEstimator(comfreyoccupancy.Config{RemainingTokens: func(int) float64 { return 500 }})
+	e.SetCell(start, "south", comfreyoccupancy.Cell{Generations: []comfreyoccupancy.Generation{{ID: "spilled", Replica: "a", PromptTokens: 3000, IsDecoding: true}}})
+	e.SetReport(start, "a", comfreyreplica.Report{UsedTokens: 3000, Generations: []comfreyreplica.Generation{{ID: "spilled", Tokens: 3000}}})
+	if l := e.Loads(start)("a"); l.Running != 1 || l.UsedTokens != 3000 {
+		t.Errorf("got %+v, want one generation of 3000 tokens", l)
+	}
+	if n := len(e.CellGenerations()); n != 0 {
+		t.Errorf("%d generations of another cell would be sent to other cells", n)
+	}
+	e.SetCell(start.Add(time.Second), "south", comfreyoccupancy.Cell{})
+	if l := e.Loads(start.Add(time.Second))("a"); l.Running != 0 {
+		t.Errorf("after its end: got %+v, want no load", l)
+	}
+}
--- a/comfreysidecar/quarantine.go
+++ b/comfreysidecar/quarantine.go
@@ -240,6 +240,7 @@
 	r, err := s.peers.Sidecar(address).Witness(ctx, &comfreyproto.WitnessRequest{Event: e, Fingerprint: f[:], Host: s.config.Host, Crashes: s.quarantine.gossipBatch()})
 	if err != nil {
 		s.metrics.witnessFailures.Inc()
+		s.recorder.Record("", comfreydecision.KindSuspect, comfreyverdict.ReasonConnectionLost, map[string]any{"fingerprint": f, "witness": host, "event-kind": e.String(), "error": err.Error()})
 		return comfreyquarantine.DecisionAllow
 	}
 	s.quarantine.merge(r.Crashes)
--- a/comfreystorecache/cache.go
+++ b/comfreystorecache/cache.go
@@ -59,7 +59,7 @@
 		}
 	}
 	c.revision = max(c.revision, revision)
-	slices.SortFunc(applied, byRevision)
+	slices.SortFunc(applied, CompareRevision)
 	c.compact()
 	return applied
 }
@@ -95,7 +95,7 @@
 			items = append(items, x)
 		}
 	}
-	slices.SortFunc(items, byRevision)
+	slices.SortFunc(items, CompareRevision)
 	return items, isComplete
 }
 
@@ -130,7 +130,7 @@
 			d = append(d, x)
 		}
 	}
-	slices.SortFunc(d, byRevision)
+	slices.SortFunc(d, CompareRevision)
 	for _, x := range d[:len(d)-maxTombstones/2] {
 		delete(c.items, x.Key)
 		c.compactedRevision = max(c.compactedRevision, x.Revision)
@@ -138,6 +138,7 @@
 	}
 }
 
-func byRevision(a, b Item) int {
+// CompareRevision compares two items by revision for sorting.
+func CompareRevision(a, b Item) int {
 	return cmp.Compare(a.Revision, b.Revision)
 }
--- a/comfreystorecache/watch_test.go
+++ b/comfreystorecache/watch_test.go
@@ -8,31 +8,49 @@
 )
 
 func TestShouldWatch(t *testing.T) {
-	recent := func(addresses ...string) []comfreystorecache.Peer {
-		var l []comfreystorecache.Peer
-		for _, a := range addresses {
-			l = append(l, comfreystorecache.Peer{Address: a})
-		}
-		return l
-	}
-	silent := []comfreystorecache.Peer{{Address: "a", LastMessageAge: time.Second}, {Address: "b", LastMessageAge: time.Second}}
 	for name, c := range map[string]struct {
-		peers    []comfreystorecache.Peer
-		storeAge time.Duration
-		isSynced bool
-		want     bool
+		inFleet, inCell int
+		storeAge        time.Duration
+		isSynced        bool
+		want            bool
 	}{
-		"alone":                     {nil, 0, true, true},
-		"one lower address":         {recent("a"), 0, true, true},
-		"two lower addresses":       {recent("a", "b", "z"), 0, true, false},
-		"no messages from watchers": {silent, 0, true, true},
-		"cache above maximum age":   {recent("a", "b"), 1200 * time.Millisecond, true, true},
-		"store was never read":      {recent("a", "b"), 0, false, true},
-		"higher addresses only":     {recent("x", "y", "z"), 0, true, true},
-		"cache within maximum age":  {recent("a", "b"), 900 * time.Millisecond, true, false},
+		"alone":                           {0, 0, 0, true, true},
+		"one gateway before":              {1, 1, 0, true, true},
+		"two gateways before":             {2, 2, 0, true, false},
+		"first of its cell":               {2, 0, 0, true, false},
+		"cache within maximum age":        {2, 2, 900 * time.Millisecond, true, false},
+		"first of its cell, cache is old": {9, 0, 1200 * time.Millisecond, true, true},
+		"third of its cell, cache is old": {9, 2, 1200 * time.Millisecond, true, false},
+		"third of its cell, older cache":  {9, 2, 1400 * time.Millisecond, true, true},
+		"last of its cell, older cache":   {90, 39, 1800 * time.Millisecond, true, false},
+		"last of its cell, very old":      {90, 39, 3200 * time.Millisecond, true, true},
+		"store was never read":            {90, 39, 0, false, true},
 	} {
-		if got := comfreystorecache.ShouldWatch("m", c.peers, c.storeAge, c.isSynced); got != c.want {
+		p := comfreystorecache.Position{InFleet: c.inFleet, InCell: c.inCell}
+		if got := comfreystorecache.ShouldWatch(p, c.storeAge, c.isSynced); got != c.want {
 			t.Errorf("%s: ShouldWatch() = %v", name, got)
 		}
 	}
 }
+
+// TestOutageCalls replays an outage of 9 s for a cell of 21 gateways. A fleet of
+// five such cells must stay within 600 calls a day.
+func TestOutageCalls(t *testing.T) {
+	const outage, step = 9 * time.Second, 10 * time.Millisecond
+	calls := 0
+	var next [21]time.Duration
+	var failed [21]int
+	for now := time.Duration(0); now < outage; now += step {
+		for i := range next {
+			p := comfreystorecache.Position{InFleet: 9 + i, InCell: i}
+			if now >= next[i] && comfreystorecache.ShouldWatch(p, now, true) {
+				calls++
+				failed[i]++
+				next[i] = now + comfreystorecache.RetryDelay(p, failed[i])
+			}
+		}
+	}
+	if calls < 21 || calls > 120 {
+		t.Errorf("%d calls, want 21 to 120: each gateway calls, the first of a cell most often", calls)
+	}
+}
