First copies of a leaving replica's generations come before second ones

Four generations were lost although their gateways knew in time: their first copies waited behind second copies and stops of generations that had been copied, some for 1.3 s.

A gateway now makes the first copies of all its generations before anything waits for the calls that complete a move, and copies a second time only if the first copy lacks more tokens than an engine prefills in one step (comfreyplacement.Refresh).

Before: TestCopiesOfOthersDoNotWaitForCompletedMoves, last copy after 3.1 s, want less than 1.2 s; passes now.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -15,8 +15,9 @@
 	comfreycall.Continuation
 	// completedAt is when the latest copy was complete.
 	completedAt time.Time
-	// copyTime is how long the first copy took.
-	copyTime time.Duration
+	// generatedTokens is how many output tokens there were when the first copy
+	// began.
+	generatedTokens int
 }
 
 // generation is one caller's stream while it is executed. The mutex of the
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -16,19 +16,12 @@
 )
 
 const (
-	// minRefreshTime is how much time must remain until the source ends for a
-	// second copy to be made.
-	minRefreshTime = 400 * time.Millisecond
 	// stopTimeout bounds the call that stops a generation at its source.
 	stopTimeout = 1500 * time.Millisecond
 	// copyRetryDelay is the delay before the copy of a generation is retried,
 	// if the generation had not started or the destinations lacked free
 	// capacity.
 	copyRetryDelay = 100 * time.Millisecond
-	// refreshThreshold is how long a first copy may take before the tokens
-	// generated meanwhile are copied too, rather than prefilled by the
-	// destination.
-	refreshThreshold = 200 * time.Millisecond
 	// maxDestinations bounds the destinations that are tried for one
 	// generation.
 	maxDestinations = 4
@@ -36,18 +29,31 @@
 	releaseTimeout = time.Second
 )
 
-// moveAway moves this gateway's generations away from a leaving replica, one
-// after the other: the link of the replica transfers one copy at a time anyway,
-// and a generation that has moved needs no further copies. It reports whether
-// there are any to move.
+// moveAway moves this gateway's generations away from a leaving replica. Their
+// first copies are made one after the other: the link of the replica transfers
+// one copy at a time anyway, and a generation that has moved needs no further
+// copies. It reports whether there are any to move.
 func (g *Gateway) moveAway(r comfreyreplica.Replica) bool {
 	l := g.claimMovable(r.ID)
 	if len(l) == 0 {
 		return false
 	}
 	g.config.Group.Go("move", func(ctx context.Context) error {
-		for _, n := range l {
-			g.move(ctx, n, r)
+		for i, n := range l {
+			first, ok := g.beginMove(ctx, n, r)
+			if !ok {
+				continue
+			}
+			if i == len(l)-1 {
+				g.completeMove(ctx, n, r, first, false)
+				break
+			}
+			// The first copies of the others must not wait for the calls that
+			// complete this move.
+			g.config.Group.Go("move", func(ctx context.Context) error {
+				g.completeMove(ctx, n, r, first, true)
+				return nil
+			})
 		}
 		// Retries generations that could not move yet, and moves those that
 		// were resumed here meanwhile.
@@ -107,30 +113,50 @@
 	return l
 }
 
-// move moves one generation. Its KV cache is copied while it continues, and
-// copied again if that took long. Then the generation is stopped at the source
-// and resumed from the copy; the destination prefills the few tokens that the
-// copy lacks. Waiting for a copy of the last tokens would take longer, because
-// that copy queues behind those of other generations.
+// move moves one generation.
 func (g *Gateway) move(ctx context.Context, n *generation, r comfreyreplica.Replica) {
-	defer g.finishMove(n)
+	if first, ok := g.beginMove(ctx, n, r); ok {
+		g.completeMove(ctx, n, r, first, false)
+	}
+}
+
+// beginMove copies the KV cache of a generation, which continues. From then on,
+// the generation can be resumed from the copy. If it reports false, the move has
+// ended.
+func (g *Gateway) beginMove(ctx context.Context, n *generation, r comfreyreplica.Replica) (*continuation, bool) {
 	first := g.copyToDestination(ctx, n, r)
 	if first == nil {
-		return
+		g.finishMove(n)
+		return nil, false
 	}
 	g.mu.Lock()
 	if n.hasEnded {
 		g.mu.Unlock()
 		g.releaseCopy(first)
-		return
+		g.finishMove(n)
+		return nil, false
 	}
 	n.continuation = first
 	g.trackCopy(n, first.destination.ID, false)
+	g.mu.Unlock()
+	return first, true
+}
+
+// completeMove stops a generation at the source, so that it is resumed from its
+// copy; the destination prefills the tokens that the copy lacks. If these are
+// many, they are copied first. Waiting for a copy of the last tokens would take
+// longer, because that copy queues behind those of other generations.
+// hasWaiting means that other generations of this gateway still wait for their
+// first copy.
+func (g *Gateway) completeMove(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation, hasWaiting bool) {
+	defer g.finishMove(n)
+	g.mu.Lock()
 	if k, ok := g.replicas.Get(r.ID); ok && k.State == comfreyreplica.StateLeaving {
 		r = k // Its end may be known more exactly by now.
 	}
+	refresh := comfreyplacement.Refresh{MissingTokens: n.generatedTokens() - first.generatedTokens, TimeLeft: r.EndsAt.Sub(g.config.Now()), HasWaiting: hasWaiting}
 	g.mu.Unlock()
-	if first.copyTime > refreshThreshold && r.EndsAt.Sub(g.config.Now()) > minRefreshTime {
+	if refresh.IsWorthwhile() {
 		if _, err := g.copyKVCache(ctx, n, r, first.destination, false); err == nil {
 			g.mu.Lock()
 			first.completedAt = g.config.Now()
@@ -174,11 +200,13 @@
 			g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonAdmissionFull, map[string]any{"replica": r.ID, "tried": len(tried) - 1})
 			return nil
 		}
-		began := g.config.Now()
+		g.mu.Lock()
+		generated := n.generatedTokens()
+		g.mu.Unlock()
 		c, err := g.copyKVCache(ctx, n, r, d, false)
 		switch {
 		case err == nil:
-			return &continuation{destination: d, completedAt: g.config.Now(), copyTime: g.config.Now().Sub(began), Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
+			return &continuation{destination: d, completedAt: g.config.Now(), generatedTokens: generated, Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
 		case errors.Is(err, comfreycall.ErrUnknownGeneration) && !g.hasStarted(n) && g.config.Now().Before(r.EndsAt):
 			if !comfreygroup.Sleep(ctx, copyRetryDelay) {
 				return nil
