Cells scale to a thousand gateways

A cell now exchanges states with the other cells of its data centre and one in each other data centre, at an interval that grows with their number. Gateways know those of their own data centre and a few leaders of others; the sizes of data centres travel with their age. Each response of the store is passed on to all cells at once, so that ages are not passed on from state to state. A relay that knows no gateway of a cell sends through its data centre.

--- /dev/null
+++ b/comfreycell/simulation_test.go
@@ -0,0 +1,395 @@
+package comfreycell_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreycell"
+	"comfreyridge.example/comfreyridge/comfreystorecache"
+)
+
+// The intervals, sizes and bounds of the simulated gossip.
+const (
+	simulationStep = 250 * time.Millisecond
+	// stepsPerExchange is the number of steps between two exchanges of a gateway.
+	stepsPerExchange  = 4
+	datagramLoss      = 0.025
+	placementBytes    = 330
+	cellStateBytes    = 900
+	exchangeBytes     = 1500
+	remoteAddresses   = 3
+	confirmationBytes = 80
+	peerExpiry        = 15 * time.Second
+)
+
+// simulatedGateway is a gateway of a simulated fleet.
+type simulatedGateway struct {
+	comfreycell.Gateway
+	// isBlind means that the store refuses the gateway.
+	isBlind bool
+	// alive holds when each other gateway was last known to be running, seen
+	// when it last sent its placements, and states when a state of each other
+	// cell arrived.
+	alive, seen map[int]time.Duration
+	states      map[comfreycell.ID]time.Duration
+	// sizes holds the sizes of other data centres, and sizesAt when gateways there
+	// reported them.
+	sizes   map[string]int
+	sizesAt map[string]time.Duration
+	// storeAt is when the store cache was known to be current.
+	storeAt   time.Duration
+	nextCall  time.Duration
+	nextState int
+	failed    int
+	layout    comfreycell.Layout
+}
+
+// simulatedFleet is a fleet whose gateways gossip in steps. Datagrams arrive in
+// the step in which they are sent, or are lost.
+type simulatedFleet struct {
+	now      time.Duration
+	step     int
+	random   *rand.Rand
+	gateways []*simulatedGateway
+	index    map[string]int
+	// bytes are sent ones, bytesBetween those between data centres.
+	bytes, bytesBetween, storeCalls int
+}
+
+func newSimulatedFleet(n int, seed uint64) *simulatedFleet {
+	f := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 0)), index: map[string]int{}, now: time.Hour}
+	for i, g := range fleet(n, 5) {
+		f.gateways = append(f.gateways, &simulatedGateway{Gateway: g, isBlind: i%3 == 0})
+		f.index[g.Address] = i
+		f.restart(i)
+	}
+	return f
+}
+
+// restart makes a gateway forget everything but three seeds.
+func (f *simulatedFleet) restart(i int) {
+	g := f.gateways[i]
+	g.alive, g.seen, g.states = map[int]time.Duration{}, map[int]time.Duration{}, map[comfreycell.ID]time.Duration{}
+	g.sizes, g.sizesAt = map[string]int{}, map[string]time.Duration{}
+	g.storeAt, g.nextCall, g.failed = 0, 0, 0
+	for s := range min(3, len(f.gateways)) {
+		if s != i {
+			g.alive[s] = f.now
+		}
+	}
+}
+
+// send counts a message and reports whether it arrives.
+func (f *simulatedFleet) send(from, to, size int) bool {
+	f.bytes += size
+	if f.gateways[from].DataCentre != f.gateways[to].DataCentre {
+		f.bytesBetween += size
+	}
+	return f.random.Float64() >= datagramLoss
+}
+
+// run simulates a duration.
+func (f *simulatedFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += simulationStep {
+		f.step++
+		for i := range f.gateways {
+			f.layOut(i)
+		}
+		for i, g := range f.gateways {
+			f.sendPlacements(i)
+			if f.step >= g.nextState {
+				f.sendCellStates(i)
+			}
+			if (f.step+i)%stepsPerExchange == 0 {
+				f.exchange(i)
+			}
+			f.callStore(i)
+		}
+	}
+}
+
+func (f *simulatedFleet) layOut(i int) {
+	g := f.gateways[i]
+	var others []comfreycell.Gateway
+	for k, t := range g.alive {
+		if f.now-t > peerExpiry {
+			delete(g.alive, k)
+			continue
+		}
+		o := f.gateways[k].Gateway
+		o.SilentFor = f.now - t
+		if f.step > 1 {
+			o.SilentFor = max(0, o.SilentFor-simulationStep)
+		}
+		others = append(others, o)
+	}
+	g.layout = comfreycell.New(g.Gateway, others, g.sizes)
+}
+
+func (f *simulatedFleet) sendPlacements(i int) {
+	g := f.gateways[i]
+	for _, a := range g.layout.Members() {
+		k := f.index[a]
+		if !f.send(i, k, placementBytes) {
+			continue
+		}
+		o := f.gateways[k]
+		o.alive[i], o.seen[i] = f.now, f.now
+	}
+}
+
+func (f *simulatedFleet) sendCellStates(i int) {
+	g := f.gateways[i]
+	g.nextState = f.step + int(g.layout.StateInterval()/simulationStep)
+	for _, t := range g.layout.RelayTargets() {
+		k := f.index[t.Address]
+		if !f.send(i, k, cellStateBytes) {
+			continue
+		}
+		f.receiveState(k, g)
+		if a, ok := f.gateways[k].layout.Forward(t.Cell); ok {
+			next := f.index[a]
+			if !f.send(k, next, cellStateBytes) {
+				continue
+			}
+			k = next
+			f.receiveState(k, g)
+		}
+		if f.gateways[k].layout.Own() != t.Cell {
+			continue // The gateways do not agree on the cells yet.
+		}
+		for _, a := range f.gateways[k].layout.LiveMembers() {
+			if m := f.index[a]; f.send(k, m, cellStateBytes) {
+				f.receiveState(m, g)
+			}
+		}
+	}
+}
+
+// receiveState applies the state that a relay has sent to gateway i.
+func (f *simulatedFleet) receiveState(i int, relay *simulatedGateway) {
+	g := f.gateways[i]
+	g.states[relay.layout.Own()] = f.now
+	g.sizes[relay.DataCentre], g.sizesAt[relay.DataCentre] = relay.layout.Sizes()[relay.DataCentre], f.now
+	listed := relay.layout.LeadingMembers()
+	if relay.DataCentre == g.DataCentre {
+		listed = append(relay.layout.LiveMembers(), relay.Address)
+	}
+	for _, a := range listed {
+		if k := f.index[a]; k != i {
+			g.alive[k] = f.now
+		}
+	}
+}
+
+// exchange merges the lists of gateways of i and of a random one that it knows.
+func (f *simulatedFleet) exchange(i int) {
+	g := f.gateways[i]
+	var known []int
+	for k := range g.alive {
+		known = append(known, k)
+	}
+	if len(known) == 0 {
+		return
+	}
+	slices.Sort(known)
+	k := known[f.random.IntN(len(known))]
+	f.send(i, k, exchangeBytes)
+	f.send(k, i, exchangeBytes)
+	f.merge(i, k)
+	f.merge(k, i)
+	g.alive[k], f.gateways[k].alive[i] = f.now, f.now
+}
+
+// merge adds the gateways that from knows to those that to knows: all of the
+// data centre of to and some others. Each new one is sent the placements of to,
+// and so learns of it too.
+func (f *simulatedFleet) merge(to, from int) {
+	remote := 0
+	g, o := f.gateways[to], f.gateways[from]
+	o.sizes[o.DataCentre], o.sizesAt[o.DataCentre] = o.layout.Sizes()[o.DataCentre], f.now
+	for c, at := range o.sizesAt {
+		if at > g.sizesAt[c] {
+			g.sizes[c], g.sizesAt[c] = o.sizes[c], at
+		}
+	}
+	for k := range o.alive {
+		if _, known := g.alive[k]; known || k == to {
+			continue
+		}
+		if f.gateways[k].DataCentre != g.DataCentre {
+			if remote++; remote > remoteAddresses {
+				continue
+			}
+		}
+		if f.send(to, k, placementBytes) {
+			f.gateways[k].alive[to] = f.now
+			g.alive[k] = f.now
+		}
+	}
+}
+
+// callStore calls the store if the gateway has to watch it. Each call confirms
+// the cache and is told to the others, unless the store refuses the gateway.
+func (f *simulatedFleet) callStore(i int) {
+	g := f.gateways[i]
+	p := comfreystorecache.Position{InFleet: g.layout.FleetRank(), InCell: g.layout.Rank()}
+	if f.now < g.nextCall || !comfreystorecache.ShouldWatch(p, f.now-g.storeAt, g.storeAt > 0) {
+		return
+	}
+	f.storeCalls++
+	if g.isBlind {
+		g.failed++
+		g.nextCall = f.now + comfreystorecache.RetryDelay(p, g.failed)
+		return
+	}
+	g.failed, g.nextCall = 0, f.now+700*time.Millisecond
+	g.storeAt = f.now
+	f.confirm(i, g.layout.Members())
+	f.confirmAt(i, g, g.layout.RelayTargets())
+}
+
+// confirm sends a confirmation of the store from a gateway to others, each of
+// which passes it on if it is new.
+func (f *simulatedFleet) confirm(from int, to []string) {
+	for _, a := range to {
+		k := f.index[a]
+		o := f.gateways[k]
+		if !f.send(from, k, confirmationBytes) || o.storeAt == f.now {
+			continue
+		}
+		o.storeAt = f.now
+		origin := f.gateways[from]
+		if o.layout.Own() == origin.layout.Own() {
+			f.confirmAt(k, origin, o.layout.RelayTargets())
+		}
+	}
+}
+
+// confirmAt sends a confirmation from a relay to those of other cells, which pass
+// it on to their members and, from another data centre, to the other cells of
+// their own.
+func (f *simulatedFleet) confirmAt(from int, origin *simulatedGateway, targets []comfreycell.RelayTarget) {
+	for _, t := range targets {
+		k := f.index[t.Address]
+		o := f.gateways[k]
+		if !f.send(from, k, confirmationBytes) || o.storeAt == f.now {
+			continue
+		}
+		o.storeAt = f.now
+		f.confirmMembers(k)
+		if o.DataCentre == origin.DataCentre {
+			continue
+		}
+		for _, t := range o.layout.RelayTargets() {
+			if m := f.index[t.Address]; t.IsSameDataCentre && f.send(k, m, confirmationBytes) && f.gateways[m].storeAt != f.now {
+				f.gateways[m].storeAt = f.now
+				f.confirmMembers(m)
+			}
+		}
+	}
+}
+
+// confirmMembers sends a confirmation from another cell to the members.
+func (f *simulatedFleet) confirmMembers(from int) {
+	for _, a := range f.gateways[from].layout.LiveMembers() {
+		if k := f.index[a]; f.send(from, k, confirmationBytes) {
+			f.gateways[k].storeAt = f.now
+		}
+	}
+}
+
+// checkViews asserts that every gateway knows the members of its cell, has
+// recent placements of them, recent states of the other cells and a current
+// store cache.
+func (f *simulatedFleet) checkViews(t *testing.T) {
+	t.Helper()
+	var gateways []comfreycell.Gateway
+	for _, g := range f.gateways {
+		gateways = append(gateways, g.Gateway)
+	}
+	targets := map[comfreycell.ID][]comfreycell.RelayTarget{}
+	for i := range gateways {
+		if l := layoutOf(gateways, i); l.IsRelay() {
+			targets[l.Own()] = l.RelayTargets()
+		}
+	}
+	n := len(f.gateways)
+	stalePlacements, placements, staleStates, states, staleStores := 0, 0, 0, 0, 0
+	for i, g := range f.gateways {
+		want := layoutOf(gateways, i)
+		if got, all := g.layout.Members(), want.Members(); g.layout.Own() != want.Own() || !slices.Equal(got, all) {
+			t.Fatalf("%d gateways: %s is in cell %q with %d members, want %q with %d", n, g.Address, g.layout.Own(), len(got), want.Own(), len(all))
+		}
+		for _, a := range want.Members() {
+			placements++
+			if f.now-g.seen[f.index[a]] > 3*simulationStep {
+				stalePlacements++
+			}
+		}
+		for _, target := range targets[want.Own()] {
+			states++
+			if f.now-g.states[target.Cell] > 2*want.StateInterval() {
+				staleStates++
+			}
+		}
+		if f.now-g.storeAt > 2500*time.Millisecond {
+			staleStores++
+		}
+	}
+	if stalePlacements*100 > placements || staleStates*100 > states || staleStores > 0 {
+		t.Errorf("%d gateways: %d of %d placements are older than 750 ms, %d of %d states of other cells than two intervals, %d store caches than 2.5 s", n, stalePlacements, placements, staleStates, states, staleStores)
+	}
+}
+
+// TestCostDoesNotGrowWithFleet simulates fleets of 30 to 1,000 gateways, a third
+// of which the store refuses, with lost datagrams. Half of the gateways restart
+// at once. What a host sends and the calls to the store must not grow with the
+// fleet.
+func TestCostDoesNotGrowWithFleet(t *testing.T) {
+	const settling, measured = 5 * time.Second, 3 * time.Second
+	sent := map[int]float64{}
+	for _, n := range []int{30, 100, 300, 1000} {
+		f := newSimulatedFleet(n, 1)
+		f.run(settling)
+		f.checkViews(t)
+		f.bytes, f.bytesBetween, f.storeCalls = 0, 0, 0
+		f.run(measured)
+		f.checkViews(t)
+		perHost := func(bytes int) float64 { return float64(bytes) / float64(n) / measured.Seconds() }
+		sent[n] = perHost(f.bytes)
+		t.Logf("%d gateways: %.0f B/s sent by a host, %.0f B/s of them between data centres, %.1f store calls/s", n, sent[n], perHost(f.bytesBetween), float64(f.storeCalls)/measured.Seconds())
+		// 600 calls a day of 48 s.
+		if c := float64(f.storeCalls) / measured.Seconds(); c > 12.5 {
+			t.Errorf("%d gateways: %.1f calls a second to the store, want at most 12.5", n, c)
+		}
+		for i := range f.gateways {
+			if i%2 == 0 {
+				f.restart(i)
+			}
+		}
+		f.run(settling)
+		f.checkViews(t)
+	}
+	if sent[1000] > 1.5*sent[100] {
+		t.Errorf("a host sends %.0f B/s among 1,000 gateways, and %.0f B/s among 100", sent[1000], sent[100])
+	}
+}
+
+// ExampleLayout_RelayTargets shows the gateways of other cells to which the
+// relays of a cell send its state.
+func ExampleLayout_RelayTargets() {
+	g := fleet(60, 3)
+	for i := range g {
+		l := layoutOf(g, i)
+		if l.Own() == "data-centre-1" && l.IsRelay() {
+			fmt.Println(g[i].Address, len(l.RelayTargets()))
+		}
+	}
+	// Output:
+	// 10.1.0.4:8740 2
+	// 10.1.0.19:8740 2
+}
--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -109,9 +109,9 @@
 	// the store that a replica leaves, which other cells have to know. It does
 	// nothing by default and must not block.
 	CellChanged func()
-	// ShareStoreChanges is called with the changes that this gateway received
-	// from the store: those after a revision and up to another. It does nothing
-	// by default and must not block.
+	// ShareStoreChanges is called after each response of the store with the
+	// changes after a revision and up to another, which may be none. It does
+	// nothing by default and must not block.
 	ShareStoreChanges func(after, revision uint64, changes []comfreystorecache.Item)
 	// Layout returns the division of the fleet into cells; this gateway alone by
 	// default.
@@ -132,7 +132,7 @@
 		c.Rand = rand.Float64
 	}
 	if c.Layout == nil {
-		alone := comfreycell.New(comfreycell.Gateway{Address: c.Address, DataCentre: c.DataCentre}, nil)
+		alone := comfreycell.New(comfreycell.Gateway{Address: c.Address, DataCentre: c.DataCentre}, nil, nil)
 		c.Layout = func() comfreycell.Layout { return alone }
 	}
 	if c.TriggerGossip == nil {
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -73,11 +73,8 @@
 	queues          map[string]*comfreyplacement.Queue
 	// storeCurrentAt is when the store cache was last known to be current, and
 	// storeReachedAt when the store last responded to this gateway itself.
-	// cellCurrentAt is when the store last responded to a gateway of the own
-	// cell, as far as that gateway itself has sent it.
 	storeCurrentAt time.Time
 	storeReachedAt time.Time
-	cellCurrentAt  time.Time
 }
 
 // New returns a gateway that has no configuration and no replicas until it is
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -41,14 +41,6 @@
 	return g.age(&g.storeReachedAt)
 }
 
-// CellStoreAge returns the lowest time since the store last responded to a
-// gateway of this one's cell, as far as the gateways themselves have sent it.
-// Only this age is sent to other cells, so that no age returns to the cell from
-// which it came.
-func (g *Gateway) CellStoreAge() (time.Duration, bool) {
-	return g.age(&g.cellCurrentAt)
-}
-
 // age returns how long ago a time was that the mutex guards. It reports false
 // if the time is zero.
 func (g *Gateway) age(t *time.Time) (time.Duration, bool) {
@@ -69,25 +61,18 @@
 		return g.storeCache.Apply(m.Revision, m.Items)
 	})
 	if m.HasStoreAge {
-		g.ObserveStoreAge(m.Revision, m.StoreAge, false)
+		g.ObserveStoreAge(m.Revision, m.StoreAge)
 	}
 }
 
 // ObserveStoreAge applies the store age of another gateway, whose store cache
 // is complete up to a revision. It counts for this gateway too if its own cache
-// is complete up to that revision. The other gateway is one of the same cell, or
-// else the age was relayed.
-func (g *Gateway) ObserveStoreAge(revision uint64, age time.Duration, isOwnCell bool) {
+// is complete up to that revision.
+func (g *Gateway) ObserveStoreAge(revision uint64, age time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at := g.config.Now().Add(-age)
-	if revision > g.storeCache.Revision() {
-		return
-	}
-	if isOwnCell && at.After(g.cellCurrentAt) {
-		g.cellCurrentAt = at
-	}
-	if !at.After(g.storeCurrentAt) {
+	if revision > g.storeCache.Revision() || !at.After(g.storeCurrentAt) {
 		return
 	}
 	g.storeCurrentAt = at
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -107,9 +107,8 @@
 			return err
 		}
 		g.markStoreReachable()
-		if g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Replace(revision, items) }) {
-			g.config.TriggerGossip()
-		}
+		g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Replace(revision, items) })
+		g.config.ShareStoreChanges(revision, revision, nil)
 		return nil
 	}
 	wait := watchWait
@@ -124,13 +123,8 @@
 		return err
 	}
 	g.markStoreReachable()
-	isNew := g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Apply(revision, items) })
-	if isNew {
-		g.config.ShareStoreChanges(after, revision, items)
-	}
-	if isNew || wait == confirmWait {
-		g.config.TriggerGossip() // The message also holds the store age.
-	}
+	g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Apply(revision, items) })
+	g.config.ShareStoreChanges(after, revision, items)
 	return nil
 }
 
@@ -139,7 +133,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	g.storeCurrentAt, g.cellCurrentAt, g.storeReachedAt = now, now, now
+	g.storeCurrentAt, g.storeReachedAt = now, now
 	g.replicas.PlatformReachable(now)
 }
 
@@ -154,13 +148,12 @@
 }
 
 // mergeItems merges items into the store cache through f, which returns those
-// that were new, and applies them. It reports whether any were new.
-func (g *Gateway) mergeItems(f func() []comfreystorecache.Item) bool {
+// that were new, and applies them.
+func (g *Gateway) mergeItems(f func() []comfreystorecache.Item) {
 	g.mu.Lock()
 	var changes []comfreyreplica.Change
 	now := g.config.Now()
-	items := f()
-	for _, x := range items {
+	for _, x := range f() {
 		switch {
 		case g.config.Store.IsConfigurationKey(x.Key):
 			g.applyConfiguration(x)
@@ -170,7 +163,6 @@
 	}
 	g.mu.Unlock()
 	g.handleReplicaChanges(changes)
-	return len(items) > 0
 }
 
 // applyConfiguration activates a configuration if it is newer than the active
--- a/comfreygossip/cells.go
+++ b/comfreygossip/cells.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycell"
@@ -12,9 +14,6 @@
 )
 
 const (
-	// cellStateInterval is how often each relay of a cell sends its state; the
-	// relays of a cell take turns by chance.
-	cellStateInterval = 500 * time.Millisecond
 	// cellStatesPerMemberList is how many states are sent for each list of the
 	// cell's gateways.
 	cellStatesPerMemberList = 2
@@ -52,7 +51,7 @@
 // gateway is a relay.
 func (g *Gossip) runCellStates(ctx context.Context) error {
 	for n := uint64(1); ; n++ {
-		timer := time.NewTimer(cellStateInterval)
+		timer := time.NewTimer(g.Layout().StateInterval())
 		select {
 		case <-timer.C:
 		case <-g.cellChanged:
@@ -74,27 +73,26 @@
 func (g *Gossip) expireRelays() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for a, r := range g.relays {
-		if g.config.Now().Sub(r.lastMessage) > peerExpiry {
-			delete(g.relays, a)
-		}
-	}
+	maps.DeleteFunc(g.relays, func(_ string, r relay) bool { return g.config.Now().Sub(r.lastMessage) > peerExpiry })
 }
 
 // sendCellState sends the state of the own cell to a gateway of another cell.
 func (g *Gossip) sendCellState(l comfreycell.Layout, t comfreycell.RelayTarget, sequence uint64) {
 	var members []string
-	if sequence%cellStatesPerMemberList == 0 {
+	switch {
+	case sequence%cellStatesPerMemberList != 0:
+	case t.IsSameDataCentre:
 		members = append(l.LiveMembers(), g.config.Address)
+	default:
+		members = l.LeadingMembers()
 	}
-	age, known := g.config.CellStoreAge()
 	revision := g.config.StoreRevision()
 	to := g.datagramAddresses([]string{t.Address})
 	for _, d := range cellDatagrams(g.config.CellState(t.Cell)) {
 		d.Name, d.Receiver = string(l.Own()), string(t.Cell)
 		d.Relay, d.Sender, d.Incarnation, d.Sequence = g.config.Address, g.config.Address, g.incarnation, sequence
-		d.DataCentre, d.Members = g.config.DataCentre, members
-		d.Complete, d.ContactKnown, d.ContactAgeMillis = revision, known, uint64(max(age, 0).Milliseconds())
+		d.DataCentre, d.DataCentreSize, d.Members = g.config.DataCentre, uint32(l.Sizes()[g.config.DataCentre]), members
+		d.Complete = revision
 		members = nil
 		g.send(&comfreyproto.PlacementDatagram{Cell: d}, to...)
 	}
@@ -133,11 +131,20 @@
 // cell.
 func (g *Gossip) receiveCellState(partial map[string]*assembly, d *comfreyproto.CellDatagram) {
 	l := g.Layout()
-	// The gateways may not agree on the cells yet.
-	if d.Name == string(l.Own()) || d.Receiver != string(l.Own()) || !g.isNewCellState(d) {
+	if d.Name == string(l.Own()) || !g.isNewCellState(d) {
 		return
 	}
-	if d.Sender == d.Relay {
+	g.learnCell(d)
+	if d.Receiver != string(l.Own()) {
+		// The relay knows no gateway of the receiving cell, or the gateways do not
+		// agree on the cells yet.
+		if a, ok := l.Forward(comfreycell.ID(d.Receiver)); ok && d.Sender == d.Relay {
+			d.Sender = g.config.Address
+			g.send(&comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses([]string{a})...)
+		}
+		return
+	}
+	if !slices.Contains(l.Members(), d.Sender) {
 		d.Sender = g.config.Address
 		g.send(&comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses(l.LiveMembers())...)
 	}
@@ -156,7 +163,6 @@
 	}
 	a.cell.Generations = append(a.cell.Generations, decodeGenerations(d.Runs)...)
 	a.cell.Leaving = append(a.cell.Leaving, d.Leaving...)
-	g.markMembersAlive(d)
 	if len(a.parts) < int(d.Parts) {
 		return
 	}
@@ -166,9 +172,6 @@
 	r.sequence = d.Sequence
 	g.relays[d.Relay] = r
 	g.mu.Unlock()
-	if d.ContactKnown {
-		g.config.ObserveStoreAge(d.Complete, time.Duration(d.ContactAgeMillis)*time.Millisecond, false)
-	}
 	g.requestIfNewer(d.Sender, d.Complete)
 	g.config.ApplyCellState(comfreycell.ID(d.Name), a.cell)
 }
@@ -195,11 +198,13 @@
 	return true
 }
 
-// markMembersAlive records the gateways that another cell lists as running.
-func (g *Gossip) markMembersAlive(d *comfreyproto.CellDatagram) {
+// learnCell records the gateways that another cell lists as running, and the
+// number of gateways in its data centre.
+func (g *Gossip) learnCell(d *comfreyproto.CellDatagram) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, a := range d.Members {
+	g.sizes[d.DataCentre] = reportedSize{int(d.DataCentreSize), g.config.Now()}
+	for _, a := range append(d.Members, d.Relay) {
 		if k := g.addPeer(a); k != nil {
 			g.markAlive(k, d.DataCentre)
 		}
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -30,6 +30,12 @@
 	// cellExchangeInterval is the same for a fleet of several cells, in which
 	// datagrams carry the changes of the store.
 	cellExchangeInterval = time.Second
+	// remoteExchangeShare is how many exchanges with gateways of the own cell there
+	// are for each with a gateway of another cell.
+	remoteExchangeShare = 4
+	// introductionTime is how long a new gateway is sent placements although it
+	// has not shown to be running, so that it learns of this one.
+	introductionTime = 2 * time.Second
 	// exchangeTimeout bounds one exchange, which usually takes a few milliseconds.
 	exchangeTimeout = 700 * time.Millisecond
 	// placementInterval is the interval at which placements are sent without a
@@ -52,7 +58,7 @@
 	maxPeersPerMessage = 64
 	// maxRemotePeersPerMessage bounds those in other data centres, in a fleet of
 	// several cells.
-	maxRemotePeersPerMessage = 8
+	maxRemotePeersPerMessage = 3
 	// maxPeers bounds the gateways that are retained.
 	maxPeers = 2048
 	// layoutInterval is how often the layout of the fleet is computed again.
@@ -93,12 +99,11 @@
 	// ApplyPlacements applies the placements of another gateway.
 	ApplyPlacements func(gateway string, s Placements)
 	// ObserveStoreAge records how long ago another gateway's store cache, which
-	// is complete up to a revision, was known to be current. The gateway is one
-	// of the own cell, or else the age was relayed.
-	ObserveStoreAge func(complete uint64, age time.Duration, isOwnCell bool)
-	// CellStoreAge returns the lowest store age among the gateways of the own
-	// cell, as far as it was received from them directly.
-	CellStoreAge func() (age time.Duration, known bool)
+	// is complete up to a revision, was known to be current.
+	ObserveStoreAge func(complete uint64, age time.Duration)
+	// StoreAge returns how long ago this gateway's store cache was known to be
+	// current, also by reports of other gateways.
+	StoreAge func() (age time.Duration, known bool)
 	// CellState returns the state of the own cell for another cell, and
 	// ApplyCellState applies that of another cell.
 	CellState      func(receiver comfreycell.ID) CellState
@@ -124,8 +129,10 @@
 // peer is another gateway.
 type peer struct {
 	dataCentre string
-	// lastMessage is when the gateway was last heard of, or added. lastAlive is
-	// when it was last known to be running; zero if it never was.
+	// added is when the gateway was added, lastMessage when it was last heard of,
+	// or added, and lastAlive when it was last known to be running; zero if it
+	// never was.
+	added           time.Time
 	lastMessage     time.Time
 	lastAlive       time.Time
 	incarnation     uint64
@@ -139,6 +146,13 @@
 	lastExchange time.Time
 }
 
+// reportedSize is the number of gateways in a data centre, as one of them
+// reported it.
+type reportedSize struct {
+	gateways   int
+	reportedAt time.Time
+}
+
 // Gossip exchanges state with other gateways. It is safe for concurrent use.
 type Gossip struct {
 	config      Config
@@ -158,6 +172,8 @@
 	layoutAt time.Time
 	// relays holds the latest state of each relay of another cell.
 	relays map[string]relay
+	// sizes holds the reported number of gateways in other data centres.
+	sizes map[string]reportedSize
 }
 
 // New returns a Gossip that has not been started.
@@ -176,6 +192,7 @@
 		}},
 		peers:  map[string]*peer{},
 		relays: map[string]relay{},
+		sizes:  map[string]reportedSize{},
 	}
 	g.AddPeers(c.Seeds)
 	return g
@@ -238,8 +255,9 @@
 	if err != nil || ip == nil {
 		return nil
 	}
+	now := g.config.Now()
 	k := &peer{
-		lastMessage:     g.config.Now(),
+		added: now, lastMessage: now,
 		client:          comfreyproto.NewGatewaysProtobufClient("http://"+address, g.http),
 		datagramAddress: &net.UDPAddr{IP: ip, Port: g.config.DatagramPort},
 	}
@@ -268,10 +286,40 @@
 			others = append(others, comfreycell.Gateway{Address: a, DataCentre: k.dataCentre, SilentFor: now.Sub(k.lastAlive)})
 		}
 	}
-	g.layout, g.layoutAt = comfreycell.New(comfreycell.Gateway{Address: g.config.Address, DataCentre: g.config.DataCentre}, others), now
+	sizes := map[string]int{}
+	for c, s := range g.sizes {
+		if now.Sub(s.reportedAt) < peerExpiry {
+			sizes[c] = s.gateways
+		}
+	}
+	g.layout, g.layoutAt = comfreycell.New(comfreycell.Gateway{Address: g.config.Address, DataCentre: g.config.DataCentre}, others, sizes), now
 	return g.layout
 }
 
+// dataCentreSizes returns the number of gateways in each data centre to send in
+// an exchange. The mutex must be held.
+func (g *Gossip) dataCentreSizes() []*comfreyproto.DataCentreSize {
+	l := []*comfreyproto.DataCentreSize{{DataCentre: g.config.DataCentre, Gateways: uint32(g.currentLayout().Sizes()[g.config.DataCentre])}}
+	now := g.config.Now()
+	for c, s := range g.sizes {
+		l = append(l, &comfreyproto.DataCentreSize{DataCentre: c, Gateways: uint32(s.gateways), AgeMillis: uint64(now.Sub(s.reportedAt).Milliseconds())})
+	}
+	return l
+}
+
+// learnSizes records the number of gateways in other data centres where the
+// received one was reported later than the known one.
+func (g *Gossip) learnSizes(l []*comfreyproto.DataCentreSize) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range l {
+		at := g.config.Now().Add(-time.Duration(s.AgeMillis) * time.Millisecond)
+		if s.DataCentre != g.config.DataCentre && at.After(g.sizes[s.DataCentre].reportedAt) {
+			g.sizes[s.DataCentre] = reportedSize{int(s.Gateways), at}
+		}
+	}
+}
+
 // peerAddresses returns the addresses to send in an exchange, with their data
 // centres: this gateway's own and those of its peers that are running, up to
 // maxPeersPerMessage. The mutex must be held.
@@ -337,8 +385,8 @@
 }
 
 // exchangeTargets returns the gateways to exchange with, in random order: those
-// of the own cell, those that have not shown to be running, and one of another
-// cell. Those that send no placements are asked less often, because each costs a
+// of the own cell, those that have not shown to be running, and some of other
+// cells. Those that send no placements are asked less often, because each costs a
 // timeout.
 func (g *Gossip) exchangeTargets() []string {
 	g.mu.Lock()
@@ -348,13 +396,14 @@
 	for _, a := range g.currentLayout().Members() {
 		isMember[a] = true
 	}
-	l := make([]string, 0, len(isMember))
-	hasRemote := false
+	var l []string
+	remote := len(isMember)/remoteExchangeShare + 1
 	for a, k := range g.peers {
 		switch {
 		case !isMember[a] && !k.lastAlive.IsZero():
-			if !hasRemote {
-				l, hasRemote = append(l, a), true
+			if remote > 0 { // The order of a map is random.
+				l = append(l, a)
+				remote--
 			}
 		case now.Sub(k.lastDatagram) < silentPeerInterval || now.Sub(k.lastExchange) >= silentPeerInterval:
 			l = append(l, a)
@@ -365,15 +414,18 @@
 }
 
 // placementTargets returns the gateways that placements are sent to: those of
-// the own cell, and those that have not shown to be running, so that they learn
-// of this one. The mutex must be held.
+// the own cell, and new ones that have not shown to be running. The mutex must be
+// held.
 func (g *Gossip) placementTargets() []*net.UDPAddr {
 	var l []*net.UDPAddr
 	for _, a := range g.currentLayout().Members() {
-		l = append(l, g.peers[a].datagramAddress)
+		if k := g.peers[a]; k != nil {
+			l = append(l, k.datagramAddress)
+		}
 	}
+	now := g.config.Now()
 	for _, k := range g.peers {
-		if k.lastAlive.IsZero() {
+		if k.lastAlive.IsZero() && now.Sub(k.added) < introductionTime {
 			l = append(l, k.datagramAddress)
 		}
 	}
@@ -404,18 +456,20 @@
 		return
 	}
 	l, dataCentres := g.peerAddresses(k.dataCentre)
+	sizes := g.dataCentreSizes()
 	k.lastExchange = g.config.Now()
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{
-		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: g.config.StoreRevision(), Gateways: l, DataCentres: dataCentres,
+		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: g.config.StoreRevision(), Gateways: l, DataCentres: dataCentres, Sizes: sizes,
 	})
 	g.recordExchange(address, k, r.GetDataCentre(), err)
 	if err != nil {
 		return
 	}
 	g.addPeers(r.Gateways, r.DataCentres)
+	g.learnSizes(r.Sizes)
 	m := StoreUpdate{Gateway: address, Revision: r.Complete, IsSnapshot: r.Whole, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
 	for _, x := range r.Items {
 		m.Items = append(m.Items, decodeItem(x))
@@ -459,12 +513,14 @@
 		g.markAlive(k, r.DataCentre)
 	}
 	l, dataCentres := g.peerAddresses(r.DataCentre)
+	sizes := g.dataCentreSizes()
 	g.mu.Unlock()
 	g.addPeers(r.Gateways, r.DataCentres)
+	g.learnSizes(r.Sizes)
 	items, isDelta := g.config.StoreChangesSince(r.Complete)
 	age, known := g.config.DirectStoreAge()
 	p := &comfreyproto.CopyExchangeReply{
-		Complete: g.config.StoreRevision(), Whole: !isDelta, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres,
+		Complete: g.config.StoreRevision(), Whole: !isDelta, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
 		ContactAgeMillis: uint64(max(age, 0).Milliseconds()), ContactKnown: known,
 	}
 	for _, x := range items {
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -193,7 +193,7 @@
 	}
 	g.mu.Unlock()
 	if d.ContactKnown {
-		g.config.ObserveStoreAge(d.Complete, time.Duration(d.ContactAgeMillis)*time.Millisecond, true)
+		g.config.ObserveStoreAge(d.Complete, time.Duration(d.ContactAgeMillis)*time.Millisecond)
 	}
 	g.requestIfNewer(d.Address, d.Complete)
 	g.config.ApplyPlacements(d.Address, a.placements)
--- a/comfreygossip/store.go
+++ b/comfreygossip/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
@@ -15,19 +17,21 @@
 	maxChangeDatagrams = 8
 )
 
-// ShareStoreChanges sends changes that this gateway received from the store to
-// its cell, and to the other cells if it is a relay. They are those after a
-// revision and up to another. Gateways that miss a datagram request the changes
-// in an exchange.
+// ShareStoreChanges sends a response of the store to the own cell, and to the
+// other cells if this gateway is a relay. It holds the changes after a revision
+// and up to another; without any, it confirms that the store caches are current.
+// Gateways that miss a datagram request the changes in an exchange.
 func (g *Gossip) ShareStoreChanges(after, revision uint64, changes []comfreystorecache.Item) {
 	l := g.Layout()
-	to := g.datagramAddresses(l.Members())
+	to := l.Members()
 	for _, t := range l.RelayTargets() {
-		to = append(to, g.datagramAddresses([]string{t.Address})...)
+		to = append(to, t.Address)
 	}
+	age, _ := g.config.DirectStoreAge()
 	for _, d := range storeDatagrams(after, revision, changes) {
-		d.Cell, d.Sender = string(l.Own()), g.config.Address
-		g.send(&comfreyproto.PlacementDatagram{Store: d}, to...)
+		d.Cell, d.DataCentre, d.Sender = string(l.Own()), g.config.DataCentre, g.config.Address
+		d.AgeMillis = uint64(max(age, 0).Milliseconds())
+		g.send(&comfreyproto.PlacementDatagram{Store: d}, g.datagramAddresses(to)...)
 	}
 }
 
@@ -58,40 +62,56 @@
 	return append(l, d)
 }
 
-// receiveStoreChanges merges changes of the store that another gateway sent. A
-// relay passes those of its own cell on to the other cells, and the receiving
-// gateway of another cell passes them on to its cell.
+// minAgeGain is by how much a confirmation must lower the store age to be passed
+// on. It stops datagrams that arrive on several ways.
+const minAgeGain = 200 * time.Millisecond
+
+// receiveStoreChanges merges a response of the store that another gateway sent. A
+// relay passes those of its own cell on to the other cells. The receiving gateway
+// of another cell passes them on to its cell and, if they come from another data
+// centre, to the other cells of its own. They are passed on at once, so that the
+// store age in them is not too low by more than the time on the way.
 func (g *Gossip) receiveStoreChanges(d *comfreyproto.StoreDatagram) {
 	known := g.config.StoreRevision()
-	if d.Complete <= known {
+	age := time.Duration(d.AgeMillis) * time.Millisecond
+	ownAge, isKnown := g.config.StoreAge()
+	if d.Complete < known || d.Complete == known && isKnown && ownAge < age+minAgeGain {
 		return
 	}
-	l := g.Layout()
-	var to []string
-	switch {
-	case d.Cell == string(l.Own()):
-		for _, t := range l.RelayTargets() {
-			to = append(to, t.Address)
-		}
-	case !slices.Contains(l.Members(), d.Sender):
-		to = l.LiveMembers()
-	}
-	if len(to) > 0 {
+	if to := g.storeTargets(g.Layout(), d); len(to) > 0 {
 		g.send(&comfreyproto.PlacementDatagram{Store: &comfreyproto.StoreDatagram{
-			Cell: d.Cell, Sender: g.config.Address, After: d.After, Complete: d.Complete, Changes: d.Changes,
+			Cell: d.Cell, DataCentre: d.DataCentre, Sender: g.config.Address, After: d.After, Complete: d.Complete, Changes: d.Changes, AgeMillis: d.AgeMillis,
 		}}, g.datagramAddresses(to)...)
 	}
 	if d.After > known {
 		g.requestIfNewer(d.Sender, d.Complete)
 		return
 	}
-	m := StoreUpdate{Gateway: d.Sender, Revision: d.Complete}
+	m := StoreUpdate{Gateway: d.Sender, Revision: d.Complete, HasStoreAge: true, StoreAge: age}
 	for _, x := range d.Changes {
 		m.Items = append(m.Items, decodeItem(x))
 	}
 	g.config.MergeStore(m)
 }
 
+// storeTargets returns the gateways to which a response of the store is passed on.
+func (g *Gossip) storeTargets(l comfreycell.Layout, d *comfreyproto.StoreDatagram) []string {
+	isOwnCell := d.Cell == string(l.Own())
+	if !isOwnCell && slices.Contains(l.Members(), d.Sender) {
+		return nil
+	}
+	var to []string
+	if !isOwnCell {
+		to = l.LiveMembers()
+	}
+	for _, t := range l.RelayTargets() {
+		if isOwnCell || t.IsSameDataCentre && d.DataCentre != g.config.DataCentre {
+			to = append(to, t.Address)
+		}
+	}
+	return to
+}
+
 func decodeItem(x *comfreyproto.StoreItem) comfreystorecache.Item {
 	return comfreystorecache.Item{Key: x.Key, Revision: x.Revision, Value: x.Value, IsDeleted: x.Deleted}
 }
--- a/comfreyoccupancy/estimator.go
+++ b/comfreyoccupancy/estimator.go
@@ -24,6 +24,9 @@
 	// peerRetention is how long a peer's generations are counted after its last
 	// message; peers send four a second.
 	peerRetention = 1500 * time.Millisecond
+	// cellRetention is how long the state of another cell is used after its last
+	// message; a relay sends one at least every 2 s.
+	cellRetention = 2500 * time.Millisecond
 	// summaryLag is how long a placement may take to be counted in the load that
 	// another cell reports: it travels to that cell and back with the cells'
 	// states, which are sent every 250 ms.
@@ -270,7 +273,7 @@
 		}
 	}
 	for a, c := range e.cells {
-		if now.Sub(c.receivedAt) > peerRetention {
+		if now.Sub(c.receivedAt) > cellRetention {
 			delete(e.cells, a)
 		}
 	}
@@ -298,7 +301,7 @@
 				l, at = s, c.receivedAt
 			}
 		}
-		if now.Sub(at) > peerRetention {
+		if now.Sub(at) > cellRetention {
 			return Load{}, false
 		}
 		l.Age = now.Sub(at)
--- a/comfreysidecar/quarantine.go
+++ b/comfreysidecar/quarantine.go
@@ -66,8 +66,9 @@
 	return &quarantine{now: now, table: t, witness: w, addresses: map[string]string{}, copies: map[comfreyquarantine.Fingerprint]int{}, completed: map[comfreyquarantine.Fingerprint]struct{}{}}
 }
 
-// setHosts sets the hosts of the service, from which witnesses are chosen.
-func (q *quarantine) setHosts(v comfreyfleet.View, service string) {
+// setHosts sets the hosts of the service, from which witnesses are chosen. It
+// reports whether they have changed.
+func (q *quarantine) setHosts(v comfreyfleet.View, service string) bool {
 	a := map[string]string{}
 	for _, m := range v.Members() {
 		if m.Service == service {
@@ -76,8 +77,10 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	old := q.hostNames
 	q.addresses = a
 	q.hostNames = slices.Sorted(maps.Keys(a))
+	return !slices.Equal(old, q.hostNames)
 }
 
 // witnessOf returns the witness of a request and its address, or empty strings
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,7 +196,9 @@
 // ObserveView applies a host list. A list that names this host as leaving makes
 // the sidecar refuse new work. ObserveView is safe for concurrent use.
 func (s *Sidecar) ObserveView(v comfreyfleet.View) {
-	s.quarantine.setHosts(v, s.config.Service)
+	if s.quarantine.setHosts(v, s.config.Service) {
+		s.recorder.Record("", comfreydecision.KindRevision, comfreyverdict.ReasonAccepted, map[string]any{"witness-candidates": strings.Join(s.quarantine.hosts(), ",")})
+	}
 	s.observeLifecycle(v)
 }
 
