A sidecar without a host list refuses generations

The sidecar program now refuses generations as not run, and is not ready, until it has a host list.

TestSidecarWithoutHostListRefusesGenerations fails without the check.

--- a/comfreyprocess/sidecar.go
+++ b/comfreyprocess/sidecar.go
@@ -39,6 +39,7 @@
 		DrainLimit:          s.DrainLimit,
 		QueryLatestRevision: p.confirm,
 		Fencing:             fencing(s.Fencing),
+		RequireHostList:     true,
 	})
 	p.inForce = x.Configure
 	p.hosts = func(l comfreyconfig.HostList) { x.ObserveView(viewOf(l, time.Now())) }
--- a/comfreysidecar/accept.go
+++ b/comfreysidecar/accept.go
@@ -25,6 +25,9 @@
 	if err := s.checkLifecycle(); err != nil {
 		return nil, err
 	}
+	if err := s.checkHostList(); err != nil {
+		return nil, err
+	}
 	v, err := s.checkService(m.Service, len(m.Body))
 	if err != nil {
 		return nil, err
--- a/comfreysidecar/config.go
+++ b/comfreysidecar/config.go
@@ -65,6 +65,10 @@
 	Recorder *comfreydecision.Recorder
 	// Registry registers the metrics; the default is a new registry.
 	Registry *prometheus.Registry
+	// RequireHostList refuses generations until a host list has arrived. Without
+	// one, the sidecar does not know the witness of a request, and two sidecars
+	// may each run a request that crashes engines.
+	RequireHostList bool
 	// Heartbeat is the interval at which heartbeat frames are written to an
 	// idle stream; the default is 2 s.
 	Heartbeat time.Duration
--- a/comfreysidecar/quarantine_test.go
+++ b/comfreysidecar/quarantine_test.go
@@ -4,10 +4,13 @@
 	"testing"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreydemo"
 	"comfreyridge.example/comfreyridge/comfreyfakeengine"
+	"comfreyridge.example/comfreyridge/comfreyfleet"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreysidecar"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
 // TestWaitingCopyKeepsNoLease checks that a request which waits for its copy at
@@ -44,3 +47,24 @@
 	}
 	t.Errorf("another upstream's copy: got %v, want allow", d)
 }
+
+// TestSidecarWithoutHostListRefusesGenerations guards against sidecars that have
+// just started and decide without a witness: two of them would each run a request
+// that crashes engines, and a third run would follow before it is confirmed.
+func TestSidecarWithoutHostListRefusesGenerations(t *testing.T) {
+	b := startHarness(t, comfreyfakeengine.Config{}, comfreysidecar.Config{RequireHostList: true})
+	if b.sidecar.Ready() == nil {
+		t.Error("the sidecar is ready without a host list")
+	}
+	checkOutcome(t, last(t, b.start(t, startRequest("early", 5))), kindRefused, comfreyverdict.VerdictNotRun, comfreyverdict.ReasonNoConfiguration)
+	b.sidecar.ObserveView(comfreyfleet.NewView(1, time.Now(), []comfreyfleet.Member{{Host: host, Service: comfreydemo.GenerationService, Address: b.address}}))
+	if err := b.sidecar.Ready(); err != nil {
+		t.Errorf("with a host list: %v", err)
+	}
+	if f := last(t, b.start(t, startRequest("later", 5))); f.Kind != kindEnd {
+		t.Errorf("with a host list: got %v, want a complete generation", f)
+	}
+	if n := len(b.engine.Runs()); n != 1 {
+		t.Errorf("the engine ran %d requests, want 1", n)
+	}
+}
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -121,9 +121,25 @@
 	if !s.isAccepting() {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonLeaving, "the sidecar is leaving")
 	}
+	if err := s.checkHostList(); err != nil {
+		return err
+	}
 	return s.checkLifecycle()
 }
 
+// checkHostList returns a comfreyverdict.Error with verdict not-run if a host list
+// is required and has not arrived.
+func (s *Sidecar) checkHostList() error {
+	if s.config.RequireHostList && len(s.quarantine.hosts()) == 0 {
+		return comfreyverdict.NotRun(comfreyverdict.ReasonNoConfiguration, "the sidecar has no host list yet").WithRetryAfter(hostListRetryAfter)
+	}
+	return nil
+}
+
+// hostListRetryAfter is the retry-after of a request that arrives before the
+// first host list; sidecars fetch it about once a second.
+const hostListRetryAfter = time.Second
+
 // Run serves until ctx is done, then drains and returns nil: it refuses new
 // work and lets open work finish within the drain limit. When kill is done, it
 // stops at once.
