Each replica is offered to one other cell

The state of a cell named its emptiest replicas to all other cells; seven gateways of three cells chose the same one within 200 ms. Besides, the first gateways of a cell watched the store for 3 s after each outage, in ten cells at once.

A replica is now offered to one other cell, chosen by rendezvous hashing among those that receive the state (Layout.Guest). Gateways that fell back to a watch stop as soon as a confirmation arrives.

--- a/comfreycell/layout.go
+++ b/comfreycell/layout.go
@@ -297,6 +297,26 @@
 	return max(minStateInterval, time.Duration(n)*stateIntervalPerCell)
 }
 
+// Guest returns the only other cell that may use a replica of the own cell, or
+// false if there is no other cell.
+//
+// It is built for this load: a replica with free capacity appears in the state of
+// its cell, which all gateways of all other cells receive at the same time. If
+// all of them may use it, dozens of prompts arrive there before the next state.
+func (l Layout) Guest(replica string) (ID, bool) {
+	var ids []ID
+	for c := range l.splitBits {
+		ids = append(ids, l.partners(c)...)
+	}
+	if len(ids) == 0 {
+		return "", false
+	}
+	slices.Sort(ids)
+	return slices.MaxFunc(ids, func(a, b ID) int {
+		return cmp.Compare(xxhash.Sum64String(replica+" "+string(a)), xxhash.Sum64String(replica+" "+string(b)))
+	}), true
+}
+
 // partners returns the cells of a data centre with which the own one exchanges
 // states. Two cells of different data centres are partners if the number of one
 // begins with that of the other, so that both agree on it.
--- a/comfreycell/layout_test.go
+++ b/comfreycell/layout_test.go
@@ -113,6 +113,48 @@
 	}
 }
 
+// TestReplicaIsOfferedToOneCell checks that each replica has one guest among the
+// cells that receive the state of its own, on which the gateways agree, and that
+// each of these cells is offered a part of the replicas.
+func TestReplicaIsOfferedToOneCell(t *testing.T) {
+	for _, n := range []int{100, 300} {
+		g := fleet(n, 5)
+		byCell := map[comfreycell.ID]comfreycell.Layout{}
+		for i := range g {
+			l := layoutOf(g, i)
+			if o, ok := byCell[l.Own()]; ok {
+				for k := range 30 {
+					a, _ := l.Guest(fmt.Sprint("replica-", k))
+					if b, _ := o.Guest(fmt.Sprint("replica-", k)); a != b {
+						t.Fatalf("%d gateways: guests %q and %q of a replica of %s", n, a, b, l.Own())
+					}
+				}
+			}
+			byCell[l.Own()] = l
+			if !l.IsRelay() {
+				continue
+			}
+			counts := map[comfreycell.ID]int{}
+			for k := range 100 {
+				id, _ := l.Guest(fmt.Sprint("replica-", k))
+				counts[id]++
+			}
+			for _, x := range l.RelayTargets() {
+				if counts[x.Cell] < 5 {
+					t.Errorf("%d gateways: %s is offered %d of 100 replicas of %s", n, x.Cell, counts[x.Cell], l.Own())
+				}
+				delete(counts, x.Cell)
+			}
+			if len(counts) > 0 {
+				t.Errorf("%d gateways: replicas of %s are offered to %v, which do not receive its state", n, l.Own(), counts)
+			}
+		}
+	}
+	if id, ok := layoutOf(fleet(30, 5), 0).Guest("replica"); ok {
+		t.Errorf("a replica of a single cell is offered to %q", id)
+	}
+}
+
 // TestReplicasOfSilentDataCentreAreShared replays the loss of all gateways of a
 // data centre whose replicas still serve: the other cells share them out.
 func TestReplicasOfSilentDataCentreAreShared(t *testing.T) {
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -1,6 +1,7 @@
 package comfreyforward
 
 import (
+	"slices"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycell"
@@ -138,14 +139,18 @@
 }
 
 // CellState returns the state of this gateway's cell for another cell: the loads
-// of the replicas that have most free capacity, and the generations that run at
-// replicas of the other cell.
+// of the replicas that have most free capacity among those that the other cell may
+// use, and the generations that run at replicas of the other cell.
 func (g *Gateway) CellState(receiver comfreycell.ID) comfreygossip.CellState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	layout := g.config.Layout()
 	s := comfreygossip.CellState{Loads: map[string]comfreyoccupancy.Load{}, Leaving: g.recentlyLeaving()}
-	for _, c := range comfreyplacement.LeastLoaded(g.homeCandidates(layout), maxSummarizedLoads) {
+	offered := slices.DeleteFunc(g.homeCandidates(layout), func(c comfreyplacement.Candidate) bool {
+		guest, ok := layout.Guest(c.ID)
+		return !ok || guest != receiver
+	})
+	for _, c := range comfreyplacement.LeastLoaded(offered, maxSummarizedLoads) {
 		s.Loads[c.ID] = c.Load
 	}
 	for _, n := range g.estimator.CellGenerations() {
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -28,11 +28,6 @@
 	// confirmWait is the same for the first call of a gateway whose store cache
 	// is stale: the response confirms the cache for the other gateways too.
 	confirmWait = 50 * time.Millisecond
-	// fallbackDuration is how long the first gateways of a cell continue to watch
-	// after their store caches were stale: the cell may be cut off from the
-	// gateways that watch for the fleet.
-	fallbackDuration = 3 * time.Second
-	fallbackWatchers = 2
 	// watchCheckInterval is how often a gateway that does not watch checks
 	// whether it has to.
 	watchCheckInterval = 100 * time.Millisecond
@@ -47,17 +42,12 @@
 	isListed := false
 	failed := 0
 	isUnreachable := false
-	var watchUntil time.Time
 	wasWatching := false
 	for ctx.Err() == nil {
 		l := g.config.Layout()
 		position := comfreystorecache.Position{InFleet: l.FleetRank(), InCell: l.Rank()}
 		age, isSynced := g.StoreAge()
 		isWatching := comfreystorecache.ShouldWatch(position, age, isSynced)
-		if isWatching && isListed && age > watchWait && position.InCell < fallbackWatchers {
-			watchUntil = g.config.Now().Add(fallbackDuration)
-		}
-		isWatching = isWatching || g.config.Now().Before(watchUntil)
 		if isWatching != wasWatching {
 			wasWatching = isWatching
 			g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonAccepted, map[string]any{
