--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -40,7 +40,9 @@
 		}
 		if !layout.IsHome(r.ID, r.DataCentre) {
 			if p, ok := summarized(r.ID); ok {
-				remote = append(remote, g.candidate(now, s, r, func(string) comfreyoccupancy.Load { return p }))
+				c := g.candidate(now, s, r, func(string) comfreyoccupancy.Load { return p })
+				c.IsOtherCell = true
+				remote = append(remote, c)
 			}
 			continue
 		}
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -20,6 +20,10 @@
 	// otherDataCentreCost is added for a replica in another data centre. It is
 	// small, because a few milliseconds matter little to a generation.
 	otherDataCentreCost = 0.03
+	// otherCellCost is added for a replica of another cell. It is as much as two
+	// generations, because the load of such a replica is known only as it was
+	// some hundred milliseconds ago.
+	otherCellCost = 0.3
 	// coldCost is added for a replica that is still warming up.
 	coldCost = 0.2
 	// failureRateCost is added for a replica at which all recent requests
@@ -45,6 +49,8 @@
 	// gateway, or, in ChooseMoveDestination, of the replica that the generation
 	// leaves.
 	IsSameDataCentre bool
+	// IsOtherCell is true for a replica that another cell of gateways uses.
+	IsOtherCell bool
 	// IsCold is true while the replica warms up after its start.
 	IsCold bool
 	// FailureRate is the share of recent requests to the replica that failed,
@@ -158,6 +164,9 @@
 	if !c.IsSameDataCentre {
 		cost += otherDataCentreCost
 	}
+	if c.IsOtherCell {
+		cost += otherCellCost
+	}
 	if c.IsCold {
 		cost += coldCost
 	}
