comfreygossip: exchanges in a file of their own; no cell of unknown data centres

A gateway of an older build, whose data centre is unknown, made a cell of its own to which replicas were offered that nobody could use (TestGatewayOfOlderBuildIsMember, extended, failed).

--- a/comfreycell/layout.go
+++ b/comfreycell/layout.go
@@ -116,7 +116,9 @@
 	if l.fleetSize > MaxMembers {
 		l.splitBits = map[string]int{}
 		for c, n := range l.sizes {
-			l.splitBits[c] = bits.Len(uint((n - 1) / MaxMembers))
+			if c != "" || self.DataCentre == "" { // No cell consists of gateways of unknown data centres.
+				l.splitBits[c] = bits.Len(uint((n - 1) / MaxMembers))
+			}
 		}
 	}
 	l.own = l.cellOf(self.DataCentre, l.self.hash)
--- a/comfreycell/layout_test.go
+++ b/comfreycell/layout_test.go
@@ -226,5 +226,10 @@
 		if !slices.Contains(l.Members(), "10.9.9.9:8740") || slices.ContainsFunc(l.RelayTargets(), func(x comfreycell.RelayTarget) bool { return x.Address == "10.9.9.9:8740" }) {
 			t.Fatalf("%s: the gateway of an unknown data centre is not a plain member", g[i].Address)
 		}
+		for k := range 30 {
+			if guest, ok := l.Guest(fmt.Sprint("replica-", k)); !ok || guest == "" {
+				t.Fatalf("%s: a replica is offered to the gateways of unknown data centres", g[i].Address)
+			}
+		}
 	}
 }
--- /dev/null
+++ b/comfreygossip/exchange.go
@@ -0,0 +1,210 @@
+package comfreygossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"comfreyridge.example/comfreyridge/comfreycell"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+)
+
+// runExchanges exchanges with one gateway after the other.
+func (g *Gossip) runExchanges(ctx context.Context) error {
+	for {
+		l := g.exchangeTargets()
+		for _, a := range l {
+			g.exchange(ctx, a)
+			// Jitter spreads the exchanges of gateways that started together.
+			if !comfreygroup.Sleep(ctx, time.Duration(float64(g.exchangeInterval())*(0.75+rand.Float64()/2))) {
+				return nil
+			}
+		}
+		g.expire()
+		if len(l) == 0 && !comfreygroup.Sleep(ctx, exchangeInterval) {
+			return nil
+		}
+	}
+}
+
+// exchangeInterval returns the mean time between two exchanges.
+func (g *Gossip) exchangeInterval() time.Duration {
+	if g.Layout().FleetSize() > comfreycell.MaxMembers {
+		return cellExchangeInterval
+	}
+	return exchangeInterval
+}
+
+// catchUp exchanges at once with a gateway whose store cache has a higher
+// revision.
+func (g *Gossip) catchUp(ctx context.Context) error {
+	for {
+		select {
+		case a := <-g.newer:
+			g.exchange(ctx, a)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// exchangeTargets returns the gateways to exchange with, in random order: those
+// of the own cell, those that have not shown to be running, and some of other
+// cells. Those that send no placements are asked less often, because each costs a
+// timeout.
+func (g *Gossip) exchangeTargets() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Now()
+	isMember := map[string]bool{}
+	for _, a := range g.currentLayout().Members() {
+		isMember[a] = true
+	}
+	var l []string
+	remote := len(isMember)/remoteExchangeShare + 1
+	for a, k := range g.peers {
+		switch {
+		case !isMember[a] && !k.lastAlive.IsZero():
+			if remote > 0 { // The order of a map is random.
+				l = append(l, a)
+				remote--
+			}
+		case now.Sub(k.lastDatagram) < silentPeerInterval || now.Sub(k.lastExchange) >= silentPeerInterval:
+			l = append(l, a)
+		}
+	}
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l
+}
+
+// exchange requests from one gateway the changes that this one's store cache
+// lacks.
+func (g *Gossip) exchange(ctx context.Context, address string) {
+	g.mu.Lock()
+	k, ok := g.peers[address]
+	if !ok {
+		g.mu.Unlock()
+		return
+	}
+	l, dataCentres := g.peerAddresses(k.dataCentre)
+	sizes := g.dataCentreSizes()
+	k.lastExchange = g.config.Now()
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{
+		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: g.config.StoreRevision(), Gateways: l, DataCentres: dataCentres, Sizes: sizes,
+	})
+	g.recordExchange(address, k, r.GetDataCentre(), err)
+	if err != nil {
+		return
+	}
+	g.addPeers(r.Gateways, r.DataCentres)
+	g.learnSizes(r.Sizes)
+	m := StoreUpdate{Gateway: address, Revision: r.Complete, IsSnapshot: r.Whole, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
+	for _, x := range r.Items {
+		m.Items = append(m.Items, decodeItem(x))
+	}
+	g.config.MergeStore(m)
+}
+
+// recordExchange records whether a gateway is reachable, and its data centre.
+func (g *Gossip) recordExchange(address string, k *peer, dataCentre string, err error) {
+	g.mu.Lock()
+	wasUnreachable := k.isUnreachable
+	k.isUnreachable = err != nil
+	if err == nil {
+		g.markAlive(k, dataCentre)
+	}
+	g.mu.Unlock()
+	f := logrus.Fields{"event": "dependency", "dependency": "gateway", "address": address}
+	switch {
+	case err != nil && !wasUnreachable:
+		g.http.CloseIdleConnections()
+		f["error"] = err.Error()
+		g.config.Logger.WithFields(f).Warning("gateway is unreachable")
+	case err == nil && wasUnreachable:
+		g.config.Logger.WithFields(f).Info("gateway is reachable again")
+	}
+}
+
+// Exchange implements comfreyproto.Gateways.
+func (g *Gossip) Exchange(_ context.Context, r *comfreyproto.CopyExchange) (*comfreyproto.CopyExchangeReply, error) {
+	g.mu.Lock()
+	if k := g.addPeer(r.Address); k != nil {
+		g.markAlive(k, r.DataCentre)
+	}
+	l, dataCentres := g.peerAddresses(r.DataCentre)
+	sizes := g.dataCentreSizes()
+	g.mu.Unlock()
+	g.addPeers(r.Gateways, r.DataCentres)
+	g.learnSizes(r.Sizes)
+	items, isDelta := g.config.StoreChangesSince(r.Complete)
+	age, known := g.config.DirectStoreAge()
+	p := &comfreyproto.CopyExchangeReply{
+		Complete: g.config.StoreRevision(), Whole: !isDelta, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
+		ContactAgeMillis: uint64(max(age, 0).Milliseconds()), ContactKnown: known,
+	}
+	for _, x := range items {
+		p.Items = append(p.Items, &comfreyproto.StoreItem{Key: x.Key, Revision: x.Revision, Value: x.Value, Deleted: x.IsDeleted})
+	}
+	return p, nil
+}
+
+// Handler returns the HTTP handler that serves exchanges.
+func (g *Gossip) Handler() http.Handler {
+	return comfreyproto.NewGatewaysServer(g)
+}
+
+// dataCentreSizes returns the number of gateways in each data centre to send in
+// an exchange. The mutex must be held.
+func (g *Gossip) dataCentreSizes() []*comfreyproto.DataCentreSize {
+	l := []*comfreyproto.DataCentreSize{{DataCentre: g.config.DataCentre, Gateways: uint32(g.currentLayout().Sizes()[g.config.DataCentre])}}
+	now := g.config.Now()
+	for c, s := range g.sizes {
+		l = append(l, &comfreyproto.DataCentreSize{DataCentre: c, Gateways: uint32(s.gateways), AgeMillis: uint64(now.Sub(s.reportedAt).Milliseconds())})
+	}
+	return l
+}
+
+// learnSizes records the number of gateways in other data centres where the
+// received one was reported later than the known one.
+func (g *Gossip) learnSizes(l []*comfreyproto.DataCentreSize) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range l {
+		at := g.config.Now().Add(-time.Duration(s.AgeMillis) * time.Millisecond)
+		if s.DataCentre != g.config.DataCentre && at.After(g.sizes[s.DataCentre].reportedAt) {
+			g.sizes[s.DataCentre] = reportedSize{int(s.Gateways), at}
+		}
+	}
+}
+
+// peerAddresses returns the addresses to send in an exchange, with their data
+// centres: this gateway's own and those of its peers that are running, up to
+// maxPeersPerMessage. The mutex must be held.
+func (g *Gossip) peerAddresses(receiverDataCentre string) (addresses, dataCentres []string) {
+	addresses, dataCentres = []string{g.config.Address}, []string{g.config.DataCentre}
+	isLarge := g.currentLayout().FleetSize() > comfreycell.MaxMembers
+	remote := 0
+	for a, k := range g.peers {
+		if k.lastAlive.IsZero() {
+			continue
+		}
+		if isLarge && k.dataCentre != receiverDataCentre {
+			if remote == maxRemotePeersPerMessage {
+				continue
+			}
+			remote++
+		}
+		if len(addresses) == maxPeersPerMessage {
+			break
+		}
+		addresses, dataCentres = append(addresses, a), append(dataCentres, k.dataCentre)
+	}
+	return addresses, dataCentres
+}
