Engines' reports are fetched sooner while the store is silent

The store had fallen silent at 18.0 s, when seven replicas began to leave; the reports that told of it were fetched quickly from a store age of 1.3 s on only.

The interval of reports is a decision of comfreyoccupancy now.

TestLeavingEngineIsNoticedWhileStoreIsSilent: an engine that leaves with 1.54 s of notice is noticed too late with the old values (no report within the notice, want one after at most 1.24 s), in time now.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -20,23 +20,12 @@
 
 // The periods of the gateway's background tasks.
 const (
-	// reportInterval is how often each engine's load report is fetched. Each
-	// call has a price, and a report is half a second old on arrival. Between
-	// reports, the gateways exchange their own placements by gossip.
-	reportInterval = 4 * time.Second
-	// reportIntervalPerGateway bounds the calls of all gateways of a cell together
-	// to two or three a second for each engine.
-	reportIntervalPerGateway = 400 * time.Millisecond
+	// noEnginesPause is the delay before engines are looked for again if there are
+	// none.
+	noEnginesPause = time.Second
 	// minReportSpacing bounds the calls of one gateway to 50 a second, for any
 	// number of engines.
 	minReportSpacing = 20 * time.Millisecond
-	// outageReportInterval is how often each engine's load report is fetched by
-	// the gateways of a cell together while the store is unreachable, when only
-	// the report shows that the engine leaves.
-	outageReportInterval = 400 * time.Millisecond
-	// outageReportAge is the store age from which on outageReportInterval is
-	// used.
-	outageReportAge = watchWait + 600*time.Millisecond
 	// reportTimeout bounds one call for a load report; it takes a few
 	// milliseconds.
 	reportTimeout = 700 * time.Millisecond
@@ -163,7 +152,7 @@
 func (g *Gateway) fetchReports(ctx context.Context) error {
 	for {
 		l := g.engineReplicas()
-		pause := reportInterval
+		pause := noEnginesPause
 		for _, r := range l {
 			pause = max(g.currentReportInterval()/time.Duration(len(l)), minReportSpacing)
 			if !comfreygroup.Sleep(ctx, pause) {
@@ -183,11 +172,8 @@
 // currentReportInterval returns how often this gateway fetches each engine's
 // report, in the current state of the store and number of gateways in the cell.
 func (g *Gateway) currentReportInterval() time.Duration {
-	n := time.Duration(g.cellSize())
-	if age, ok := g.StoreAge(); ok && age > outageReportAge {
-		return n * outageReportInterval
-	}
-	return max(reportInterval, n*reportIntervalPerGateway)
+	age, _ := g.StoreAge()
+	return comfreyoccupancy.ReportInterval(g.cellSize(), age)
 }
 
 // engineReplicas returns the replicas with engines that accept new work and are
