A large change of the store is announced to the fleet at once

The gateway that received them now names the revision, and the others request it. Besides, states that a gateway passes on to another cell of its data centre were dropped as old if its own cell's state of the same sequence had arrived.

TestStateReachesOtherCells sends a change of 5 KB too.

--- a/comfreygossip/cells.go
+++ b/comfreygossip/cells.go
@@ -126,12 +126,11 @@
 	return l
 }
 
-// receiveCellState adds one datagram to the assembly of another cell's state. A
-// state that comes from the relay itself is passed on to the members of the own
-// cell.
+// receiveCellState adds one datagram to the assembly of another cell's state, and
+// passes it on to the members of the own cell unless one of them has sent it.
 func (g *Gossip) receiveCellState(partial map[string]*assembly, d *comfreyproto.CellDatagram) {
 	l := g.Layout()
-	if d.Name == string(l.Own()) || !g.isNewCellState(d) {
+	if d.Name == string(l.Own()) {
 		return
 	}
 	g.learnCell(d)
@@ -144,6 +143,9 @@
 		}
 		return
 	}
+	if !g.isNewCellState(d) {
+		return
+	}
 	if !slices.Contains(l.Members(), d.Sender) {
 		d.Sender = g.config.Address
 		g.send(&comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses(l.LiveMembers())...)
@@ -203,7 +205,9 @@
 func (g *Gossip) learnCell(d *comfreyproto.CellDatagram) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sizes[d.DataCentre] = reportedSize{int(d.DataCentreSize), g.config.Now()}
+	if d.DataCentre != g.config.DataCentre {
+		g.sizes[d.DataCentre] = reportedSize{int(d.DataCentreSize), g.config.Now()}
+	}
 	for _, a := range append(d.Members, d.Relay) {
 		if k := g.addPeer(a); k != nil {
 			g.markAlive(k, d.DataCentre)
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -202,6 +202,13 @@
 	for _, n := range nodes {
 		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
 	}
+	// A change that fits into no datagram is requested in exchanges.
+	items = []comfreystorecache.Item{{Key: "k", Revision: 10, Value: make([]byte, 5000)}, {Key: "l", Revision: 11, Value: []byte("v")}}
+	locked(seed, func() bool { seed.cache.Apply(11, items); return true })
+	seed.gossip.ShareStoreChanges(9, 11, items)
+	for _, n := range nodes {
+		await(t, "the large store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 11 })
+	}
 	// The ages of placements are those of the own cell; only a confirmation by
 	// the store reaches the others.
 	isStale := func(n *node) bool {
@@ -210,7 +217,7 @@
 	for _, n := range nodes {
 		locked(n, func() bool { n.storeCurrentAt = time.Time{}; return true })
 	}
-	seed.gossip.ShareStoreChanges(9, 9, nil)
+	seed.gossip.ShareStoreChanges(11, 11, nil)
 	for _, n := range nodes[1:] {
 		await(t, "the confirmation reaches all gateways", func() bool { return !isStale(n) })
 	}
--- a/comfreygossip/store.go
+++ b/comfreygossip/store.go
@@ -36,7 +36,9 @@
 }
 
 // storeDatagrams splits changes into datagrams. Each of them completes a store
-// cache that the datagrams before it have completed.
+// cache that the datagrams before it have completed. Changes that do not fit are
+// left out; the last datagram then names the revision only, so that the others
+// request them in an exchange.
 func storeDatagrams(after, revision uint64, changes []comfreystorecache.Item) []*comfreyproto.StoreDatagram {
 	changes = slices.Clone(changes)
 	slices.SortFunc(changes, comfreystorecache.CompareRevision)
@@ -45,15 +47,12 @@
 	size := 0
 	for _, x := range changes {
 		n := len(x.Key) + len(x.Value)
-		if n > maxChangesSize {
-			return l
+		if n > maxChangesSize || len(l) == maxChangeDatagrams {
+			return append(l, &comfreyproto.StoreDatagram{After: revision, Complete: revision})
 		}
 		if size+n > maxChangesSize {
 			d.Complete = x.Revision - 1
 			l = append(l, d)
-			if len(l) == maxChangeDatagrams {
-				return l
-			}
 			d, size = &comfreyproto.StoreDatagram{After: d.Complete, Complete: revision}, 0
 		}
 		size += n
