Gateways of other data centres are introduced to for 0.3 s only

Cause: the simulation now tells gateways that were heard of from those that have shown to be running, as the program does.

A test with a one-way cut between two data centres is new.

--- a/comfreycell/simulation_test.go
+++ b/comfreycell/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -23,6 +24,10 @@
 	remoteAddresses   = 3
 	confirmationBytes = 80
 	peerExpiry        = 15 * time.Second
+	// introductionTime is how long placements are sent to a gateway that has not
+	// shown to be running.
+	introductionTime       = 2 * time.Second
+	remoteIntroductionTime = 300 * time.Millisecond
 )
 
 // simulatedGateway is a gateway of a simulated fleet.
@@ -32,8 +37,10 @@
 	isBlind bool
 	// alive holds when each other gateway was last known to be running, seen
 	// when it last sent its placements, and states when a state of each other
-	// cell arrived.
+	// cell arrived. heardOf holds when it first heard of gateways that have not
+	// shown to be running.
 	alive, seen map[int]time.Duration
+	heardOf     map[int]time.Duration
 	states      map[comfreycell.ID]time.Duration
 	// sizes holds the sizes of other data centres, and sizesAt when gateways there
 	// reported them.
@@ -55,12 +62,15 @@
 	random   *rand.Rand
 	gateways []*simulatedGateway
 	index    map[string]int
+	// isCut reports whether messages from one data centre to another are lost.
+	isCut func(from, to string) bool
 	// bytes are sent ones, bytesBetween those between data centres.
 	bytes, bytesBetween, storeCalls int
 }
 
 func newSimulatedFleet(n int, seed uint64) *simulatedFleet {
 	f := &simulatedFleet{random: rand.New(rand.NewPCG(seed, 0)), index: map[string]int{}, now: time.Hour}
+	f.isCut = func(string, string) bool { return false }
 	for i, g := range fleet(n, 5) {
 		f.gateways = append(f.gateways, &simulatedGateway{Gateway: g, isBlind: i%3 == 0})
 		f.index[g.Address] = i
@@ -73,11 +83,12 @@
 func (f *simulatedFleet) restart(i int) {
 	g := f.gateways[i]
 	g.alive, g.seen, g.states = map[int]time.Duration{}, map[int]time.Duration{}, map[comfreycell.ID]time.Duration{}
+	g.heardOf = map[int]time.Duration{}
 	g.sizes, g.sizesAt = map[string]int{}, map[string]time.Duration{}
 	g.storeAt, g.nextCall, g.failed = 0, 0, 0
 	for s := range min(3, len(f.gateways)) {
 		if s != i {
-			g.alive[s] = f.now
+			g.heardOf[s] = f.now
 		}
 	}
 }
@@ -88,7 +99,7 @@
 	if f.gateways[from].DataCentre != f.gateways[to].DataCentre {
 		f.bytesBetween += size
 	}
-	return f.random.Float64() >= datagramLoss
+	return f.random.Float64() >= datagramLoss && !f.isCut(f.gateways[from].DataCentre, f.gateways[to].DataCentre)
 }
 
 // run simulates a duration.
@@ -131,6 +142,18 @@
 
 func (f *simulatedFleet) sendPlacements(i int) {
 	g := f.gateways[i]
+	for k, at := range g.heardOf {
+		if _, ok := g.alive[k]; ok || f.now-at > introductionTime {
+			delete(g.heardOf, k)
+			continue
+		}
+		if g.layout.FleetSize() > comfreycell.MaxMembers && f.gateways[k].DataCentre != g.DataCentre && f.now-at > remoteIntroductionTime {
+			continue
+		}
+		if f.send(i, k, placementBytes) {
+			f.gateways[k].alive[i] = f.now
+		}
+	}
 	for _, a := range g.layout.Members() {
 		k := f.index[a]
 		if !f.send(i, k, placementBytes) {
@@ -188,25 +211,32 @@
 // exchange merges the lists of gateways of i and of a random one that it knows.
 func (f *simulatedFleet) exchange(i int) {
 	g := f.gateways[i]
-	var known []int
+	known := slices.Collect(maps.Keys(g.heardOf))
 	for k := range g.alive {
-		known = append(known, k)
+		if _, ok := g.heardOf[k]; !ok {
+			known = append(known, k)
+		}
 	}
 	if len(known) == 0 {
 		return
 	}
 	slices.Sort(known)
 	k := known[f.random.IntN(len(known))]
+	// An exchange travels over TCP: what is lost is sent again, unless a
+	// direction is cut.
 	f.send(i, k, exchangeBytes)
 	f.send(k, i, exchangeBytes)
+	if from, to := g.DataCentre, f.gateways[k].DataCentre; f.isCut(from, to) || f.isCut(to, from) {
+		return
+	}
 	f.merge(i, k)
 	f.merge(k, i)
 	g.alive[k], f.gateways[k].alive[i] = f.now, f.now
+	delete(g.heardOf, k)
 }
 
-// merge adds the gateways that from knows to those that to knows: all of the
-// data centre of to and some others. Each new one is sent the placements of to,
-// and so learns of it too.
+// merge adds the gateways that from knows to those that to has heard of: all of
+// the data centre of to and some others.
 func (f *simulatedFleet) merge(to, from int) {
 	remote := 0
 	g, o := f.gateways[to], f.gateways[from]
@@ -225,9 +255,8 @@
 				continue
 			}
 		}
-		if f.send(to, k, placementBytes) {
-			f.gateways[k].alive[to] = f.now
-			g.alive[k] = f.now
+		if _, ok := g.heardOf[k]; !ok {
+			g.heardOf[k] = f.now
 		}
 	}
 }
@@ -379,6 +408,39 @@
 	}
 }
 
+// TestOneWayCutBetweenDataCentres cuts the messages from one data centre to
+// another, but not those back. The receiving side must share out the replicas of
+// the silent data centre with the others, whose gateways go on to use them, and
+// agree with them again soon after the cut.
+func TestOneWayCutBetweenDataCentres(t *testing.T) {
+	f := newSimulatedFleet(100, 2)
+	f.run(5 * time.Second)
+	f.checkViews(t)
+	f.isCut = func(from, to string) bool { return from == "data-centre-1" && to == "data-centre-2" }
+	f.run(6 * time.Second)
+	homes := map[string]map[comfreycell.ID]bool{}
+	for _, g := range f.gateways {
+		if homes[g.DataCentre] == nil {
+			homes[g.DataCentre] = map[comfreycell.ID]bool{}
+		}
+		for i := range 20 {
+			homes[g.DataCentre][g.layout.Home(fmt.Sprint("replica-", i), "data-centre-1")] = true
+		}
+		if f.now-g.storeAt > 2500*time.Millisecond {
+			t.Errorf("%s: the store cache is %v old", g.Address, f.now-g.storeAt)
+		}
+	}
+	if h := homes["data-centre-1"]; len(h) != 1 || !h["data-centre-1"] {
+		t.Errorf("the gateways of the silent data centre use its replicas as those of %v", h)
+	}
+	if h := homes["data-centre-2"]; len(h) != 4 || h["data-centre-1"] {
+		t.Errorf("the gateways that do not hear the others share out their replicas among %v, want the four other cells", h)
+	}
+	f.isCut = func(string, string) bool { return false }
+	f.run(5 * time.Second)
+	f.checkViews(t)
+}
+
 // ExampleLayout_RelayTargets shows the gateways of other cells to which the
 // relays of a cell send its state.
 func ExampleLayout_RelayTargets() {
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -35,6 +35,9 @@
 	// introductionTime is how long a new gateway is sent placements although it
 	// has not shown to be running, so that it learns of this one.
 	introductionTime = 2 * time.Second
+	// remoteIntroductionTime is the same for gateways of other data centres in a
+	// fleet of several cells, to which it is only a contact.
+	remoteIntroductionTime = 300 * time.Millisecond
 	// exchangeTimeout bounds one exchange, which usually takes a few milliseconds.
 	exchangeTimeout = 700 * time.Millisecond
 	// placementInterval is the interval at which placements are sent without a
@@ -300,14 +303,20 @@
 // held.
 func (g *Gossip) placementTargets() []*net.UDPAddr {
 	var l []*net.UDPAddr
-	for _, a := range g.currentLayout().Members() {
+	layout := g.currentLayout()
+	for _, a := range layout.Members() {
 		if k := g.peers[a]; k != nil {
 			l = append(l, k.datagramAddress)
 		}
 	}
 	now := g.config.Now()
+	isLarge := layout.FleetSize() > comfreycell.MaxMembers
 	for _, k := range g.peers {
-		if k.lastAlive.IsZero() && now.Sub(k.added) < introductionTime {
+		limit := introductionTime
+		if isLarge && k.dataCentre != "" && k.dataCentre != g.config.DataCentre {
+			limit = remoteIntroductionTime
+		}
+		if k.lastAlive.IsZero() && now.Sub(k.added) < limit {
 			l = append(l, k.datagramAddress)
 		}
 	}
