--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -222,3 +222,37 @@
 		await(t, "the confirmation reaches all gateways", func() bool { return !isStale(n) })
 	}
 }
+
+// TestStateReachesOtherCellsOfDataCentre is the same for a data centre that is
+// divided into two cells.
+func TestStateReachesOtherCellsOfDataCentre(t *testing.T) {
+	const gateways = comfreycell.MaxMembers + 5
+	seed := startNode(t, 100)
+	nodes := []*node{seed}
+	for i := 1; i < gateways; i++ {
+		nodes = append(nodes, startNode(t, 100+i, seed.address))
+	}
+	sizes := map[comfreycell.ID]int{}
+	for _, n := range nodes {
+		await(t, "the data centre is divided", func() bool {
+			l := n.gossip.Layout()
+			return l.FleetSize() == gateways && (l.Own() == "north/0" || l.Own() == "north/1")
+		})
+		sizes[n.gossip.Layout().Own()]++
+	}
+	for _, n := range nodes {
+		own := n.gossip.Layout().Own()
+		other := comfreycell.ID("north/0")
+		if own == other {
+			other = "north/1"
+		}
+		await(t, "the gateways of the cell know each other", func() bool { return len(n.gossip.Layout().LiveMembers()) == sizes[own]-1 })
+		await(t, "the state of the other cell arrives", func() bool { return locked(n, func() bool { return len(n.cells[other].Loads) > 0 }) })
+	}
+	items := []comfreystorecache.Item{{Key: "k", Revision: 9, Value: []byte("v")}}
+	locked(seed, func() bool { seed.cache.Apply(9, items); return true })
+	seed.gossip.ShareStoreChanges(0, 9, items)
+	for _, n := range nodes {
+		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
+	}
+}
