--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreygossip"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -256,3 +258,41 @@
 		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
 	}
 }
+
+// TestStateOfRestartedRelayWithEarlierClock replays a relay that restarts after
+// its clock was set back, so that its incarnation is lower than before. Its
+// states must be ignored while they may be delayed ones of its former life, and
+// accepted soon after that one has fallen silent.
+func TestStateOfRestartedRelayWithEarlierClock(t *testing.T) {
+	n := startNode(t, 150)
+	c, err := net.Dial("udp4", "127.0.7.150:17201")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	send := func(incarnation, sequence uint64, running uint32) {
+		const relay = "127.0.7.151:1"
+		b, err := proto.Marshal(&comfreyproto.PlacementDatagram{Cell: &comfreyproto.CellDatagram{
+			Name: "south", Relay: relay, Sender: relay, DataCentre: "south", Incarnation: incarnation, Sequence: sequence, Parts: 1,
+			Loads: []*comfreyproto.ReplicaLoad{{Replica: "r", Running: running}},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write(b)
+	}
+	running := func() int {
+		return locked(n, func() int { return n.cells["south"].Loads["r"].Running })
+	}
+	await(t, "the state arrives", func() bool { send(1000, 5, 1); return running() == 1 })
+	began := time.Now()
+	sequence := uint64(0)
+	await(t, "the state of the restarted relay is accepted", func() bool {
+		sequence++
+		send(900, sequence, 2)
+		return running() == 2
+	})
+	if d := time.Since(began); d < time.Second {
+		t.Errorf("a lower incarnation was accepted after %v", d)
+	}
+}
