--- a/comfreycell/layout.go
+++ b/comfreycell/layout.go
@@ -31,7 +31,7 @@
 	// One would be enough; the second avoids a gap when the first is
 	// disconnected.
 	Relays = 2
-	// Leaders is how many gateways of a cell are told to cells of other data
+	// Leaders is how many gateways of a cell are listed to cells of other data
 	// centres. They include the next relays if the present ones fail.
 	Leaders = 4
 	// minStateInterval and stateIntervalPerCell are how often each relay sends the
--- a/comfreycell/simulation_test.go
+++ b/comfreycell/simulation_test.go
@@ -262,7 +262,7 @@
 }
 
 // callStore calls the store if the gateway has to watch it. Each call confirms
-// the cache and is told to the others, unless the store refuses the gateway.
+// the cache and is sent to the others, unless the store refuses the gateway.
 func (f *simulatedFleet) callStore(i int) {
 	g := f.gateways[i]
 	p := comfreystorecache.Position{InFleet: g.layout.FleetRank(), InCell: g.layout.Rank()}
