Simulate cells repeatably, with the exchanges that gateways make

Traced: the simulation drew random numbers in the order of maps, so that each run was another one, and about 5 of 300 starts of 100 gateways failed. In all of them, two gateways had heard of each other only after 4.3 s, since two of three simulated exchanges went to other cells, at one a second from the start. The gateways themselves choose four of five partners in their own cell, and exchange every 300 ms until they know more than 40 others.

The simulation now is repeatable and chooses partners in that way.

--- a/comfreycell/layout.go
+++ b/comfreycell/layout.go
@@ -83,6 +83,8 @@
 	// splitBits is how often the gateways of each data centre are divided in two;
 	// nil if the fleet is a single cell.
 	splitBits map[string]int
+	// cells holds the cells of each data centre that is divided, by number.
+	cells map[string][]ID
 	// members lists the known gateways of each cell, without those of unknown
 	// data centres, by rank.
 	members map[ID][]ranked
@@ -114,10 +116,14 @@
 		l.fleetSize += n
 	}
 	if l.fleetSize > MaxMembers {
-		l.splitBits = map[string]int{}
+		l.splitBits, l.cells = map[string]int{}, map[string][]ID{}
 		for c, n := range l.sizes {
 			if c != "" || self.DataCentre == "" { // No cell consists of gateways of unknown data centres.
-				l.splitBits[c] = bits.Len(uint((n - 1) / MaxMembers))
+				b := bits.Len(uint((n - 1) / MaxMembers))
+				l.splitBits[c] = b
+				for i := range uint64(1) << b {
+					l.cells[c] = append(l.cells[c], cellID(c, b, i))
+				}
 			}
 		}
 	}
@@ -166,8 +172,11 @@
 	if l.splitBits == nil {
 		return ""
 	}
-	n := l.splitBits[dataCentre]
-	return cellID(dataCentre, n, hash>>(64-n))
+	c := l.cells[dataCentre]
+	if c == nil {
+		return ID(dataCentre)
+	}
+	return c[hash>>(64-l.splitBits[dataCentre])]
 }
 
 // cellID returns the cell of a number in a data centre that is divided by bits.
@@ -327,9 +336,8 @@
 	own := l.self.hash >> (64 - ownBits)
 	shared := min(ownBits, n)
 	var ids []ID
-	for i := range uint64(1) << n {
-		id := cellID(dataCentre, n, i)
-		if id != l.own && (dataCentre == l.self.DataCentre || i>>(n-shared) == own>>(ownBits-shared)) {
+	for i, id := range l.cells[dataCentre] {
+		if id != l.own && (dataCentre == l.self.DataCentre || uint64(i)>>(n-shared) == own>>(ownBits-shared)) {
 			ids = append(ids, id)
 		}
 	}
--- a/comfreycell/simulation_test.go
+++ b/comfreycell/simulation_test.go
@@ -15,15 +15,19 @@
 // The intervals, sizes and bounds of the simulated gossip.
 const (
 	simulationStep = 250 * time.Millisecond
-	// stepsPerExchange is the number of steps between two exchanges of a gateway.
-	stepsPerExchange  = 4
-	datagramLoss      = 0.025
-	placementBytes    = 330
-	cellStateBytes    = 900
-	exchangeBytes     = 1500
-	remoteAddresses   = 3
-	confirmationBytes = 80
-	peerExpiry        = 15 * time.Second
+	// stepsPerExchange is the number of steps between two exchanges of a gateway
+	// in a fleet of several cells.
+	stepsPerExchange = 4
+	// remoteExchangeShare is the number of exchanges for each that is with a
+	// gateway of another cell.
+	remoteExchangeShare = 5
+	datagramLoss        = 0.025
+	placementBytes      = 330
+	cellStateBytes      = 900
+	exchangeBytes       = 1500
+	remoteAddresses     = 3
+	confirmationBytes   = 80
+	peerExpiry          = 15 * time.Second
 	// introductionTime is how long placements are sent to a gateway that has not
 	// shown to be running.
 	introductionTime       = 2 * time.Second
@@ -114,7 +118,7 @@
 			if f.step >= g.nextState {
 				f.sendCellStates(i)
 			}
-			if (f.step+i)%stepsPerExchange == 0 {
+			if g.layout.FleetSize() <= comfreycell.MaxMembers || (f.step+i)%stepsPerExchange == 0 {
 				f.exchange(i)
 			}
 			f.callStore(i)
@@ -142,7 +146,8 @@
 
 func (f *simulatedFleet) sendPlacements(i int) {
 	g := f.gateways[i]
-	for k, at := range g.heardOf {
+	for _, k := range slices.Sorted(maps.Keys(g.heardOf)) {
+		at := g.heardOf[k]
 		if _, ok := g.alive[k]; ok || f.now-at > introductionTime {
 			delete(g.heardOf, k)
 			continue
@@ -208,20 +213,14 @@
 	}
 }
 
-// exchange merges the lists of gateways of i and of a random one that it knows.
+// exchange merges the lists of gateways of i and of a random one that it knows,
+// usually of its own cell.
 func (f *simulatedFleet) exchange(i int) {
 	g := f.gateways[i]
-	known := slices.Collect(maps.Keys(g.heardOf))
-	for k := range g.alive {
-		if _, ok := g.heardOf[k]; !ok {
-			known = append(known, k)
-		}
-	}
-	if len(known) == 0 {
+	k, ok := f.exchangeTarget(g)
+	if !ok {
 		return
 	}
-	slices.Sort(known)
-	k := known[f.random.IntN(len(known))]
 	// An exchange travels over TCP: what is lost is sent again, unless a
 	// direction is cut.
 	f.send(i, k, exchangeBytes)
@@ -235,6 +234,35 @@
 	delete(g.heardOf, k)
 }
 
+// exchangeTarget returns the gateway with which g exchanges next, or false if it
+// knows none.
+func (f *simulatedFleet) exchangeTarget(g *simulatedGateway) (index int, ok bool) {
+	isMember := map[int]bool{}
+	near := slices.Sorted(maps.Keys(g.heardOf))
+	for _, a := range g.layout.Members() {
+		k := f.index[a]
+		isMember[k] = true
+		if _, ok := g.heardOf[k]; !ok {
+			near = append(near, k)
+		}
+	}
+	if len(near) == 0 || f.random.IntN(remoteExchangeShare) == 0 {
+		var remote []int
+		for _, k := range slices.Sorted(maps.Keys(g.alive)) {
+			if _, ok := g.heardOf[k]; !ok && !isMember[k] {
+				remote = append(remote, k)
+			}
+		}
+		if len(remote) > 0 {
+			near = remote
+		}
+	}
+	if len(near) == 0 {
+		return 0, false
+	}
+	return near[f.random.IntN(len(near))], true
+}
+
 // merge adds the gateways that from knows to those that to has heard of: all of
 // the data centre of to and some others.
 func (f *simulatedFleet) merge(to, from int) {
@@ -246,7 +274,9 @@
 			g.sizes[c], g.sizesAt[c] = o.sizes[c], at
 		}
 	}
-	for k := range o.alive {
+	known := slices.Sorted(maps.Keys(o.alive))
+	f.random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	for _, k := range known {
 		if _, known := g.alive[k]; known || k == to {
 			continue
 		}
@@ -408,6 +438,23 @@
 	}
 }
 
+// TestGatewaysFindEachOtherAfterRestarts starts fleets whose gateways know three
+// others each, and restarts half of them, with several seeds.
+func TestGatewaysFindEachOtherAfterRestarts(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		f := newSimulatedFleet(100, seed)
+		f.run(5 * time.Second)
+		f.checkViews(t)
+		for i := range f.gateways {
+			if i%2 == 0 {
+				f.restart(i)
+			}
+		}
+		f.run(5 * time.Second)
+		f.checkViews(t)
+	}
+}
+
 // TestOneWayCutBetweenDataCentres cuts the messages from one data centre to
 // another, but not those back. The receiving side must share out the replicas of
 // the silent data centre with the others, whose gateways go on to use them, and
--- a/comfreygossip/cells.go
+++ b/comfreygossip/cells.go
@@ -206,7 +206,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if d.DataCentre != g.config.DataCentre {
-		g.sizes[d.DataCentre] = reportedSize{int(d.DataCentreSize), g.config.Now()}
+		g.sizes[d.DataCentre] = reportedSize{min(int(d.DataCentreSize), maxReportedSize), g.config.Now()}
 	}
 	for _, a := range append(d.Members, d.Relay) {
 		if k := g.addPeer(a); k != nil {
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -179,7 +179,7 @@
 	for _, s := range l {
 		at := g.config.Now().Add(-time.Duration(s.AgeMillis) * time.Millisecond)
 		if s.DataCentre != g.config.DataCentre && at.After(g.sizes[s.DataCentre].reportedAt) {
-			g.sizes[s.DataCentre] = reportedSize{int(s.Gateways), at}
+			g.sizes[s.DataCentre] = reportedSize{min(int(s.Gateways), maxReportedSize), at}
 		}
 	}
 }
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -63,6 +63,9 @@
 	maxRemotePeersPerMessage = 3
 	// maxPeers bounds the gateways that are retained.
 	maxPeers = 2048
+	// maxReportedSize bounds the reported number of gateways in a data centre, so
+	// that a malformed message cannot divide it into millions of cells.
+	maxReportedSize = 1 << 14
 	// layoutInterval is how often the layout of the fleet is computed again.
 	layoutInterval = 100 * time.Millisecond
 )
