Read the host list every 2 s during a watch

A process that watches now reads the list every 2 s on average, also while the watch is open. In a data centre in which all processes watch all the time, the first watch begins within these 2 s.

TestHostListIsReadDuringWatch fails without the change (10.05 s between two reads).

--- a/comfreyconfig/node_test.go
+++ b/comfreyconfig/node_test.go
@@ -152,3 +152,35 @@
 		t.Errorf("the host list is not returned to other peers")
 	}
 }
+
+// TestHostListIsReadDuringWatch lets a process watch for a minute without any
+// change of the configuration. A host that leaves may get work for 5 s, so the
+// process must not wait for the end of a watch before it reads the list.
+func TestHostListIsReadDuringWatch(t *testing.T) {
+	n := newActiveNode(t)
+	start := testStart.Add(time.Second)
+	watchEnds := time.Time{}
+	last, reads := start, 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(50 * time.Millisecond) {
+		if !watchEnds.IsZero() && !now.Before(watchEnds) {
+			watchEnds = time.Time{}
+			n.HandleManifestResult(now, comfreyconfig.ManifestResult{SentAt: now, Kind: comfreyconfig.ActionWatchManifest, Unchanged: true})
+		}
+		for _, a := range n.Tick(now) {
+			switch a.Kind {
+			case comfreyconfig.ActionWatchManifest:
+				watchEnds = now.Add(a.Wait)
+			case comfreyconfig.ActionReadHosts:
+				reads++
+				if g := now.Sub(last); g > 3500*time.Millisecond {
+					t.Errorf("%v: no read of the host list for %v", now.Sub(start), g)
+				}
+				last = now
+			default:
+			}
+		}
+	}
+	if reads < 20 || reads > 40 {
+		t.Errorf("%d reads of the host list in a minute, want one each 2 s", reads)
+	}
+}
--- a/comfreyconfig/node_watch_turn.go
+++ b/comfreyconfig/node_watch_turn.go
@@ -17,18 +17,23 @@
 	nextCall time.Time
 	// deadline is when the open call times out; zero if none is open.
 	deadline time.Time
+	// nextHosts is when the host list is read next during the turn.
+	nextHosts time.Time
 }
 
 // next returns when the turn next needs a Tick.
 func (t *turnState) next() time.Time {
-	switch {
-	case !t.deadline.IsZero():
-		return t.deadline
-	case t.endsAt.IsZero():
+	if t.endsAt.IsZero() {
 		return t.beginsAt
-	default:
-		return t.nextCall
 	}
+	n := t.nextCall
+	if !t.deadline.IsZero() {
+		n = t.deadline
+	}
+	if t.nextHosts.Before(n) {
+		return t.nextHosts
+	}
+	return n
 }
 
 // endCall records the end of the open call; the turn continues at next.
@@ -59,19 +64,27 @@
 	if now.Before(t.next()) {
 		return nil
 	}
-	if !t.deadline.IsZero() {
+	if !t.deadline.IsZero() && !now.Before(t.deadline) {
 		n.stats.PlatformFailures++
 		t.endCall(now)
 	}
-	var a []Action
 	if t.endsAt.IsZero() {
-		t.beginsAt = now
+		t.beginsAt, t.nextHosts = now, now
 		t.endsAt = now.Add(n.config.Timing.WatchTimeout)
+	}
+	var a []Action
+	if !now.Before(t.nextHosts) {
 		a = n.readHosts()
+		t.nextHosts = now.Add(n.jitter(n.config.Timing.HostsInterval))
 	}
-	if !now.Before(t.endsAt) {
+	switch {
+	case !t.deadline.IsZero():
+		return a // The watch is open.
+	case !now.Before(t.endsAt):
 		n.scheduleNextTurn(now)
 		return a
+	case now.Before(t.nextCall):
+		return a
 	}
 	if n.pending != nil {
 		t.endCall(now.Add(n.jitter(n.config.Timing.RetryInterval)))
@@ -103,7 +116,11 @@
 	if !n.watchTurn.endsAt.IsZero() {
 		return
 	}
-	n.watchTurn.beginsAt = now.Add(time.Duration(n.random.Int64N(int64(n.turnPeriod()))))
+	p := n.turnPeriod()
+	if p == n.config.Timing.WatchTimeout {
+		p = n.config.Timing.HostsInterval // All processes watch all the time.
+	}
+	n.watchTurn.beginsAt = now.Add(time.Duration(n.random.Int64N(int64(p))))
 }
 
 // readHosts returns the action that reads the host list.
--- a/comfreyconfig/sim_test.go
+++ b/comfreyconfig/sim_test.go
@@ -317,7 +317,9 @@
 func (p *simPlatform) call(s *sim, n *simNode, a comfreyconfig.Action) {
 	p.calls++
 	asked := s.now
-	n.watching = a.Kind == comfreyconfig.ActionWatchManifest
+	if a.Kind != comfreyconfig.ActionReadHosts { // A process reads the host list during a watch.
+		n.watching = a.Kind == comfreyconfig.ActionWatchManifest
+	}
 	answer := func(x comfreyconfig.ManifestResult) {
 		x.SentAt, x.Kind = asked, a.Kind
 		if n.platformUnreachable {
--- a/comfreyconfig/timing.go
+++ b/comfreyconfig/timing.go
@@ -21,6 +21,9 @@
 	// WatchesPerDataCentre is the mean number of open watches of the processes
 	// of a data centre; 4 by default.
 	WatchesPerDataCentre int
+	// HostsInterval is the mean time between two reads of the host list by a
+	// process that watches; 2 s by default.
+	HostsInterval time.Duration
 	// RetryInterval is the mean delay between the end of a watch call, failed or
 	// not, and the next one of the same turn; 2 s by default.
 	RetryInterval time.Duration
@@ -37,6 +40,7 @@
 	defaultSettle    = 3 * time.Second
 	defaultWatchWait = 10 * time.Second
 	defaultWatches   = 4
+	defaultHosts     = 2 * time.Second
 	defaultRetry     = 2 * time.Second
 	defaultAnswer    = 2 * time.Second
 	defaultFanout    = 4
@@ -52,6 +56,7 @@
 	set(&t.ExchangeInterval, defaultExchange)
 	set(&t.SettlePeriod, defaultSettle)
 	set(&t.WatchTimeout, defaultWatchWait)
+	set(&t.HostsInterval, defaultHosts)
 	set(&t.RetryInterval, defaultRetry)
 	set(&t.CallTimeout, defaultAnswer)
 	if t.WatchesPerDataCentre <= 0 {
