--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -57,11 +57,12 @@
 
 // StoreClient reads the platform's key-value store and decodes its values.
 type StoreClient struct {
-	// List returns every item and the revision at which the listing began.
-	List func(ctx context.Context) (uint64, []comfreystorecache.Item, error)
-	// Watch waits for changes after a revision. It returns
-	// comfreystorecache.ErrCompacted if everything has to be listed again.
-	Watch func(ctx context.Context, after uint64, wait time.Duration) (uint64, []comfreystorecache.Item, error)
+	// List returns every item and the version at which the listing began.
+	List func(ctx context.Context) (comfreystorecache.Version, []comfreystorecache.Item, error)
+	// Watch waits for changes after a version, and returns them with the version
+	// from which to watch next. It returns comfreystorecache.ErrCompacted if
+	// everything has to be listed again.
+	Watch func(ctx context.Context, after comfreystorecache.Version, wait time.Duration) (comfreystorecache.Version, []comfreystorecache.Item, error)
 	// IsConfigurationKey and IsRegistrationKey report what kind of value a key
 	// holds.
 	IsConfigurationKey, IsRegistrationKey func(key string) bool
@@ -110,9 +111,9 @@
 	// nothing by default and must not block.
 	CellChanged func()
 	// ShareStoreChanges is called after each response of the store with the
-	// changes after a revision and up to another, which may be none. It does
-	// nothing by default and must not block.
-	ShareStoreChanges func(after, revision uint64, changes []comfreystorecache.Item)
+	// changes after a version and up to another one of the same era, which may be
+	// none. It does nothing by default and must not block.
+	ShareStoreChanges func(after, version comfreystorecache.Version, changes []comfreystorecache.Item)
 	// Layout returns the division of the fleet into cells; this gateway alone by
 	// default.
 	Layout func() comfreycell.Layout
@@ -142,7 +143,7 @@
 		c.CellChanged = func() {}
 	}
 	if c.ShareStoreChanges == nil {
-		c.ShareStoreChanges = func(uint64, uint64, []comfreystorecache.Item) {}
+		c.ShareStoreChanges = func(_, _ comfreystorecache.Version, _ []comfreystorecache.Item) {}
 	}
 	return c
 }
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -12,19 +12,19 @@
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
-// StoreRevision returns the revision up to which the store cache is complete.
-func (g *Gateway) StoreRevision() uint64 {
+// StoreVersion returns the version up to which the store cache is complete.
+func (g *Gateway) StoreVersion() comfreystorecache.Version {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.storeCache.Revision()
+	return g.storeCache.Version()
 }
 
 // StoreChangesSince returns the items that another gateway's store cache lacks;
 // see comfreystorecache.Cache.
-func (g *Gateway) StoreChangesSince(revision uint64) ([]comfreystorecache.Item, bool) {
+func (g *Gateway) StoreChangesSince(v comfreystorecache.Version) comfreystorecache.Changes {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.storeCache.Since(revision)
+	return g.storeCache.Since(v)
 }
 
 // StoreAge returns the time since the store cache was last known to be current.
@@ -55,25 +55,27 @@
 
 // MergeStore merges the items of another gateway's store cache.
 func (g *Gateway) MergeStore(m comfreygossip.StoreUpdate) {
-	g.mergeItems(func() []comfreystorecache.Item {
+	g.mergeItems(m.Gateway, func() []comfreystorecache.Item {
 		if m.IsSnapshot {
-			return g.storeCache.Replace(m.Revision, m.Items)
+			return g.storeCache.Replace(m.Version, m.Items)
 		}
-		return g.storeCache.Apply(m.Revision, m.Items)
+		changes, _ := g.storeCache.Apply(m.After, m.Version, m.Items)
+		return changes
 	})
 	if m.HasStoreAge {
-		g.ObserveStoreAge(m.Revision, m.StoreAge)
+		g.ObserveStoreAge(m.Version, m.StoreAge)
 	}
 }
 
 // ObserveStoreAge applies the store age of another gateway, whose store cache
-// is complete up to a revision. It counts for this gateway too if its own cache
-// is complete up to that revision.
-func (g *Gateway) ObserveStoreAge(revision uint64, age time.Duration) {
+// is complete up to a version. It counts for this gateway too if its own cache
+// is of the same era and complete up to that version.
+func (g *Gateway) ObserveStoreAge(v comfreystorecache.Version, age time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at := g.config.Now().Add(-age)
-	if revision > g.storeCache.Revision() || !at.After(g.storeCurrentAt) {
+	own := g.storeCache.Version()
+	if v.Era != own.Era || v.Revision > own.Revision || !at.After(g.storeCurrentAt) {
 		return
 	}
 	g.storeCurrentAt = at
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreydecision"
@@ -92,13 +93,16 @@
 	if !isListed {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		revision, items, err := g.config.Store.List(ctx)
+		version, items, err := g.config.Store.List(ctx)
+		if err == nil {
+			err = g.checkEra(version)
+		}
 		if err != nil {
 			return err
 		}
 		g.markStoreReachable()
-		g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Replace(revision, items) })
-		g.config.ShareStoreChanges(revision, revision, nil)
+		g.mergeItems("store", func() []comfreystorecache.Item { return g.storeCache.Replace(version, items) })
+		g.config.ShareStoreChanges(version, version, nil)
 		return nil
 	}
 	wait := watchWait
@@ -107,14 +111,32 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	after := g.StoreRevision()
-	revision, items, err := g.config.Store.Watch(ctx, after, wait)
+	after := g.StoreVersion()
+	version, items, err := g.config.Store.Watch(ctx, after, wait)
+	if err == nil {
+		err = g.checkEra(version)
+	}
 	if err != nil {
 		return err
 	}
+	if version.Era != after.Era {
+		return fmt.Errorf("comfreyforward: the store was restored, its version is %v after %v: %w", version, after, comfreystorecache.ErrCompacted)
+	}
 	g.markStoreReachable()
-	g.mergeItems(func() []comfreystorecache.Item { return g.storeCache.Apply(revision, items) })
-	g.config.ShareStoreChanges(after, revision, items)
+	g.mergeItems("store", func() []comfreystorecache.Item {
+		changes, _ := g.storeCache.Apply(after, version, items)
+		return changes
+	})
+	g.config.ShareStoreChanges(after, version, items)
+	return nil
+}
+
+// checkEra returns an error if a response of the store is of an older era than
+// the store cache, to which another gateway may have added a newer one meanwhile.
+func (g *Gateway) checkEra(v comfreystorecache.Version) error {
+	if known := g.StoreVersion(); v.Era < known.Era {
+		return fmt.Errorf("comfreyforward: store: expected era %d, got a response of era %d", known.Era, v.Era)
+	}
 	return nil
 }
 
@@ -137,18 +159,29 @@
 	}
 }
 
-// mergeItems merges items into the store cache through f, which returns those
-// that were new, and applies them.
-func (g *Gateway) mergeItems(f func() []comfreystorecache.Item) {
+// mergeItems merges items from a source into the store cache through f, which
+// returns those that were new, and applies them.
+func (g *Gateway) mergeItems(source string, f func() []comfreystorecache.Item) {
 	g.mu.Lock()
 	var changes []comfreyreplica.Change
 	now := g.config.Now()
-	for _, x := range f() {
+	old := g.storeCache.Version()
+	items := f()
+	version := g.storeCache.Version()
+	isRestored := version.Era > old.Era && old.Revision > 0
+	if isRestored {
+		g.replicas.PlatformRestored(now)
+		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonAccepted, map[string]any{
+			"dependency": "store", "state": "restored", "source": source, "era": version.Era, "revision": version.Revision,
+			"from-era": old.Era, "from-revision": old.Revision, "changes": len(items),
+		})
+	}
+	for _, x := range items {
 		switch {
 		case g.config.Store.IsConfigurationKey(x.Key):
 			g.applyConfiguration(x)
 		case g.config.Store.IsRegistrationKey(x.Key):
-			changes = append(changes, g.applyRegistration(now, x)...)
+			changes = append(changes, g.applyRegistration(now, x, isRestored)...)
 		}
 	}
 	g.mu.Unlock()
@@ -182,9 +215,10 @@
 	g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigTaken, f)
 }
 
-// applyRegistration applies a change of a replica's registration. One that
-// cannot be decoded counts as removed. The mutex must be held.
-func (g *Gateway) applyRegistration(now time.Time, x comfreystorecache.Item) []comfreyreplica.Change {
+// applyRegistration applies a change of a replica's registration, which may be
+// that of an older copy from which the store was restored. One that cannot be
+// decoded counts as removed. The mutex must be held.
+func (g *Gateway) applyRegistration(now time.Time, x comfreystorecache.Item, isRestored bool) []comfreyreplica.Change {
 	id := g.config.Store.ReplicaIDFromKey(x.Key)
 	if x.IsDeleted {
 		return g.replicas.Remove(now, id)
@@ -194,5 +228,8 @@
 		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConfigInvalid, map[string]any{"replica": id, "revision": x.Revision, "error": err.Error()})
 		return g.replicas.Remove(now, id)
 	}
+	if isRestored {
+		return g.replicas.UpdateRestored(now, l)
+	}
 	return g.replicas.Update(now, l)
 }
--- a/comfreygossip/cells.go
+++ b/comfreygossip/cells.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
 const (
@@ -86,13 +87,13 @@
 	default:
 		members = l.LeadingMembers()
 	}
-	revision := g.config.StoreRevision()
+	version := g.config.StoreVersion()
 	to := g.datagramAddresses([]string{t.Address})
 	for _, d := range cellDatagrams(g.config.CellState(t.Cell)) {
 		d.Name, d.Receiver = string(l.Own()), string(t.Cell)
 		d.Relay, d.Sender, d.Incarnation, d.Sequence = g.config.Address, g.config.Address, g.incarnation, sequence
 		d.DataCentre, d.DataCentreSize, d.Members = g.config.DataCentre, uint32(l.Sizes()[g.config.DataCentre]), members
-		d.Complete = revision
+		d.Complete, d.Era = version.Revision, version.Era
 		members = nil
 		g.send(&comfreyproto.PlacementDatagram{Cell: d}, to...)
 	}
@@ -174,7 +175,7 @@
 	r.sequence = d.Sequence
 	g.relays[d.Relay] = r
 	g.mu.Unlock()
-	g.requestIfNewer(d.Sender, d.Complete)
+	g.requestIfNewer(d.Sender, comfreystorecache.Version{Era: d.Era, Revision: d.Complete})
 	g.config.ApplyCellState(comfreycell.ID(d.Name), a.cell)
 }
 
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
 // runExchanges exchanges with one gateway after the other.
@@ -39,13 +40,25 @@
 	return exchangeInterval
 }
 
-// catchUp exchanges at once with a gateway whose store cache has a higher
-// revision.
+// newerCache is a gateway whose store cache is complete up to a later version.
+type newerCache struct {
+	gateway string
+	version comfreystorecache.Version
+}
+
+// catchUp exchanges with a gateway whose store cache is newer: at once, or at a
+// random time within newEraSpread if the store was restored, since all gateways
+// of a cell then need an exchange with the same one.
 func (g *Gossip) catchUp(ctx context.Context) error {
 	for {
 		select {
-		case a := <-g.newer:
-			g.exchange(ctx, a)
+		case n := <-g.newer:
+			if v := g.config.StoreVersion(); n.version.Era > v.Era && v.Revision > 0 {
+				comfreygroup.Sleep(ctx, time.Duration(rand.Float64()*float64(newEraSpread)))
+			}
+			if n.version.Compare(g.config.StoreVersion()) > 0 {
+				g.exchange(ctx, n.gateway)
+			}
 		case <-ctx.Done():
 			return nil
 		}
@@ -94,10 +107,11 @@
 	sizes := g.dataCentreSizes()
 	k.lastExchange = g.config.Now()
 	g.mu.Unlock()
+	after := g.config.StoreVersion()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{
-		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: g.config.StoreRevision(), Gateways: l, DataCentres: dataCentres, Sizes: sizes,
+		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: after.Revision, Era: after.Era, Gateways: l, DataCentres: dataCentres, Sizes: sizes,
 	})
 	g.recordExchange(address, k, r.GetDataCentre(), err)
 	if err != nil {
@@ -105,7 +119,7 @@
 	}
 	g.addPeers(r.Gateways, r.DataCentres)
 	g.learnSizes(r.Sizes)
-	m := StoreUpdate{Gateway: address, Revision: r.Complete, IsSnapshot: r.Whole, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
+	m := StoreUpdate{Gateway: address, After: after, Version: comfreystorecache.Version{Era: r.Era, Revision: r.Complete}, IsSnapshot: r.Whole, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
 	for _, x := range r.Items {
 		m.Items = append(m.Items, decodeItem(x))
 	}
@@ -143,13 +157,13 @@
 	g.mu.Unlock()
 	g.addPeers(r.Gateways, r.DataCentres)
 	g.learnSizes(r.Sizes)
-	items, isDelta := g.config.StoreChangesSince(r.Complete)
+	changes := g.config.StoreChangesSince(comfreystorecache.Version{Era: r.Era, Revision: r.Complete})
 	age, known := g.config.DirectStoreAge()
 	p := &comfreyproto.CopyExchangeReply{
-		Complete: g.config.StoreRevision(), Whole: !isDelta, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
+		Complete: changes.Version.Revision, Era: changes.Version.Era, Whole: changes.IsSnapshot, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
 		ContactAgeMillis: uint64(max(age, 0).Milliseconds()), ContactKnown: known,
 	}
-	for _, x := range items {
+	for _, x := range changes.Items {
 		p.Items = append(p.Items, &comfreyproto.StoreItem{Key: x.Key, Revision: x.Revision, Value: x.Value, Deleted: x.IsDeleted})
 	}
 	return p, nil
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -51,6 +51,9 @@
 	// silentPeerInterval is the minimum time between two exchanges with a gateway
 	// that sends no placements.
 	silentPeerInterval = 2 * time.Second
+	// newEraSpread is the time over which the gateways spread their exchanges when
+	// the store was restored.
+	newEraSpread = 300 * time.Millisecond
 	// clockResetDelay is how long no message must have arrived from a gateway
 	// before a lower incarnation of it is accepted. The incarnation is the start
 	// time, so it is lower after a restart if the clock was set back.
@@ -89,10 +92,10 @@
 	Seeds  []string
 	Group  *comfreygroup.Group
 	Logger *logrus.Logger
-	// StoreRevision and StoreChangesSince read this gateway's store cache; see
+	// StoreVersion and StoreChangesSince read this gateway's store cache; see
 	// comfreystorecache.Cache.
-	StoreRevision     func() uint64
-	StoreChangesSince func(revision uint64) ([]comfreystorecache.Item, bool)
+	StoreVersion      func() comfreystorecache.Version
+	StoreChangesSince func(v comfreystorecache.Version) comfreystorecache.Changes
 	// DirectStoreAge returns how long ago the store itself confirmed to this
 	// gateway that its cache is current. Reports of other gateways must not
 	// count.
@@ -104,8 +107,8 @@
 	// ApplyPlacements applies the placements of another gateway.
 	ApplyPlacements func(gateway string, s Placements)
 	// ObserveStoreAge records how long ago another gateway's store cache, which
-	// is complete up to a revision, was known to be current.
-	ObserveStoreAge func(complete uint64, age time.Duration)
+	// is complete up to a version, was known to be current.
+	ObserveStoreAge func(complete comfreystorecache.Version, age time.Duration)
 	// StoreAge returns how long ago this gateway's store cache was known to be
 	// current, also by reports of other gateways.
 	StoreAge func() (age time.Duration, known bool)
@@ -120,10 +123,12 @@
 // StoreUpdate holds the items of another gateway's store cache that this one's
 // lacks.
 type StoreUpdate struct {
-	Gateway  string
-	Revision uint64
-	Items    []comfreystorecache.Item
-	// IsSnapshot means that the items are the complete contents of the store.
+	Gateway string
+	// Items are the changes from the version After to Version.
+	After, Version comfreystorecache.Version
+	Items          []comfreystorecache.Item
+	// IsSnapshot means that the items are the complete contents of the store; After
+	// is then not used.
 	IsSnapshot bool
 	// StoreAge is how long ago the other cache was known to be current. It is
 	// valid only if HasStoreAge is true.
@@ -163,7 +168,7 @@
 	config      Config
 	incarnation uint64
 	changed     chan struct{}
-	newer       chan string
+	newer       chan newerCache
 	http        *http.Client
 	socket      *net.UDPConn
 
@@ -190,7 +195,7 @@
 		config:      c,
 		incarnation: uint64(c.Now().UnixNano()),
 		changed:     make(chan struct{}, 1),
-		newer:       make(chan string, 1),
+		newer:       make(chan newerCache, 1),
 		cellChanged: make(chan struct{}, 1),
 		http: &http.Client{Timeout: exchangeTimeout, Transport: &http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -59,11 +59,11 @@
 	group := comfreygroup.New(t.Context())
 	n.gossip = comfreygossip.New(comfreygossip.Config{
 		Address: n.address, DatagramPort: 17201, DataCentre: dataCentre, Seeds: seeds, Group: group, Logger: logger,
-		StoreRevision: func() uint64 { return locked(n, n.cache.Revision) },
-		StoreChangesSince: func(r uint64) ([]comfreystorecache.Item, bool) {
+		StoreVersion: func() comfreystorecache.Version { return locked(n, n.cache.Version) },
+		StoreChangesSince: func(v comfreystorecache.Version) comfreystorecache.Changes {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			return n.cache.Since(r)
+			return n.cache.Since(v)
 		},
 		DirectStoreAge: func() (time.Duration, bool) { return 0, false },
 		MergeStore: func(m comfreygossip.StoreUpdate) {
@@ -73,9 +73,9 @@
 				n.storeCurrentAt = time.Now()
 			}
 			if m.IsSnapshot {
-				n.cache.Replace(m.Revision, m.Items)
+				n.cache.Replace(m.Version, m.Items)
 			} else {
-				n.cache.Apply(m.Revision, m.Items)
+				n.cache.Apply(m.After, m.Version, m.Items)
 			}
 		},
 		Placements: func() comfreygossip.Placements {
@@ -88,7 +88,7 @@
 			defer n.mu.Unlock()
 			n.placements[g] = s
 		},
-		ObserveStoreAge: func(uint64, time.Duration) {},
+		ObserveStoreAge: func(comfreystorecache.Version, time.Duration) {},
 		StoreAge: func() (time.Duration, bool) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -159,11 +159,11 @@
 		t.Errorf("leaving replicas of b: got %+v", s)
 	}
 	locked(a, func() bool {
-		a.cache.Apply(9, []comfreystorecache.Item{{Key: "k", Revision: 9, Value: []byte("v")}})
+		a.cache.Apply(comfreystorecache.Version{}, comfreystorecache.Version{Revision: 9}, []comfreystorecache.Item{{Key: "k", Revision: 9, Value: []byte("v")}})
 		return true
 	})
 	for _, n := range []*node{b, c} {
-		await(t, "the store change reaches the other gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
+		await(t, "the store change reaches the other gateways", func() bool { return locked(n, n.cache.Version).Revision == 9 })
 	}
 	await(t, "a knows both other gateways", func() bool { return len(a.gossip.Layout().LiveMembers()) == 2 })
 }
@@ -199,17 +199,23 @@
 		}
 	}
 	items := []comfreystorecache.Item{{Key: "k", Revision: 9, Value: []byte("v")}}
-	locked(seed, func() bool { seed.cache.Apply(9, items); return true })
-	seed.gossip.ShareStoreChanges(0, 9, items)
+	locked(seed, func() bool {
+		seed.cache.Apply(comfreystorecache.Version{}, comfreystorecache.Version{Revision: 9}, items)
+		return true
+	})
+	seed.gossip.ShareStoreChanges(comfreystorecache.Version{}, comfreystorecache.Version{Revision: 9}, items)
 	for _, n := range nodes {
-		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
+		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Version).Revision == 9 })
 	}
 	// A change that fits into no datagram is requested in exchanges.
 	items = []comfreystorecache.Item{{Key: "k", Revision: 10, Value: make([]byte, 5000)}, {Key: "l", Revision: 11, Value: []byte("v")}}
-	locked(seed, func() bool { seed.cache.Apply(11, items); return true })
-	seed.gossip.ShareStoreChanges(9, 11, items)
+	locked(seed, func() bool {
+		seed.cache.Apply(comfreystorecache.Version{Revision: 9}, comfreystorecache.Version{Revision: 11}, items)
+		return true
+	})
+	seed.gossip.ShareStoreChanges(comfreystorecache.Version{Revision: 9}, comfreystorecache.Version{Revision: 11}, items)
 	for _, n := range nodes {
-		await(t, "the large store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 11 })
+		await(t, "the large store change reaches all gateways", func() bool { return locked(n, n.cache.Version).Revision == 11 })
 	}
 	// The ages of placements are those of the own cell; only a confirmation by
 	// the store reaches the others.
@@ -219,7 +225,7 @@
 	for _, n := range nodes {
 		locked(n, func() bool { n.storeCurrentAt = time.Time{}; return true })
 	}
-	seed.gossip.ShareStoreChanges(11, 11, nil)
+	seed.gossip.ShareStoreChanges(comfreystorecache.Version{Revision: 11}, comfreystorecache.Version{Revision: 11}, nil)
 	for _, n := range nodes[1:] {
 		await(t, "the confirmation reaches all gateways", func() bool { return !isStale(n) })
 	}
@@ -252,10 +258,55 @@
 		await(t, "the state of the other cell arrives", func() bool { return locked(n, func() bool { return len(n.cells[other].Loads) > 0 }) })
 	}
 	items := []comfreystorecache.Item{{Key: "k", Revision: 9, Value: []byte("v")}}
-	locked(seed, func() bool { seed.cache.Apply(9, items); return true })
-	seed.gossip.ShareStoreChanges(0, 9, items)
+	locked(seed, func() bool {
+		seed.cache.Apply(comfreystorecache.Version{}, comfreystorecache.Version{Revision: 9}, items)
+		return true
+	})
+	seed.gossip.ShareStoreChanges(comfreystorecache.Version{}, comfreystorecache.Version{Revision: 9}, items)
 	for _, n := range nodes {
-		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Revision) == 9 })
+		await(t, "the store change reaches all gateways", func() bool { return locked(n, n.cache.Version).Revision == 9 })
+	}
+}
+
+// TestRestoredStoreReachesOtherGateways restores the store from an older copy,
+// which one gateway lists. The others must take over the items of the new era,
+// although these have lower revisions, and ignore a gateway that still has the
+// old ones or is of a build that knows no eras.
+func TestRestoredStoreReachesOtherGateways(t *testing.T) {
+	a := startNode(t, 3)
+	b, c := startNode(t, 4, a.address), startNode(t, 5, a.address)
+	nodes := []*node{a, b, c}
+	old := comfreystorecache.Version{Era: 1, Revision: 9}
+	for _, n := range nodes {
+		locked(n, func() bool {
+			n.cache.Replace(old, []comfreystorecache.Item{{Key: "k", Revision: 8, Value: []byte("lost")}, {Key: "l", Revision: 9, Value: []byte("lost")}})
+			return true
+		})
+	}
+	restored := comfreystorecache.Version{Era: 2, Revision: 7}
+	locked(a, func() bool {
+		a.cache.Replace(restored, []comfreystorecache.Item{{Key: "k", Revision: 3, Value: []byte("older")}})
+		return true
+	})
+	a.gossip.ShareStoreChanges(restored, restored, nil)
+	for _, n := range nodes {
+		await(t, "the restored state reaches all gateways", func() bool { return locked(n, n.cache.Version) == restored })
+		for _, x := range locked(n, func() []comfreystorecache.Item { return n.cache.Since(comfreystorecache.Version{Revision: 1}).Items }) {
+			if x.Key != "k" || string(x.Value) != "older" {
+				t.Errorf("%s has %+v, which the store has lost", n.address, x)
+			}
+		}
+	}
+	d := startNode(t, 6, a.address)
+	locked(d, func() bool {
+		d.cache.Replace(comfreystorecache.Version{Revision: 12}, []comfreystorecache.Item{{Key: "m", Revision: 12}})
+		return true
+	})
+	await(t, "a gateway without an era takes over the newer state", func() bool { return locked(d, d.cache.Version) == restored })
+	for _, n := range nodes {
+		if v := locked(n, n.cache.Version); v != restored {
+			t.Errorf("%s is at version %v, want %v", n.address, v, restored)
+		}
 	}
 }
 
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -10,6 +10,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
 const (
@@ -52,7 +53,7 @@
 // sendPlacements sends the placements to every placement target.
 func (g *Gossip) sendPlacements() {
 	s := g.config.Placements()
-	revision := g.config.StoreRevision()
+	version := g.config.StoreVersion()
 	age, known := g.config.DirectStoreAge()
 	g.mu.Lock()
 	g.sequence++
@@ -61,7 +62,7 @@
 	g.mu.Unlock()
 	for _, d := range datagrams(s) {
 		d.Address, d.DataCentre, d.Incarnation, d.Sequence = g.config.Address, g.config.DataCentre, g.incarnation, sequence
-		d.Complete, d.ContactKnown, d.ContactAgeMillis = revision, known, uint64(max(age, 0).Milliseconds())
+		d.Complete, d.Era, d.ContactKnown, d.ContactAgeMillis = version.Revision, version.Era, known, uint64(max(age, 0).Milliseconds())
 		g.send(d, to...)
 	}
 }
@@ -192,21 +193,22 @@
 		k.sequence, k.lastDatagram = d.Sequence, g.config.Now()
 	}
 	g.mu.Unlock()
+	version := comfreystorecache.Version{Era: d.Era, Revision: d.Complete}
 	if d.ContactKnown {
-		g.config.ObserveStoreAge(d.Complete, time.Duration(d.ContactAgeMillis)*time.Millisecond)
+		g.config.ObserveStoreAge(version, time.Duration(d.ContactAgeMillis)*time.Millisecond)
 	}
-	g.requestIfNewer(d.Address, d.Complete)
+	g.requestIfNewer(d.Address, version)
 	g.config.ApplyPlacements(d.Address, a.placements)
 }
 
 // requestIfNewer requests an exchange with a gateway whose store cache is
-// complete up to a higher revision than this one's.
-func (g *Gossip) requestIfNewer(address string, revision uint64) {
-	if revision <= g.config.StoreRevision() {
+// complete up to a later version than this one's.
+func (g *Gossip) requestIfNewer(address string, v comfreystorecache.Version) {
+	if v.Compare(g.config.StoreVersion()) <= 0 {
 		return
 	}
 	select {
-	case g.newer <- address:
+	case g.newer <- newerCache{address, v}:
 	default:
 	}
 }
--- a/comfreygossip/store.go
+++ b/comfreygossip/store.go
@@ -18,18 +18,18 @@
 )
 
 // ShareStoreChanges sends a response of the store to the own cell, and to the
-// other cells if this gateway is a relay. It holds the changes after a revision
-// and up to another; without any, it confirms that the store caches are current.
+// other cells if this gateway is a relay. It holds the changes after a version
+// and up to another one of the same era; without any, it confirms that the store caches are current.
 // Gateways that miss a datagram request the changes in an exchange.
-func (g *Gossip) ShareStoreChanges(after, revision uint64, changes []comfreystorecache.Item) {
+func (g *Gossip) ShareStoreChanges(after, version comfreystorecache.Version, changes []comfreystorecache.Item) {
 	l := g.Layout()
 	to := l.Members()
 	for _, t := range l.RelayTargets() {
 		to = append(to, t.Address)
 	}
 	age, _ := g.config.DirectStoreAge()
-	for _, d := range storeDatagrams(after, revision, changes) {
-		d.Cell, d.DataCentre, d.Sender = string(l.Own()), g.config.DataCentre, g.config.Address
+	for _, d := range storeDatagrams(after.Revision, version.Revision, changes) {
+		d.Cell, d.DataCentre, d.Sender, d.Era = string(l.Own()), g.config.DataCentre, g.config.Address, version.Era
 		d.AgeMillis = uint64(max(age, 0).Milliseconds())
 		g.send(&comfreyproto.PlacementDatagram{Store: d}, g.datagramAddresses(to)...)
 	}
@@ -71,22 +71,24 @@
 // centre, to the other cells of its own. They are passed on at once, so that the
 // store age in them is not too low by more than the time on the way.
 func (g *Gossip) receiveStoreChanges(d *comfreyproto.StoreDatagram) {
-	known := g.config.StoreRevision()
+	known := g.config.StoreVersion()
+	version := comfreystorecache.Version{Era: d.Era, Revision: d.Complete}
 	age := time.Duration(d.AgeMillis) * time.Millisecond
 	ownAge, isKnown := g.config.StoreAge()
-	if d.Complete < known || d.Complete == known && isKnown && ownAge < age+minAgeGain {
+	if c := version.Compare(known); c < 0 || c == 0 && isKnown && ownAge < age+minAgeGain {
 		return
 	}
 	if to := g.storeTargets(g.Layout(), d); len(to) > 0 {
 		g.send(&comfreyproto.PlacementDatagram{Store: &comfreyproto.StoreDatagram{
-			Cell: d.Cell, DataCentre: d.DataCentre, Sender: g.config.Address, After: d.After, Complete: d.Complete, Changes: d.Changes, AgeMillis: d.AgeMillis,
+			Cell: d.Cell, DataCentre: d.DataCentre, Sender: g.config.Address, After: d.After, Complete: d.Complete, Era: d.Era, Changes: d.Changes, AgeMillis: d.AgeMillis,
 		}}, g.datagramAddresses(to)...)
 	}
-	if d.After > known {
-		g.requestIfNewer(d.Sender, d.Complete)
+	after := comfreystorecache.Version{Era: d.Era, Revision: d.After}
+	if after.Compare(known) > 0 {
+		g.requestIfNewer(d.Sender, version)
 		return
 	}
-	m := StoreUpdate{Gateway: d.Sender, Revision: d.Complete, HasStoreAge: true, StoreAge: age}
+	m := StoreUpdate{Gateway: d.Sender, After: after, Version: version, HasStoreAge: true, StoreAge: age}
 	for _, x := range d.Changes {
 		m.Items = append(m.Items, decodeItem(x))
 	}
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -14,6 +14,10 @@
 	// defaultOutageGrace is the time within which registrations that lapsed during
 	// an outage of the platform are renewed.
 	defaultOutageGrace = 1800 * time.Millisecond
+	// restoredGrace is how long a registration in an older copy of the store counts
+	// less than what is known of the replica. It exceeds the 3.6 s after which the
+	// registration of a replica that ended lapses.
+	restoredGrace = 4 * time.Second
 	// leavingRetention is how long a leaving replica is kept after its expected
 	// end, because some replicas serve many seconds longer.
 	leavingRetention = 30 * time.Second
@@ -45,11 +49,15 @@
 	// outage; the zero time if there was none.
 	reachableAt   time.Time
 	isUnreachable bool
+	// restored holds registrations from an older copy of the store of replicas that
+	// are known to leave, until restoredUntil.
+	restored      map[string]Registration
+	restoredUntil time.Time
 }
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
-	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}}
+	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}}
 }
 
 func (c Config) withDefaults() Config {
@@ -71,6 +79,7 @@
 // Update adds or replaces a replica's registration. It ignores a replica that
 // has announced that it leaves, unless the replica was restarted.
 func (s *Set) Update(now time.Time, l Registration) []Change {
+	delete(s.restored, l.ID)
 	old, known := s.replicas[l.ID]
 	if known && old.StartMillis == l.StartMillis && old.State == StateLeaving && !old.IsRemoved {
 		return nil // A leaving replica does not become ready again.
@@ -91,10 +100,40 @@
 	return []Change{{Replica: r, IsNew: !known}}
 }
 
+// UpdateRestored handles a registration from the older copy from which the
+// platform's store was restored. It is that of a replica which may have left
+// since. That of an earlier start of a known replica is ignored. If this start is
+// known to leave, then the registration is applied after restoredGrace, unless
+// the store changes it before: replicas that run write theirs again, and those of
+// others lapse.
+func (s *Set) UpdateRestored(now time.Time, l Registration) []Change {
+	old, known := s.replicas[l.ID]
+	switch {
+	case !known:
+		return s.Update(now, l)
+	case l.StartMillis > 0 && l.StartMillis < old.StartMillis:
+		return nil
+	case l.StartMillis == old.StartMillis && old.State == StateLeaving:
+		s.restored[l.ID] = l
+		return nil
+	default:
+		return s.Update(now, l)
+	}
+}
+
+// PlatformRestored records that the platform's store was restored from an older
+// copy. Registrations that are missing from it may be written again, as after an
+// outage.
+func (s *Set) PlatformRestored(now time.Time) {
+	s.isUnreachable, s.reachableAt = false, now
+	s.restored, s.restoredUntil = map[string]Registration{}, now.Add(restoredGrace)
+}
+
 // Remove handles the removal of a registration from the platform's store. During
 // an outage of the platform, and until OutageGrace after it, the registration may
 // still be renewed; the replica is then lapsed and keeps accepting requests.
 func (s *Set) Remove(now time.Time, id string) []Change {
+	delete(s.restored, id)
 	r, ok := s.replicas[id]
 	if !ok || r.IsRemoved {
 		return nil
@@ -170,10 +209,16 @@
 	return s.isUnreachable || now.Sub(s.reachableAt) < s.config.OutageGrace && !s.reachableAt.IsZero()
 }
 
-// Expire marks lapsed replicas as leaving once OutageGrace has passed, and drops
-// replicas that ended long ago. The caller calls it about every 100 ms.
+// Expire marks lapsed replicas as leaving once OutageGrace has passed, applies
+// restored registrations once restoredGrace has, and drops replicas that ended
+// long ago. The caller calls it about every 100 ms.
 func (s *Set) Expire(now time.Time) []Change {
 	var c []Change
+	if len(s.restored) > 0 && !now.Before(s.restoredUntil) {
+		for _, l := range s.restored {
+			c = append(c, s.Update(now, l)...)
+		}
+	}
 	for id, r := range s.replicas {
 		if r.State == StateLapsed && !s.inOutageGrace(now) {
 			r.IsRemoved = true
--- a/comfreyreplica/set_test.go
+++ b/comfreyreplica/set_test.go
@@ -105,3 +105,64 @@
 		}
 	}
 }
+
+// TestRestoredRegistrations replays a store that is restored from an older copy.
+// The copy lists replicas that have left since and an earlier start of another
+// one, and lacks a replica that serves.
+func TestRestoredRegistrations(t *testing.T) {
+	s := comfreyreplica.NewSet(comfreyreplica.Config{})
+	restarted := registration("restarted")
+	restarted.StartMillis = 2
+	for _, l := range []comfreyreplica.Registration{registration("left"), registration("draining"), registration("lapsed"), registration("serving"), restarted} {
+		s.Update(at(0), l)
+	}
+	s.Remove(at(time.Second), "left")
+	s.Remove(at(time.Second), "lapsed")
+	s.MarkLeaving(at(time.Second), "draining", 0)
+	s.PlatformRestored(at(2 * time.Second))
+	earlier := registration("restarted")
+	earlier.StartMillis, earlier.Address = 1, "127.0.0.1:9"
+	for _, l := range []comfreyreplica.Registration{registration("left"), registration("draining"), registration("lapsed"), earlier} {
+		if c := s.UpdateRestored(at(2*time.Second), l); len(c) != 0 {
+			t.Errorf("the older copy changed %+v", c)
+		}
+	}
+	s.Remove(at(2*time.Second), "serving")
+	if !isAccepting(t, s, "serving") {
+		t.Error("a replica that the older copy lacks accepts no requests")
+	}
+	if c := s.UpdateRestored(at(2*time.Second), registration("new")); len(c) != 1 || !c[0].IsNew {
+		t.Errorf("an unknown replica of the older copy is not used: %v", c)
+	}
+	s.Update(at(3*time.Second), registration("serving"))
+	s.Update(at(3*time.Second), registration("lapsed")) // It is running and has registered again.
+	s.Remove(at(5*time.Second), "left")
+	s.Expire(at(7 * time.Second))
+	for id, want := range map[string]bool{"left": false, "draining": false, "lapsed": true, "serving": true, "restarted": true, "new": true} {
+		if got := isAccepting(t, s, id); got != want {
+			t.Errorf("replica %s is accepting: %v, want %v", id, got, want)
+		}
+	}
+	if r, _ := s.Get("restarted"); r.Address != "127.0.0.1:1" {
+		t.Errorf("the earlier start at %s replaced the later one", r.Address)
+	}
+}
+
+// TestRestoredRegistrationIsUsedAfterGrace leaves a registration of the older
+// copy in the store, so that its replica must be running although it seemed to
+// have left.
+func TestRestoredRegistrationIsUsedAfterGrace(t *testing.T) {
+	s := comfreyreplica.NewSet(comfreyreplica.Config{})
+	s.Update(at(0), registration("a"))
+	s.Remove(at(time.Second), "a")
+	s.PlatformRestored(at(2 * time.Second))
+	s.UpdateRestored(at(2*time.Second), registration("a"))
+	s.Expire(at(5 * time.Second))
+	if isAccepting(t, s, "a") {
+		t.Error("the replica is used within the grace")
+	}
+	s.Expire(at(6 * time.Second))
+	if !isAccepting(t, s, "a") {
+		t.Error("the replica is not used after the grace")
+	}
+}
--- a/comfreystorecache/cache.go
+++ b/comfreystorecache/cache.go
@@ -1,16 +1,19 @@
 // Package comfreystorecache caches a watched key-value store. Items from
-// listings, watches and the caches of peers are merged by revision, so that no
-// item ever reverts to an older value. The package makes no calls.
+// listings, watches and the caches of peers are merged by era and revision, so
+// that no item ever reverts to an older value of the same era. The package makes
+// no calls.
 package comfreystorecache
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
+	"fmt"
 	"slices"
 )
 
 // ErrCompacted means that the store no longer holds the changes after the
-// requested revision, so that all keys have to be listed again.
+// requested version, so that all keys have to be listed again.
 var ErrCompacted = errors.New("comfreystorecache: the store has compacted the requested revision")
 
 // maxTombstones is the number of deletions that a Cache keeps for the caches of
@@ -18,6 +21,26 @@
 // reaches it after a minute.
 const maxTombstones = 256
 
+// Version identifies a state of the store.
+type Version struct {
+	// Era rises each time the store is restored from an older copy. It is zero if
+	// the store does not report it.
+	Era uint64
+	// Revision counts the changes of the store. In a new era it continues from
+	// that of the older copy, so that revisions are reused.
+	Revision uint64
+}
+
+// Compare orders versions by era, then by revision. It returns -1, 0 or 1.
+func (v Version) Compare(w Version) int {
+	return cmp.Or(cmp.Compare(v.Era, w.Era), cmp.Compare(v.Revision, w.Revision))
+}
+
+// String returns the era and the revision, separated by a slash.
+func (v Version) String() string {
+	return fmt.Sprintf("%d/%d", v.Era, v.Revision)
+}
+
 // Item is one key of the store at one revision.
 type Item struct {
 	Key      string
@@ -27,85 +50,202 @@
 	IsDeleted bool
 }
 
+// Changes brings another cache to a version.
+type Changes struct {
+	Version Version
+	// Items are sorted by revision. They are to be merged by Cache.Apply, or by
+	// Cache.Replace if IsSnapshot is true.
+	Items      []Item
+	IsSnapshot bool
+}
+
 // Cache is a process's copy of the store. It is not safe for concurrent use.
+//
+// It is built for this load: the store fails and is restored from a copy that is
+// some seconds older, while hundreds of processes hold newer items, or learn of
+// the new era one after the other. The store then issues revisions again that
+// the processes have seen with other content.
 type Cache struct {
 	items map[string]Item
-	// revision is the revision up to which the cache is complete.
-	revision uint64
-	// compactedRevision is the highest revision among the tombstones that were
-	// dropped.
+	// version is the version up to which the cache is complete.
+	version Version
+	// compactedRevision is the revision before which deletions are missing: the
+	// highest among the tombstones that were dropped, or that of a listing.
 	compactedRevision uint64
 	tombstones        int
+	// restored is the change from the previous era to the present one.
+	restored restoration
+}
+
+// restoration is how a cache got from its last version of one era to its first
+// version of the next.
+type restoration struct {
+	// from is the last version of the previous era; zero if it is unknown, or if
+	// the cache contained only a part of the changes after it.
+	from Version
+	// revision is the first revision of the present era, and keys are those whose
+	// items differ between the two versions.
+	revision uint64
+	keys     map[string]bool
 }
 
-// New returns an empty cache, which is complete up to revision zero.
+// New returns an empty cache, which is complete up to the zero version.
 func New() *Cache {
 	return &Cache{items: map[string]Item{}}
 }
 
-// Revision returns the revision up to which the cache is complete.
-func (c *Cache) Revision() uint64 {
-	return c.revision
+// Version returns the version up to which the cache is complete.
+func (c *Cache) Version() Version {
+	return c.version
+}
+
+// Apply merges the changes from a version to a later one and returns those that
+// were new, sorted by revision. Changes that the cache already contains, or that
+// are older than its items, are ignored. The changes must be all of those between
+// the versions. If the cache is not complete up to the first one, or belongs to a
+// later era than the second one, then it remains as it is, and Apply reports
+// false.
+func (c *Cache) Apply(after, version Version, changes []Item) (applied []Item, ok bool) {
+	switch {
+	case version.Era == c.version.Era && after.Era == version.Era && after.Revision <= c.version.Revision:
+		return c.merge(version, changes), true
+	case version.Era > c.version.Era && after == c.version && c.isExact():
+		return c.restore(version, changes), true
+	default:
+		return nil, false
+	}
 }
 
-// Apply merges changes that complete the cache up to a revision, and returns
-// those that were new, sorted by revision. Changes that the cache already
-// contains, or that are older than its items, are ignored.
-func (c *Cache) Apply(revision uint64, changes []Item) []Item {
+// merge merges changes of the present era.
+func (c *Cache) merge(version Version, changes []Item) []Item {
 	var applied []Item
 	for _, x := range changes {
 		if c.put(x) {
 			applied = append(applied, x)
 		}
 	}
-	c.revision = max(c.revision, revision)
+	if c.version.Compare(version) < 0 {
+		c.version = version
+	}
 	slices.SortFunc(applied, CompareRevision)
 	c.compact()
 	return applied
 }
 
-// Replace merges a listing of all keys. The revision is that of the store when
+// Replace merges a listing of all keys. The version is that of the store when
 // the listing began; a key that is missing from the listing and has not changed
-// since that revision was deleted. It returns the changes sorted by revision.
-func (c *Cache) Replace(revision uint64, listed []Item) []Item {
-	if revision < c.revision {
-		return c.Apply(c.revision, listed)
+// since that version was deleted. It returns the changes sorted by revision. A
+// listing of an older era is ignored.
+func (c *Cache) Replace(version Version, listed []Item) []Item {
+	if version.Era < c.version.Era {
+		return nil
+	}
+	if version.Compare(c.version) < 0 {
+		return c.merge(c.version, listed)
 	}
+	isRestored := version.Era > c.version.Era
 	present := make(map[string]bool, len(listed))
 	for _, x := range listed {
 		present[x.Key] = true
 	}
 	changes := slices.Clone(listed)
 	for k, x := range c.items {
-		if !present[k] && !x.IsDeleted && x.Revision <= revision {
-			changes = append(changes, Item{Key: k, Revision: revision, IsDeleted: true})
+		if !present[k] && !x.IsDeleted && (isRestored || x.Revision <= version.Revision) {
+			changes = append(changes, Item{Key: k, Revision: version.Revision, IsDeleted: true})
 		}
 	}
-	return c.Apply(revision, changes)
+	if isRestored {
+		return c.restore(version, changes)
+	}
+	if version != c.version {
+		// Keys that were both added and deleted since then are unknown.
+		c.compactedRevision = max(c.compactedRevision, version.Revision)
+	}
+	return c.merge(version, changes)
 }
 
-// Since returns the items that changed after a revision, sorted by revision,
-// for another cache that is complete up to it. It reports false if tombstones in
-// that range were dropped; the items are then a complete listing, to be merged
-// by Replace.
-func (c *Cache) Since(revision uint64) (items []Item, isComplete bool) {
-	isComplete = revision >= c.compactedRevision
+// isExact reports whether the cache contains no change after its version. A
+// listing may contain some.
+func (c *Cache) isExact() bool {
 	for _, x := range c.items {
-		if x.Revision > revision && isComplete || !isComplete && !x.IsDeleted {
-			items = append(items, x)
+		if x.Revision > c.version.Revision {
+			return false
 		}
 	}
-	slices.SortFunc(items, CompareRevision)
-	return items, isComplete
+	return true
 }
 
-// put stores an item and reports whether it is newer than the cached one.
+// restore applies the changes from the present state to the first version of a
+// new era, in which items may have lower revisions. It returns those that differ
+// from the present state, sorted by revision.
+func (c *Cache) restore(version Version, changes []Item) []Item {
+	r := restoration{revision: version.Revision, keys: map[string]bool{}}
+	if c.version.Revision > 0 && c.isExact() {
+		r.from = c.version
+	}
+	for k, x := range c.items {
+		if x.IsDeleted {
+			delete(c.items, k)
+		}
+	}
+	var applied []Item
+	c.tombstones = 0
+	for _, x := range changes {
+		old, ok := c.items[x.Key]
+		if ok && !x.IsDeleted && old.Revision == x.Revision && bytes.Equal(old.Value, x.Value) {
+			continue
+		}
+		r.keys[x.Key] = true
+		if x.IsDeleted {
+			c.tombstones++
+		}
+		c.items[x.Key] = x
+		if ok || !x.IsDeleted {
+			applied = append(applied, x)
+		}
+	}
+	c.version, c.compactedRevision, c.restored = version, version.Revision, r
+	slices.SortFunc(applied, CompareRevision)
+	c.compact()
+	return applied
+}
+
+// Since returns the changes after a version, for another cache that is complete
+// up to it. If they are not known, it returns a complete listing.
+func (c *Cache) Since(v Version) Changes {
+	d := Changes{Version: c.version}
+	isAfter := func(x Item) bool { return x.Revision > v.Revision }
+	switch {
+	case v.Era == c.version.Era:
+		d.IsSnapshot = v.Revision < c.compactedRevision
+	case v == c.restored.from && v.Revision > 0:
+		d.IsSnapshot = c.compactedRevision != c.restored.revision
+		isAfter = func(x Item) bool { return x.Revision > c.restored.revision || c.restored.keys[x.Key] }
+	default:
+		d.IsSnapshot = true
+	}
+	for _, x := range c.items {
+		if !d.IsSnapshot && isAfter(x) || d.IsSnapshot && !x.IsDeleted {
+			d.Items = append(d.Items, x)
+		}
+	}
+	slices.SortFunc(d.Items, CompareRevision)
+	return d
+}
+
+// put stores an item of the present era and reports whether it is newer than the
+// cached one.
 func (c *Cache) put(x Item) bool {
 	old, ok := c.items[x.Key]
-	if ok && (old.Revision >= x.Revision || old.IsDeleted && x.IsDeleted) {
+	if ok && old.Revision >= x.Revision {
+		return false
+	}
+	if ok && old.IsDeleted && x.IsDeleted {
+		// Other caches may have seen the key exist in between.
+		c.items[x.Key] = x
 		return false
 	}
-	if !ok && x.IsDeleted && x.Revision <= c.revision {
+	if !ok && x.IsDeleted && x.Revision <= c.version.Revision {
 		return false
 	}
 	if ok && old.IsDeleted {
@@ -134,6 +274,7 @@
 	for _, x := range d[:len(d)-maxTombstones/2] {
 		delete(c.items, x.Key)
 		c.compactedRevision = max(c.compactedRevision, x.Revision)
+		c.restored = restoration{}
 		c.tombstones--
 	}
 }
--- a/comfreystorecache/cache_test.go
+++ b/comfreystorecache/cache_test.go
@@ -7,10 +7,15 @@
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
+// revision returns a version of the era zero.
+func revision(n uint64) comfreystorecache.Version {
+	return comfreystorecache.Version{Revision: n}
+}
+
 func ExampleCache_Replace() {
 	c := comfreystorecache.New()
-	c.Replace(5, []comfreystorecache.Item{{Key: "a", Revision: 2}, {Key: "b", Revision: 4}})
-	for _, x := range c.Replace(9, []comfreystorecache.Item{{Key: "b", Revision: 8}}) {
+	c.Replace(comfreystorecache.Version{Revision: 5}, []comfreystorecache.Item{{Key: "a", Revision: 2}, {Key: "b", Revision: 4}})
+	for _, x := range c.Replace(comfreystorecache.Version{Revision: 9}, []comfreystorecache.Item{{Key: "b", Revision: 8}}) {
 		fmt.Println(x.Key, x.Revision, x.IsDeleted)
 	}
 	// Output:
@@ -20,59 +25,59 @@
 
 func TestOlderRevisionsAreIgnored(t *testing.T) {
 	c := comfreystorecache.New()
-	c.Apply(7, []comfreystorecache.Item{{Key: "c", Revision: 7, Value: []byte("new")}})
-	if got := c.Apply(3, []comfreystorecache.Item{{Key: "c", Revision: 3, Value: []byte("old")}}); len(got) != 0 {
+	c.Apply(revision(0), revision(7), []comfreystorecache.Item{{Key: "c", Revision: 7, Value: []byte("new")}})
+	if got, _ := c.Apply(revision(0), revision(3), []comfreystorecache.Item{{Key: "c", Revision: 3, Value: []byte("old")}}); len(got) != 0 {
 		t.Errorf("an older change was applied: %v", got)
 	}
-	if got := c.Replace(5, nil); len(got) != 0 {
+	if got := c.Replace(revision(5), nil); len(got) != 0 {
 		t.Errorf("an older listing deleted %v", got)
 	}
-	if c.Revision() != 7 {
-		t.Errorf("complete up to %d, want 7", c.Revision())
+	if c.Version() != revision(7) {
+		t.Errorf("complete up to %v, want 7", c.Version())
 	}
 }
 
 func TestKeyDeletedBetweenListPagesStaysDeleted(t *testing.T) {
 	c := comfreystorecache.New()
-	c.Replace(10, []comfreystorecache.Item{{Key: "a", Revision: 3}})
-	c.Apply(12, []comfreystorecache.Item{{Key: "a", Revision: 12, IsDeleted: true}})
-	if got := c.Apply(12, []comfreystorecache.Item{{Key: "a", Revision: 3}}); len(got) != 0 {
+	c.Replace(revision(10), []comfreystorecache.Item{{Key: "a", Revision: 3}})
+	c.Apply(revision(10), revision(12), []comfreystorecache.Item{{Key: "a", Revision: 12, IsDeleted: true}})
+	if got, _ := c.Apply(revision(12), revision(12), []comfreystorecache.Item{{Key: "a", Revision: 3}}); len(got) != 0 {
 		t.Errorf("an outdated page restored %v", got)
 	}
 }
 
 func TestSinceReturnsDeletions(t *testing.T) {
 	a, b := comfreystorecache.New(), comfreystorecache.New()
-	a.Apply(2, []comfreystorecache.Item{{Key: "x", Revision: 1}, {Key: "y", Revision: 2}})
-	d, isComplete := a.Since(0)
-	if !isComplete {
+	a.Apply(revision(0), revision(2), []comfreystorecache.Item{{Key: "x", Revision: 1}, {Key: "y", Revision: 2}})
+	d := a.Since(revision(0))
+	if d.IsSnapshot {
 		t.Fatal("got a listing before any tombstone was dropped")
 	}
-	b.Apply(a.Revision(), d)
-	a.Apply(5, []comfreystorecache.Item{{Key: "x", Revision: 5, IsDeleted: true}})
-	d, _ = a.Since(b.Revision())
-	if got := b.Apply(a.Revision(), d); len(got) != 1 || !got[0].IsDeleted {
+	b.Apply(revision(0), d.Version, d.Items)
+	a.Apply(revision(2), revision(5), []comfreystorecache.Item{{Key: "x", Revision: 5, IsDeleted: true}})
+	d = a.Since(b.Version())
+	if got, _ := b.Apply(b.Version(), d.Version, d.Items); len(got) != 1 || !got[0].IsDeleted {
 		t.Errorf("got %v, want the deletion of x", got)
 	}
 }
 
 func TestCacheBehindCompactedDeletionsReceivesListing(t *testing.T) {
 	a, b := comfreystorecache.New(), comfreystorecache.New()
-	a.Apply(1, []comfreystorecache.Item{{Key: "k-0", Revision: 1}})
-	d, _ := a.Since(0)
-	b.Apply(1, d)
+	a.Apply(revision(0), revision(1), []comfreystorecache.Item{{Key: "k-0", Revision: 1}})
+	d := a.Since(revision(0))
+	b.Apply(revision(0), d.Version, d.Items)
 	r := uint64(1)
 	for i := range 600 {
 		r++
-		a.Apply(r, []comfreystorecache.Item{{Key: fmt.Sprintf("k-%d", i), Revision: r}})
+		a.Apply(a.Version(), revision(r), []comfreystorecache.Item{{Key: fmt.Sprintf("k-%d", i), Revision: r}})
 		r++
-		a.Apply(r, []comfreystorecache.Item{{Key: fmt.Sprintf("k-%d", i), Revision: r, IsDeleted: true}})
+		a.Apply(a.Version(), revision(r), []comfreystorecache.Item{{Key: fmt.Sprintf("k-%d", i), Revision: r, IsDeleted: true}})
 	}
-	d, isComplete := a.Since(b.Revision())
-	if isComplete {
+	d = a.Since(b.Version())
+	if !d.IsSnapshot {
 		t.Fatal("got all of 600 deletions, want a listing")
 	}
-	if got := b.Replace(a.Revision(), d); len(got) != 1 || !got[0].IsDeleted {
+	if got := b.Replace(d.Version, d.Items); len(got) != 1 || !got[0].IsDeleted {
 		t.Errorf("got %v, want the deletion of k-0", got)
 	}
 }
