--- a/comfreyforward/metrics.go
+++ b/comfreyforward/metrics.go
@@ -45,6 +45,7 @@
 				}
 				return 0
 			}),
+			gauge("comfrey_forward_store_era", "Era of the store cache, zero if the store reports none.", func() float64 { return float64(g.StoreVersion().Era) }),
 			gauge("comfrey_forward_store_age_seconds", "Time since the store cache was last known to be current, -1 if it never was.", func() float64 {
 				age, ok := g.StoreAge()
 				if !ok {
