Follow the size of the fleet with the retry slack; bounds of small limits

After a restart of the whole fleet a gateway knows a few of 100, so that together they could have sent 13 times the slack.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,10 @@
 	// of a service is divided, in case a gateway does not know all peers: a
 	// deployment runs 4 to 8 on its entry hosts, spare ones included.
 	minGateways = 8
+	// maxInitialRetries bounds the retries that a gateway may send before requests
+	// have added any. After a restart of the whole fleet, each gateway knows only
+	// a few others.
+	maxInitialRetries = 2
 )
 
 // Gateway forwards requests. It is safe for concurrent use.
@@ -136,6 +141,7 @@
 		if now.Sub(swept) >= sweepInterval {
 			g.estimator.Expire(now)
 			g.health.Expire(now)
+			g.expireUnaryLoads()
 		}
 		g.mu.Unlock()
 		g.handleReplicaChanges(changes)
@@ -147,6 +153,15 @@
 	return nil
 }
 
+// expireUnaryLoads removes the loads of replicas that are no longer known. The
+// mutex must be held.
+func (g *Gateway) expireUnaryLoads() {
+	maps.DeleteFunc(g.unaryLoads, func(id string, l *unaryLoad) bool {
+		_, ok := g.replicas.Get(id)
+		return !ok && l.inFlight == 0
+	})
+}
+
 // fetchReports fetches the load reports of all engines, evenly spread over the
 // interval, until ctx ends.
 func (g *Gateway) fetchReports(ctx context.Context) error {
@@ -267,16 +282,18 @@
 	return len(g.config.Layout().LiveMembers()) + 1
 }
 
-// retryBudget returns the retry budget of a service.
+// retryBudget returns the retry budget of a service. The gateways share out the
+// slack of the service.
 func (g *Gateway) retryBudget(service string) *comfreyrouter.RetryBudget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	slack := g.config.Retry.Slack / float64(max(minGateways, g.gatewayCount()))
 	b, ok := g.retryBudgets[service]
 	if !ok {
-		slack := g.config.Retry.Slack / float64(max(minGateways, g.gatewayCount()))
-		b = comfreyrouter.NewRetryBudget(comfreyrouter.RetryBudgetConfig{Ratio: g.config.Retry.Ratio * retryRatioShare, Burst: max(slack, 1), Initial: slack})
+		b = comfreyrouter.NewRetryBudget(comfreyrouter.RetryBudgetConfig{Ratio: g.config.Retry.Ratio * retryRatioShare, Initial: min(slack, maxInitialRetries)})
 		g.retryBudgets[service] = b
 	}
+	b.SetBurst(max(slack, 1))
 	return b
 }
 
--- a/comfreyforward/limit.go
+++ b/comfreyforward/limit.go
@@ -9,8 +9,10 @@
 
 const (
 	// reservedDescriptors are set aside for files; the platform reserves as
-	// many.
+	// many. A limit that leaves less than minDescriptorShare of the descriptors
+	// reserves fewer.
 	reservedDescriptors = 200
+	minDescriptorShare  = 0.25
 	// callerDescriptorShare is the part of the other descriptors that
 	// connections of callers may use; the rest is for connections to replicas,
 	// the store and other gateways.
@@ -24,7 +26,11 @@
 // maxCallerConnections returns how many connections of callers may be open for
 // a limit of descriptors; zero means no bound.
 func maxCallerConnections(descriptors int) int {
-	return int(callerDescriptorShare * float64(max(descriptors-reservedDescriptors, 0)))
+	if descriptors <= 0 {
+		return 0
+	}
+	usable := max(float64(descriptors-reservedDescriptors), minDescriptorShare*float64(descriptors))
+	return max(int(callerDescriptorShare*usable), 1)
 }
 
 // setMemoryLimit derives the memory limit of the Go runtime from the allowed
--- a/comfreyrouter/retry_budget.go
+++ b/comfreyrouter/retry_budget.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// SetBurst changes the size of the token bucket, in retries. Retries beyond it
+// are lost.
+func (b *RetryBudget) SetBurst(retries float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = int64(retries * retryUnit)
+	b.tokens = min(b.tokens, b.burst)
+}
+
 // RecordRequest records the first attempt of a request.
 func (b *RetryBudget) RecordRequest(_ time.Time) {
 	b.mu.Lock()
