--- a/comfreygossip/cells.go
+++ b/comfreygossip/cells.go
@@ -151,7 +151,7 @@
 		d.Sender = g.config.Address
 		g.send(&comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses(l.LiveMembers())...)
 	}
-	a, isNew := assemble(partial, "relay "+d.Relay, d.Sequence, d.Part)
+	a, isNew := assemble(partial, g.config.Now(), "relay "+d.Relay, d.Sequence, d.Part)
 	if !isNew {
 		return
 	}
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"time"
 
@@ -150,10 +151,16 @@
 	}
 }
 
+// maxAssemblies is how many incomplete states are kept before those of senders
+// that have vanished are removed.
+const maxAssemblies = 256
+
 // assembly collects the parts of one sender's state.
 type assembly struct {
 	sequence uint64
-	parts    map[uint32]bool
+	// began is when the first part arrived.
+	began time.Time
+	parts map[uint32]bool
 	// placements are those of a gateway, or else cell is the state of a cell.
 	placements Placements
 	cell       CellState
@@ -161,10 +168,13 @@
 
 // assemble returns the assembly to which a part belongs, and whether the part is
 // new. A later sequence replaces an incomplete one.
-func assemble(partial map[string]*assembly, sender string, sequence uint64, part uint32) (*assembly, bool) {
+func assemble(partial map[string]*assembly, now time.Time, sender string, sequence uint64, part uint32) (*assembly, bool) {
 	a := partial[sender]
 	if a == nil || a.sequence != sequence {
-		a = &assembly{sequence: sequence, parts: map[uint32]bool{}}
+		if len(partial) >= maxAssemblies {
+			maps.DeleteFunc(partial, func(_ string, a *assembly) bool { return now.Sub(a.began) > peerExpiry })
+		}
+		a = &assembly{sequence: sequence, began: now, parts: map[uint32]bool{}}
 		partial[sender] = a
 	}
 	isNew := !a.parts[part]
@@ -178,7 +188,7 @@
 	if !g.isNew(d) {
 		return
 	}
-	a, isNew := assemble(partial, d.Address, d.Sequence, d.Part)
+	a, isNew := assemble(partial, g.config.Now(), d.Address, d.Sequence, d.Part)
 	if !isNew {
 		return
 	}
