Open new replicas gradually, and leave time for prompts not known of

A replica opened to three gateways at first and to all of 31 at 0.8 s, at which moment all that had a generation waiting chose it. It now opens to two, and to twice as many every 0.4 s. And a prompt was sent behind as many others as an engine reads at 7,000 tokens a second, while one in ten such prompts is read at less than 5,200, since others arrive that the gateway does not know of.

--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -46,7 +46,7 @@
 			}
 			continue
 		}
-		if now.Sub(r.Since) < comfreyplacement.NewReplicaPeriod && !comfreyplacement.MayUseNewReplica(r.ID, g.config.Address, others) {
+		if !comfreyplacement.MayUseNewReplica(r.ID, g.config.Address, others, now.Sub(r.Since)) {
 			continue
 		}
 		l = append(l, g.candidate(now, s, r, load))
--- a/comfreyplacement/new_replica.go
+++ b/comfreyplacement/new_replica.go
@@ -10,21 +10,33 @@
 	// NewReplicaPeriod is how long a replica counts as new. After it, the
 	// gateways have received each other's placements there.
 	NewReplicaPeriod = 800 * time.Millisecond
-	// newReplicaGateways is how many gateways may use a new replica. Only a few
-	// prompts can be prefilled within the target latency of a first event.
-	newReplicaGateways = 3
+	// firstGateways is how many gateways may use a replica that has just appeared.
+	// Only a few prompts can be prefilled within the target latency of a first
+	// event.
+	firstGateways = 2
+	// minSharingGateways is the size of a cell up to which all of its gateways may
+	// use every replica.
+	minSharingGateways = 3
+	// gatewayDoublingTime is after which time twice as many may use it. An engine
+	// prefills a prompt or two in that time.
+	gatewayDoublingTime = 400 * time.Millisecond
+	// maxDoublings bounds the number of gateways of a cell, far above its size.
+	maxDoublings = 16
 )
 
-// MayUseNewReplica reports whether a gateway may use a replica while it is new.
-// Rendezvous hashing assigns each new replica to a few gateways, so that the
-// gateways share out several new replicas without communication.
+// MayUseNewReplica reports whether a gateway may use a replica that appeared some
+// time ago. Rendezvous hashing assigns each new replica to a few gateways, so that
+// the gateways share out several new replicas without communication, and to more
+// and more of them as it ages.
 //
 // It is built for this load: seven empty replicas appear at once, and thirty
 // gateways have generations in their queues. All gateways choose an empty
 // replica before they receive each other's placements, and the prompts that one
-// replica receives take seconds to prefill.
-func MayUseNewReplica(replica, own string, others []string) bool {
-	if len(others) < newReplicaGateways {
+// replica receives take seconds to prefill. The same happens later if all of
+// them may use it from the same moment on.
+func MayUseNewReplica(replica, own string, others []string, age time.Duration) bool {
+	allowed := firstGateways << min(max(age, 0)/gatewayDoublingTime, maxDoublings)
+	if len(others) < max(allowed, minSharingGateways) {
 		return true
 	}
 	before := 0
@@ -34,7 +46,7 @@
 			before++
 		}
 	}
-	return before < newReplicaGateways
+	return before < allowed
 }
 
 // rendezvousWeight returns the weight of a gateway for a replica; the gateways
--- a/comfreyplacement/queue_timeout.go
+++ b/comfreyplacement/queue_timeout.go
@@ -6,6 +6,10 @@
 	// prefillTokensPerSecond is how fast an engine prefills prompts while it
 	// decodes: 112 tokens in a step of 15 ms.
 	prefillTokensPerSecond = 7_000
+	// pendingTokensPerSecond is the same for the prompts before one at a replica.
+	// It is lower, because others arrive there that this gateway does not know of
+	// yet: nine of ten first events come at least as fast.
+	pendingTokensPerSecond = 5_200
 	// firstEventOverhead is the time between the end of a prefill and the
 	// arrival of the first event at the caller: a few engine steps and the
 	// network.
@@ -42,7 +46,7 @@
 // is never less than latePendingPrefillTokens.
 func MaxPendingPrefill(target, waited time.Duration, promptTokens int) int {
 	left := spareTime(target, waited, promptTokens)
-	return max(int(left.Seconds()*prefillTokensPerSecond), latePendingPrefillTokens)
+	return max(int(left.Seconds()*pendingTokensPerSecond), latePendingPrefillTokens)
 }
 
 // spareTime returns the part of the target latency that remains after the wait
