Request a refused page of a listing again, not the whole listing

A gateway that starts lists all keys in pages. If one page was refused or lost, the listing began anew. Hundreds of gateways that start at once with thousands of replicas exceed the calls that the store answers in a second; each refusal then multiplied the calls. Pages after the first are now requested again, up to five times. The collection of pages and the delays are a decision of comfreystorecache; platform/ only reads one page.

TestListingGoesOnAfterRefusedPage begins listings again and again without the change.

--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -57,8 +57,9 @@
 
 // StoreClient reads the platform's key-value store and decodes its values.
 type StoreClient struct {
-	// List returns every item and the version at which the listing began.
-	List func(ctx context.Context) (comfreystorecache.Version, []comfreystorecache.Item, error)
+	// ListPage returns the page of a listing of all keys that begins after a key,
+	// or the first one if that is empty.
+	ListPage func(ctx context.Context, after string) (comfreystorecache.Page, error)
 	// Watch waits for changes after a version, and returns them with the version
 	// from which to watch next. It returns comfreystorecache.ErrCompacted if
 	// everything has to be listed again.
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -91,19 +91,7 @@
 // before.
 func (g *Gateway) syncStoreOnce(ctx context.Context, isListed bool) error {
 	if !isListed {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		version, items, err := g.config.Store.List(ctx)
-		if err == nil {
-			err = g.checkEra(version)
-		}
-		if err != nil {
-			return err
-		}
-		g.markStoreReachable()
-		g.mergeItems("store", func() []comfreystorecache.Item { return g.storeCache.Replace(version, items) })
-		g.config.ShareStoreChanges(version, version, nil)
-		return nil
+		return g.listStore(ctx)
 	}
 	wait := watchWait
 	if age, ok := g.StoreAge(); ok && age > watchWait {
@@ -131,6 +119,34 @@
 	return nil
 }
 
+// listStore lists the store.
+func (g *Gateway) listStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	var l comfreystorecache.Listing
+	for !l.IsComplete() {
+		p, err := g.config.Store.ListPage(ctx, l.Next())
+		if err != nil {
+			d, ok := l.RetryDelay()
+			if !ok || !comfreygroup.Sleep(ctx, time.Duration(float64(d)*(0.5+g.config.Rand()))) {
+				return err
+			}
+			continue
+		}
+		if err := l.Add(p); err != nil {
+			return err
+		}
+	}
+	version, items := l.Items()
+	if err := g.checkEra(version); err != nil {
+		return err
+	}
+	g.markStoreReachable()
+	g.mergeItems("store", func() []comfreystorecache.Item { return g.storeCache.Replace(version, items) })
+	g.config.ShareStoreChanges(version, version, nil)
+	return nil
+}
+
 // checkEra returns an error if a response of the store is of an older era than
 // the store cache, to which another gateway may have added a newer one meanwhile.
 func (g *Gateway) checkEra(v comfreystorecache.Version) error {
--- a/comfreygossip/store.go
+++ b/comfreygossip/store.go
@@ -19,8 +19,9 @@
 
 // ShareStoreChanges sends a response of the store to the own cell, and to the
 // other cells if this gateway is a relay. It holds the changes after a version
-// and up to another one of the same era; without any, it confirms that the store caches are current.
-// Gateways that miss a datagram request the changes in an exchange.
+// and up to another one of the same era; without any, it confirms that the store
+// caches are current. Gateways that miss a datagram request the changes in an
+// exchange.
 func (g *Gossip) ShareStoreChanges(after, version comfreystorecache.Version, changes []comfreystorecache.Item) {
 	l := g.Layout()
 	to := l.Members()
--- a/comfreyplacement/new_replica.go
+++ b/comfreyplacement/new_replica.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// NewReplicaPeriod is how long a replica counts as new. After it, the
-	// gateways have received each other's placements there.
+	// NewReplicaPeriod is how long a replica is not offered to other cells. After
+	// it, the gateways have received each other's placements there.
 	NewReplicaPeriod = 800 * time.Millisecond
 	// firstGateways is how many gateways may use a replica that has just appeared.
 	// Only a few prompts can be prefilled within the target latency of a first
