--- a/comfreystorecache/cache.go
+++ b/comfreystorecache/cache.go
@@ -211,9 +211,13 @@
 }
 
 // Since returns the changes after a version, for another cache that is complete
-// up to it. If they are not known, it returns a complete listing.
+// up to it. If they are not known, it returns a complete listing. A cache of a
+// later era needs none of them.
 func (c *Cache) Since(v Version) Changes {
 	d := Changes{Version: c.version}
+	if v.Era > c.version.Era {
+		return d
+	}
 	isAfter := func(x Item) bool { return x.Revision > v.Revision }
 	switch {
 	case v.Era == c.version.Era:
