--- a/comfreycell/layout.go
+++ b/comfreycell/layout.go
@@ -83,7 +83,8 @@
 	// splitBits is how often the gateways of each data centre are divided in two;
 	// nil if the fleet is a single cell.
 	splitBits map[string]int
-	// cells holds the cells of each data centre that is divided, by number.
+	// cells holds the cells of each data centre by number, so that their names are
+	// formatted once; nil if the fleet is a single cell.
 	cells map[string][]ID
 	// members lists the known gateways of each cell, without those of unknown
 	// data centres, by rank.
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -55,13 +55,7 @@
 
 // MergeStore merges the items of another gateway's store cache.
 func (g *Gateway) MergeStore(m comfreygossip.StoreUpdate) {
-	g.mergeItems(m.Gateway, func() []comfreystorecache.Item {
-		if m.IsSnapshot {
-			return g.storeCache.Replace(m.Version, m.Items)
-		}
-		changes, _ := g.storeCache.Apply(m.After, m.Version, m.Items)
-		return changes
-	})
+	g.mergeItems(m.Gateway, func() []comfreystorecache.Item { return g.storeCache.Merge(m.After, m.Changes) })
 	if m.HasStoreAge {
 		g.ObserveStoreAge(m.Version, m.StoreAge)
 	}
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -119,7 +119,7 @@
 	return nil
 }
 
-// listStore lists the store.
+// listStore merges a listing of all keys of the store into the store cache.
 func (g *Gateway) listStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -119,7 +119,8 @@
 	}
 	g.addPeers(r.Gateways, r.DataCentres)
 	g.learnSizes(r.Sizes)
-	m := StoreUpdate{Gateway: address, After: after, Version: comfreystorecache.Version{Era: r.Era, Revision: r.Complete}, IsSnapshot: r.Whole, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
+	m := StoreUpdate{Gateway: address, After: after, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
+	m.Version, m.IsSnapshot = comfreystorecache.Version{Era: r.Era, Revision: r.Complete}, r.Whole
 	for _, x := range r.Items {
 		m.Items = append(m.Items, decodeItem(x))
 	}
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -124,12 +124,9 @@
 // lacks.
 type StoreUpdate struct {
 	Gateway string
-	// Items are the changes from the version After to Version.
-	After, Version comfreystorecache.Version
-	Items          []comfreystorecache.Item
-	// IsSnapshot means that the items are the complete contents of the store; After
-	// is then not used.
-	IsSnapshot bool
+	// After is the version for which the other gateway has sent the changes.
+	After comfreystorecache.Version
+	comfreystorecache.Changes
 	// StoreAge is how long ago the other cache was known to be current. It is
 	// valid only if HasStoreAge is true.
 	StoreAge    time.Duration
--- a/comfreygossip/store.go
+++ b/comfreygossip/store.go
@@ -89,7 +89,8 @@
 		g.requestIfNewer(d.Sender, version)
 		return
 	}
-	m := StoreUpdate{Gateway: d.Sender, After: after, Version: version, HasStoreAge: true, StoreAge: age}
+	m := StoreUpdate{Gateway: d.Sender, After: after, HasStoreAge: true, StoreAge: age}
+	m.Version = version
 	for _, x := range d.Changes {
 		m.Items = append(m.Items, decodeItem(x))
 	}
--- a/comfreyplacement/new_replica_test.go
+++ b/comfreyplacement/new_replica_test.go
@@ -52,8 +52,9 @@
 }
 
 // TestNewReplicaOpensGradually replays a replica that is still empty when it is no
-// longer new, while all of 31 gateways have generations in their queues. At no
-// moment may many more of them begin to use it than it can prefill prompts for.
+// longer new, while all of 31 gateways have generations in their queues. In its
+// first second, no more of them may begin to use it at one moment than it can
+// prefill prompts for in time.
 func TestNewReplicaOpensGradually(t *testing.T) {
 	var gateways []string
 	for i := range 31 {
--- a/comfreyplacement/queue_timeout.go
+++ b/comfreyplacement/queue_timeout.go
@@ -8,7 +8,7 @@
 	prefillTokensPerSecond = 7_000
 	// pendingTokensPerSecond is the same for the prompts before one at a replica.
 	// It is lower, because others arrive there that this gateway does not know of
-	// yet: nine of ten first events come at least as fast.
+	// yet.
 	pendingTokensPerSecond = 5_200
 	// firstEventOverhead is the time between the end of a prefill and the
 	// arrival of the first event at the caller: a few engine steps and the
--- a/comfreystorecache/cache.go
+++ b/comfreystorecache/cache.go
@@ -53,9 +53,9 @@
 // Changes brings another cache to a version.
 type Changes struct {
 	Version Version
-	// Items are sorted by revision. They are to be merged by Cache.Apply, or by
-	// Cache.Replace if IsSnapshot is true.
-	Items      []Item
+	// Items are sorted by revision.
+	Items []Item
+	// IsSnapshot means that the items are the complete contents of the store.
 	IsSnapshot bool
 }
 
@@ -116,6 +116,16 @@
 	}
 }
 
+// Merge merges the changes that another cache has returned by Since for a version,
+// and returns those that were new, sorted by revision.
+func (c *Cache) Merge(after Version, d Changes) []Item {
+	if d.IsSnapshot {
+		return c.Replace(d.Version, d.Items)
+	}
+	applied, _ := c.Apply(after, d.Version, d.Items)
+	return applied
+}
+
 // merge merges changes of the present era.
 func (c *Cache) merge(version Version, changes []Item) []Item {
 	var applied []Item
@@ -211,7 +221,7 @@
 }
 
 // Since returns the changes after a version, for another cache that is complete
-// up to it. If they are not known, it returns a complete listing. A cache of a
+// up to it, to be merged by Merge. If they are not known, it returns a complete listing. A cache of a
 // later era needs none of them.
 func (c *Cache) Since(v Version) Changes {
 	d := Changes{Version: c.version}
