Log how much of an incomplete response arrived, and where configurations come from

The logs named the error of an exchange or a store call that timed out, but not whether the other side had stopped or the transfer was too slow.

--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -195,7 +195,7 @@
 	for _, x := range items {
 		switch {
 		case g.config.Store.IsConfigurationKey(x.Key):
-			g.applyConfiguration(x)
+			g.applyConfiguration(source, x)
 		case g.config.Store.IsRegistrationKey(x.Key):
 			changes = append(changes, g.applyRegistration(now, x, isRestored)...)
 		}
@@ -204,9 +204,9 @@
 	g.handleReplicaChanges(changes)
 }
 
-// applyConfiguration activates a configuration if it is newer than the active
-// one. The mutex must be held.
-func (g *Gateway) applyConfiguration(x comfreystorecache.Item) {
+// applyConfiguration activates a configuration from a source if it is newer than
+// the active one. The mutex must be held.
+func (g *Gateway) applyConfiguration(source string, x comfreystorecache.Item) {
 	if x.IsDeleted {
 		return // Operators do not delete the configuration; the active one stays.
 	}
@@ -220,7 +220,7 @@
 		g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigStale, map[string]any{"version": t.Version(), "in-force": old.Version(), "revision": x.Revision})
 		return
 	}
-	f := map[string]any{"version": t.Version(), "revision": x.Revision}
+	f := map[string]any{"version": t.Version(), "revision": x.Revision, "source": source, "size-bytes": len(x.Value)}
 	n := t.Size()
 	f["routes"], f["services"], f["keys"] = n.Routes, n.Services, n.Keys
 	if old != nil {
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -110,10 +110,12 @@
 	after := g.config.StoreVersion()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	ctx, received := countReceived(ctx)
+	started := time.Now()
 	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{
 		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: after.Revision, Era: after.Era, Gateways: l, DataCentres: dataCentres, Sizes: sizes,
 	})
-	g.recordExchange(address, k, r.GetDataCentre(), err)
+	g.recordExchange(address, k, transfer{from: after, took: time.Since(started), received: received.Load(), dataCentre: r.GetDataCentre()}, err)
 	if err != nil {
 		return
 	}
@@ -127,18 +129,29 @@
 	g.config.MergeStore(m)
 }
 
-// recordExchange records whether a gateway is reachable, and its data centre.
-func (g *Gossip) recordExchange(address string, k *peer, dataCentre string, err error) {
+// transfer describes one exchange for the log.
+type transfer struct {
+	// from is the version after which changes were requested.
+	from comfreystorecache.Version
+	took time.Duration
+	// received is the number of bytes of the response body that arrived.
+	received   int64
+	dataCentre string
+}
+
+// recordExchange records whether a gateway is reachable, and its data centre. It
+// logs an exchange that failed midway each time: another one may end the same way.
+func (g *Gossip) recordExchange(address string, k *peer, t transfer, err error) {
 	g.mu.Lock()
 	wasUnreachable := k.isUnreachable
 	k.isUnreachable = err != nil
 	if err == nil {
-		g.markAlive(k, dataCentre)
+		g.markAlive(k, t.dataCentre)
 	}
 	g.mu.Unlock()
-	f := logrus.Fields{"event": "dependency", "dependency": "gateway", "address": address}
+	f := logrus.Fields{"event": "dependency", "dependency": "gateway", "address": address, "took-ms": t.took.Milliseconds(), "received-bytes": t.received, "from": t.from.String()}
 	switch {
-	case err != nil && !wasUnreachable:
+	case err != nil && (!wasUnreachable || t.received > 0):
 		g.http.CloseIdleConnections()
 		f["error"] = err.Error()
 		g.config.Logger.WithFields(f).Warning("gateway is unreachable")
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -194,9 +194,9 @@
 		changed:     make(chan struct{}, 1),
 		newer:       make(chan newerCache, 1),
 		cellChanged: make(chan struct{}, 1),
-		http: &http.Client{Timeout: exchangeTimeout, Transport: &http.Transport{
+		http: &http.Client{Timeout: exchangeTimeout, Transport: &countingTransport{&http.Transport{
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
-		}},
+		}}},
 		peers:  map[string]*peer{},
 		relays: map[string]relay{},
 		sizes:  map[string]reportedSize{},
--- /dev/null
+++ b/comfreygossip/transport.go
@@ -0,0 +1,44 @@
+package comfreygossip
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// receivedKey is the context key of the counter that countReceived adds.
+type receivedKey struct{}
+
+// countReceived returns a context for one call through a countingTransport, and
+// the number of bytes of the response body that have arrived.
+func countReceived(ctx context.Context) (context.Context, *atomic.Int64) {
+	n := &atomic.Int64{}
+	return context.WithValue(ctx, receivedKey{}, n), n
+}
+
+// countingTransport counts the bytes of response bodies; see countReceived.
+type countingTransport struct {
+	*http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	p, err := t.Transport.RoundTrip(r)
+	if n, ok := r.Context().Value(receivedKey{}).(*atomic.Int64); ok && err == nil {
+		p.Body = &countingBody{ReadCloser: p.Body, received: n}
+	}
+	return p, err
+}
+
+type countingBody struct {
+	io.ReadCloser
+	received *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.received.Add(int64(n))
+	return n, err
+}
