--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -80,7 +80,7 @@
 	Leaving []string
 }
 
-// Config configures a Gossip. All fields except Seeds and Now are required.
+// Config configures a Gossip. All fields except Seeds, Now and Dial are required.
 type Config struct {
 	// Address receives exchanges; DatagramPort receives placements on the same
 	// host. Both ports are the same on all gateways.
@@ -118,6 +118,8 @@
 	ApplyCellState func(cell comfreycell.ID, s CellState)
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
+	// Dial opens the connections of exchanges; the default uses net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // StoreUpdate holds the items of another gateway's store cache that this one's
@@ -195,7 +197,7 @@
 		newer:       make(chan newerCache, 1),
 		cellChanged: make(chan struct{}, 1),
 		http: &http.Client{Timeout: exchangeTimeout, Transport: &countingTransport{&http.Transport{
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
+			DialContext: c.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
 		}}},
 		peers:  map[string]*peer{},
 		relays: map[string]relay{},
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -1,6 +1,7 @@
 package comfreygossip_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrelay"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -46,6 +48,11 @@
 
 // startNodeIn is startNode in a data centre.
 func startNodeIn(t *testing.T, dataCentre string, i int, seeds ...string) *node {
+	return startNodeOn(t, nil, dataCentre, i, seeds...)
+}
+
+// startNodeOn is startNodeIn on a link, or on loopback without a limit.
+func startNodeOn(t *testing.T, link *comfreyrelay.Link, dataCentre string, i int, seeds ...string) *node {
 	t.Helper()
 	ip := fmt.Sprintf("127.0.7.%d", i)
 	n := &node{cache: comfreystorecache.New(), placements: map[string]comfreygossip.Placements{}, cells: map[comfreycell.ID]comfreygossip.CellState{}}
@@ -54,11 +61,15 @@
 		t.Skipf("loopback has no address %s: %v", ip, err)
 	}
 	n.address = l.Addr().String()
+	var dial func(ctx context.Context, network, address string) (net.Conn, error)
+	if link != nil {
+		l, dial = link.Listener(l), link.Dial
+	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	group := comfreygroup.New(t.Context())
 	n.gossip = comfreygossip.New(comfreygossip.Config{
-		Address: n.address, DatagramPort: 17201, DataCentre: dataCentre, Seeds: seeds, Group: group, Logger: logger,
+		Address: n.address, DatagramPort: 17201, DataCentre: dataCentre, Seeds: seeds, Group: group, Logger: logger, Dial: dial,
 		StoreVersion: func() comfreystorecache.Version { return locked(n, n.cache.Version) },
 		StoreChangesSince: func(v comfreystorecache.Version) comfreystorecache.Changes {
 			n.mu.Lock()
--- /dev/null
+++ b/comfreygossip/slow_link_test.go
@@ -0,0 +1,100 @@
+package comfreygossip_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyrelay"
+	"comfreyridge.example/comfreyridge/comfreystorecache"
+)
+
+const (
+	// slowLink is the rate of a link of 10 Mbit/s, in bytes a second.
+	slowLink = 10_000_000 / 8
+	// activationLimit is the time within which a configuration has to be in force
+	// at every gateway after the store has acknowledged it.
+	activationLimit = 3 * time.Second
+)
+
+// newConfiguration returns a configuration with a number of routes, in about 200
+// bytes each.
+func newConfiguration(r *rand.Rand, routes int) []byte {
+	var l []map[string]any
+	for i := range routes {
+		l = append(l, map[string]any{
+			"name": fmt.Sprintf("r-%07x", r.Uint32()), "host": "shop.example", "prefix": fmt.Sprintf("/%x/", r.Uint64()), "routeType": "idempotent",
+			"service": fmt.Sprintf("s-%d", i%2), "timeoutMs": 4000, "targetLatencyMs": 300, "maxAttempts": 2, "priority": 2, "stickySessions": false, "public": false,
+		})
+	}
+	b, _ := json.Marshal(map[string]any{"version": 7, "routes": l})
+	return b
+}
+
+// putConfiguration stores a configuration in the cache of a node, as if the node
+// had received it from the store.
+func putConfiguration(n *node, value []byte) {
+	locked(n, func() bool {
+		v := n.cache.Version()
+		next := comfreystorecache.Version{Revision: v.Revision + 1}
+		n.cache.Apply(v, next, []comfreystorecache.Item{{Key: "configuration", Revision: next.Revision, Value: value}})
+		return true
+	})
+	n.gossip.PlacementsChanged()
+}
+
+// awaitVersion fails the test unless a node has a version of the store before a
+// time.
+func awaitVersion(t *testing.T, n *node, revision uint64, end time.Time) {
+	t.Helper()
+	for locked(n, n.cache.Version).Revision != revision {
+		if time.Now().After(end) {
+			t.Fatalf("version at %s %v after the change: expected revision %d, got %v", n.address, activationLimit, revision, locked(n, n.cache.Version))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestLargeConfigurationIsReceivedOnSlowLink guards against exchanges that time
+// out during a large transfer and begin it again from the first byte, forever.
+func TestLargeConfigurationIsReceivedOnSlowLink(t *testing.T) {
+	value := make([]byte, 1<<20) // The largest one, if it cannot be compressed.
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := range value {
+		value[i] = byte(r.Uint32())
+	}
+	a := startNode(t, 180)
+	b := startNodeOn(t, comfreyrelay.NewLink(slowLink), "north", 181, a.address)
+	await(t, "the gateways know each other", func() bool {
+		return len(a.gossip.Layout().LiveMembers()) == 1 && len(b.gossip.Layout().LiveMembers()) == 1
+	})
+	end := time.Now().Add(activationLimit)
+	putConfiguration(a, value)
+	awaitVersion(t, b, 1, end)
+}
+
+// TestLargeConfigurationSpreadsOverSlowLinks guards against a gateway that sends a
+// large configuration to all others at once, so that none receives it in time.
+func TestLargeConfigurationSpreadsOverSlowLinks(t *testing.T) {
+	const gateways = 21
+	var nodes []*node
+	var seeds []string
+	for i := range gateways {
+		n := startNodeOn(t, comfreyrelay.NewLink(slowLink), "north", 190+i, seeds...)
+		seeds = append(seeds, n.address)[:1]
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		await(t, "the gateways know each other", func() bool { return len(n.gossip.Layout().LiveMembers()) == gateways-1 })
+	}
+	r := rand.New(rand.NewPCG(3, 4))
+	for i := range uint64(3) {
+		end := time.Now().Add(activationLimit)
+		putConfiguration(nodes[0], newConfiguration(r, 4200))
+		for _, n := range nodes {
+			awaitVersion(t, n, i+1, end)
+		}
+	}
+}
