Limit transfers of store contents by progress, not by duration

Cause: an exchange between gateways was limited to 0.7 s, a watch call to 0.85 s once the cache was stale, a listing to 3 s, however large the response. On a link of 10 Mbit/s a configuration of 0.8 MB takes longer, so that each attempt filled the link, failed, and began again with the first byte.

Now comfreyconnection.Timeouts limits the time to the header and between parts of the body, of which 4 KB have to arrive within 0.7 s (0.8 s from the store).

--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -30,6 +30,8 @@
 	// response from one to an earlier request. Empty means that responses carry
 	// no id.
 	IDHeader string
+	// Timeouts limit the call in addition to its context.
+	Timeouts Timeouts
 }
 
 // SendError reports that a request could not be sent or got no response.
@@ -68,6 +70,8 @@
 
 	pool       *Pool
 	connection *connection
+	context    context.Context
+	progress   *progress
 	written    *atomic.Bool
 	stop       func() bool
 	isComplete bool
@@ -82,10 +86,13 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &SendError{Cause: err}
 	}
+	ctx, progress := r.Timeouts.start(ctx)
 	c := p.take(address)
 	if c == nil {
 		n, err := p.open(ctx, address)
 		if err != nil {
+			err = causeOf(ctx, err)
+			progress.stop()
 			return nil, &SendError{IsDial: true, Cause: err}
 		}
 		c = n
@@ -95,12 +102,12 @@
 	if err != nil {
 		stop()
 		c.close()
-		if e := ctx.Err(); e != nil {
-			err = e
-		}
+		err = causeOf(ctx, err)
+		progress.stop()
 		return nil, &SendError{MayHaveArrived: true, Cause: err}
 	}
-	a.stop = stop
+	progress.receiveHeader()
+	a.stop, a.context, a.progress = stop, ctx, progress
 	return a, nil
 }
 
@@ -201,8 +208,12 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	if errors.Is(err, io.EOF) {
+	b.response.progress.receive(n)
+	switch {
+	case errors.Is(err, io.EOF):
 		b.response.isComplete = true
+	case err != nil:
+		err = causeOf(b.response.context, err)
 	}
 	return n, err
 }
@@ -216,6 +227,7 @@
 	}
 	a.isClosed = true
 	isLive := a.stop()
+	a.progress.stop()
 	c := a.connection
 	if isLive && a.isComplete && a.isReusable && a.written.Load() && c.reader.Buffered() == 0 {
 		a.pool.put(c)
--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -59,11 +59,11 @@
 type StoreClient struct {
 	// ListPage returns the page of a listing of all keys that begins after a key,
 	// or the first one if that is empty.
-	ListPage func(ctx context.Context, after string) (comfreystorecache.Page, error)
+	ListPage func(ctx context.Context, after string, t comfreyconnection.Timeouts) (comfreystorecache.Page, error)
 	// Watch waits for changes after a version, and returns them with the version
 	// from which to watch next. It returns comfreystorecache.ErrCompacted if
 	// everything has to be listed again.
-	Watch func(ctx context.Context, after comfreystorecache.Version, wait time.Duration) (comfreystorecache.Version, []comfreystorecache.Item, error)
+	Watch func(ctx context.Context, after comfreystorecache.Version, wait time.Duration, t comfreyconnection.Timeouts) (comfreystorecache.Version, []comfreystorecache.Item, error)
 	// IsConfigurationKey and IsRegistrationKey report what kind of value a key
 	// holds.
 	IsConfigurationKey, IsRegistrationKey func(key string) bool
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
@@ -18,11 +19,14 @@
 	// not watch treat their store cache as stale if it was not confirmed for
 	// longer.
 	watchWait = 700 * time.Millisecond
-	// watchMargin is how much longer than requested a watch call may take;
-	// responses take 4 ms, and 60 times that when the store is slow.
+	// watchMargin is how much longer than requested the response to a watch call
+	// may take to begin; it usually takes 4 ms, and 60 times that when the store is
+	// slow.
 	watchMargin = 800 * time.Millisecond
-	// listTimeout bounds a listing of all keys.
-	listTimeout = 3 * time.Second
+	// pageTimeout is how long a page of a listing may take to begin.
+	pageTimeout = 3 * time.Second
+	// storeSilence is how long a response of the store may pause.
+	storeSilence = 800 * time.Millisecond
 	// watchPause is the delay between two watch calls, which batches changes: a
 	// burst with a change every 60 ms does not cost a call for each.
 	watchPause = 50 * time.Millisecond
@@ -97,10 +101,8 @@
 	if age, ok := g.StoreAge(); ok && age > watchWait {
 		wait = confirmWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
-	defer cancel()
 	after := g.StoreVersion()
-	version, items, err := g.config.Store.Watch(ctx, after, wait)
+	version, items, err := g.config.Store.Watch(ctx, after, wait, comfreyconnection.Timeouts{Header: wait + watchMargin, Silence: storeSilence})
 	if err == nil {
 		err = g.checkEra(version)
 	}
@@ -121,11 +123,9 @@
 
 // listStore merges a listing of all keys of the store into the store cache.
 func (g *Gateway) listStore(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	var l comfreystorecache.Listing
 	for !l.IsComplete() {
-		p, err := g.config.Store.ListPage(ctx, l.Next())
+		p, err := g.config.Store.ListPage(ctx, l.Next(), comfreyconnection.Timeouts{Header: pageTimeout, Silence: storeSilence})
 		if err != nil {
 			d, ok := l.RetryDelay()
 			if !ok || !comfreygroup.Sleep(ctx, time.Duration(float64(d)*(0.5+g.config.Rand()))) {
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -108,8 +108,6 @@
 	k.lastExchange = g.config.Now()
 	g.mu.Unlock()
 	after := g.config.StoreVersion()
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
 	ctx, received := countReceived(ctx)
 	started := time.Now()
 	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"comfreyridge.example/comfreyridge/comfreycell"
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
@@ -38,8 +39,6 @@
 	// remoteIntroductionTime is the same for gateways of other data centres in a
 	// fleet of several cells, to which it is only a contact.
 	remoteIntroductionTime = 300 * time.Millisecond
-	// exchangeTimeout bounds one exchange, which usually takes a few milliseconds.
-	exchangeTimeout = 700 * time.Millisecond
 	// placementInterval is the interval at which placements are sent without a
 	// change.
 	placementInterval = 250 * time.Millisecond
@@ -73,6 +72,10 @@
 	layoutInterval = 100 * time.Millisecond
 )
 
+// exchangeTimeouts limit one exchange. The response usually takes a few
+// milliseconds, and seconds if it holds a large configuration.
+var exchangeTimeouts = comfreyconnection.Timeouts{Header: 700 * time.Millisecond, Silence: 700 * time.Millisecond}
+
 // Placements are the generations of a gateway, each with its replica.
 type Placements struct {
 	Generations []comfreyoccupancy.Generation
@@ -196,9 +199,9 @@
 		changed:     make(chan struct{}, 1),
 		newer:       make(chan newerCache, 1),
 		cellChanged: make(chan struct{}, 1),
-		http: &http.Client{Timeout: exchangeTimeout, Transport: &countingTransport{&http.Transport{
+		http: &http.Client{Transport: &countingTransport{comfreyconnection.Transport{Timeouts: exchangeTimeouts, Transport: &http.Transport{
 			DialContext: c.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
-		}}},
+		}}}},
 		peers:  map[string]*peer{},
 		relays: map[string]relay{},
 		sizes:  map[string]reportedSize{},
--- a/comfreygossip/transport.go
+++ b/comfreygossip/transport.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 )
 
 // receivedKey is the context key of the counter that countReceived adds.
@@ -19,7 +21,7 @@
 
 // countingTransport counts the bytes of response bodies; see countReceived.
 type countingTransport struct {
-	*http.Transport
+	comfreyconnection.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
