Spread large configurations over slow links in time

Cause: all gateways requested a large change from the one that had it first, at the same moment, and each of them from several sources at once, while they began to watch the store beside it. With 10 Mbit/s on the sender's side 20 responses of 0.8 MB take 13 s.

Now values from 4 KB on are compressed with zstd between gateways; a gateway sends at most two large responses at a time and withholds further ones; only the catch-up task asks for large ones, at any of the gateways that are newer, and tells the others as soon as it has one. Older builds send no limit and get everything as before.

--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -19,7 +20,7 @@
 	for {
 		l := g.exchangeTargets()
 		for _, a := range l {
-			g.exchange(ctx, a)
+			g.exchange(ctx, a, largeItems)
 			// Jitter spreads the exchanges of gateways that started together.
 			if !comfreygroup.Sleep(ctx, time.Duration(float64(g.exchangeInterval())*(0.75+rand.Float64()/2))) {
 				return nil
@@ -40,28 +41,84 @@
 	return exchangeInterval
 }
 
-// newerCache is a gateway whose store cache is complete up to a later version.
-type newerCache struct {
-	gateway string
-	version comfreystorecache.Version
-}
-
-// catchUp exchanges with a gateway whose store cache is newer: at once, or at a
-// random time within newEraSpread if the store was restored, since all gateways
-// of a cell then need an exchange with the same one.
+// catchUp exchanges with gateways whose store caches are newer until this one's is
+// as new: at once, or from a random time within newEraSpread on if the store was
+// restored, since all gateways of a cell then need an exchange with the same one.
+// It makes the only exchanges with large replies, so that these do not share the
+// link.
 func (g *Gossip) catchUp(ctx context.Context) error {
 	for {
 		select {
-		case n := <-g.newer:
-			if v := g.config.StoreVersion(); n.version.Era > v.Era && v.Revision > 0 {
-				comfreygroup.Sleep(ctx, time.Duration(rand.Float64()*float64(newEraSpread)))
-			}
-			if n.version.Compare(g.config.StoreVersion()) > 0 {
-				g.exchange(ctx, n.gateway)
-			}
+		case <-g.newer:
 		case <-ctx.Done():
 			return nil
 		}
+		if _, v, ok := g.newerPeer(); ok && v.Era > g.config.StoreVersion().Era && g.config.StoreVersion().Revision > 0 {
+			comfreygroup.Sleep(ctx, time.Duration(rand.Float64()*float64(newEraSpread)))
+		}
+		for ctx.Err() == nil {
+			a, v, ok := g.newerPeer()
+			if !ok {
+				break
+			}
+			switch g.exchange(ctx, a, math.MaxUint64) {
+			case exchangeMerged:
+				if v.Compare(g.config.StoreVersion()) > 0 {
+					g.forgetVersion(a) // It no longer has what it announced.
+				}
+				// The others can get the changes from this gateway from now on.
+				g.PlacementsChanged()
+			case exchangeWithheld:
+				comfreygroup.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(withheldRetryDelay)))
+			case exchangeFailed:
+				g.forgetVersion(a)
+			}
+		}
+	}
+}
+
+// newerPeer returns a random one of the gateways whose store caches are known to
+// be newer than this one's, and its version.
+func (g *Gossip) newerPeer() (address string, v comfreystorecache.Version, ok bool) {
+	own := g.config.StoreVersion()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for a, k := range g.peers {
+		if k.version.Compare(own) <= 0 {
+			continue
+		}
+		n++
+		if rand.IntN(n) == 0 {
+			address, v = a, k.version
+		}
+	}
+	return address, v, n > 0
+}
+
+// forgetVersion forgets the version of a gateway until it announces one again.
+func (g *Gossip) forgetVersion(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if k, ok := g.peers[address]; ok {
+		k.version = comfreystorecache.Version{}
+	}
+}
+
+// requestIfNewer requests an exchange with a gateway whose store cache is
+// complete up to a later version than this one's.
+func (g *Gossip) requestIfNewer(address string, v comfreystorecache.Version) {
+	if v.Compare(g.config.StoreVersion()) <= 0 {
+		return
+	}
+	g.mu.Lock()
+	if k, ok := g.peers[address]; ok {
+		k.version = v
+	}
+	g.mu.Unlock()
+	select {
+	case g.newer <- struct{}{}:
+	default:
 	}
 }
 
@@ -94,14 +151,24 @@
 	return l
 }
 
+// exchangeResult is what became of an exchange.
+type exchangeResult int
+
+// The results of exchanges.
+const (
+	exchangeFailed exchangeResult = iota
+	exchangeMerged
+	exchangeWithheld
+)
+
 // exchange requests from one gateway the changes that this one's store cache
-// lacks.
-func (g *Gossip) exchange(ctx context.Context, address string) {
+// lacks, if they have at most maxItems bytes.
+func (g *Gossip) exchange(ctx context.Context, address string, maxItems uint64) exchangeResult {
 	g.mu.Lock()
 	k, ok := g.peers[address]
 	if !ok {
 		g.mu.Unlock()
-		return
+		return exchangeFailed
 	}
 	l, dataCentres := g.peerAddresses(k.dataCentre)
 	sizes := g.dataCentreSizes()
@@ -112,19 +179,27 @@
 	started := time.Now()
 	r, err := k.client.Exchange(ctx, &comfreyproto.CopyExchange{
 		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: after.Revision, Era: after.Era, Gateways: l, DataCentres: dataCentres, Sizes: sizes,
+		MaxItemBytes: maxItems, AcceptsZstd: true,
 	})
 	g.recordExchange(address, k, transfer{from: after, took: time.Since(started), received: received.Load(), dataCentre: r.GetDataCentre()}, err)
 	if err != nil {
-		return
+		return exchangeFailed
 	}
 	g.addPeers(r.Gateways, r.DataCentres)
 	g.learnSizes(r.Sizes)
+	version := comfreystorecache.Version{Era: r.Era, Revision: r.Complete}
+	if r.Withheld {
+		g.requestIfNewer(address, version)
+		return exchangeWithheld
+	}
 	m := StoreUpdate{Gateway: address, After: after, HasStoreAge: r.ContactKnown, StoreAge: time.Duration(r.ContactAgeMillis) * time.Millisecond}
-	m.Version, m.IsSnapshot = comfreystorecache.Version{Era: r.Era, Revision: r.Complete}, r.Whole
-	for _, x := range r.Items {
-		m.Items = append(m.Items, decodeItem(x))
+	m.Version, m.IsSnapshot = version, r.Whole
+	if m.Items, err = g.codec.decode(r.Items); err != nil {
+		g.config.Logger.WithError(err).WithField("address", address).Warning("cannot decode an exchange")
+		return exchangeFailed
 	}
 	g.config.MergeStore(m)
+	return exchangeMerged
 }
 
 // transfer describes one exchange for the log.
@@ -159,7 +234,7 @@
 }
 
 // Exchange implements comfreyproto.Gateways.
-func (g *Gossip) Exchange(_ context.Context, r *comfreyproto.CopyExchange) (*comfreyproto.CopyExchangeReply, error) {
+func (g *Gossip) Exchange(ctx context.Context, r *comfreyproto.CopyExchange) (*comfreyproto.CopyExchangeReply, error) {
 	g.mu.Lock()
 	if k := g.addPeer(r.Address); k != nil {
 		g.markAlive(k, r.DataCentre)
@@ -175,15 +250,19 @@
 		Complete: changes.Version.Revision, Era: changes.Version.Era, Whole: changes.IsSnapshot, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
 		ContactAgeMillis: uint64(max(age, 0).Milliseconds()), ContactKnown: known,
 	}
-	for _, x := range changes.Items {
-		p.Items = append(p.Items, &comfreyproto.StoreItem{Key: x.Key, Revision: x.Revision, Value: x.Value, Deleted: x.IsDeleted})
+	size := itemsSize(changes.Items)
+	// Older builds send no limit, and would take a withheld reply for a complete one.
+	if limit := r.MaxItemBytes; limit > 0 && (size > limit || size > largeItems && !g.transfers.take(ctx)) {
+		p.Withheld = true
+		return p, nil
 	}
+	p.Items = g.codec.encode(changes.Items, r.AcceptsZstd)
 	return p, nil
 }
 
 // Handler returns the HTTP handler that serves exchanges.
 func (g *Gossip) Handler() http.Handler {
-	return comfreyproto.NewGatewaysServer(g)
+	return g.transfers.handler(comfreyproto.NewGatewaysServer(g))
 }
 
 // dataCentreSizes returns the number of gateways in each data centre to send in
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -50,6 +50,9 @@
 	// silentPeerInterval is the minimum time between two exchanges with a gateway
 	// that sends no placements.
 	silentPeerInterval = 2 * time.Second
+	// withheldRetryDelay is the mean delay before another gateway is asked after one
+	// has withheld a large reply.
+	withheldRetryDelay = 60 * time.Millisecond
 	// newEraSpread is the time over which the gateways spread their exchanges when
 	// the store was restored.
 	newEraSpread = 300 * time.Millisecond
@@ -152,6 +155,9 @@
 	client          comfreyproto.Gateways
 	isUnreachable   bool
 	datagramAddress *net.UDPAddr
+	// version is the latest version that the gateway has announced, if that was
+	// newer than this one's.
+	version comfreystorecache.Version
 	// lastDatagram is when the last part of its latest placements arrived.
 	lastDatagram time.Time
 	// lastExchange is when this gateway last began an exchange with it.
@@ -170,9 +176,12 @@
 	config      Config
 	incarnation uint64
 	changed     chan struct{}
-	newer       chan newerCache
-	http        *http.Client
-	socket      *net.UDPConn
+	// newer wakes the task that catches up with newer store caches.
+	newer     chan struct{}
+	transfers transferSlots
+	codec     *codec
+	http      *http.Client
+	socket    *net.UDPConn
 
 	// cellChanged wakes the task that sends the cell's state to other cells.
 	cellChanged chan struct{}
@@ -197,7 +206,9 @@
 		config:      c,
 		incarnation: uint64(c.Now().UnixNano()),
 		changed:     make(chan struct{}, 1),
-		newer:       make(chan newerCache, 1),
+		newer:       make(chan struct{}, 1),
+		transfers:   make(transferSlots, maxTransfers),
+		codec:       newCodec(),
 		cellChanged: make(chan struct{}, 1),
 		http: &http.Client{Transport: &countingTransport{comfreyconnection.Transport{Timeouts: exchangeTimeouts, Transport: &http.Transport{
 			DialContext: c.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -211,18 +211,6 @@
 	g.config.ApplyPlacements(d.Address, a.placements)
 }
 
-// requestIfNewer requests an exchange with a gateway whose store cache is
-// complete up to a later version than this one's.
-func (g *Gossip) requestIfNewer(address string, v comfreystorecache.Version) {
-	if v.Compare(g.config.StoreVersion()) <= 0 {
-		return
-	}
-	select {
-	case g.newer <- newerCache{address, v}:
-	default:
-	}
-}
-
 // isNew reports whether a datagram is newer than the last complete placements
 // from its sender.
 func (g *Gossip) isNew(d *comfreyproto.PlacementDatagram) bool {
--- /dev/null
+++ b/comfreygossip/transfer_test.go
@@ -0,0 +1,144 @@
+package comfreygossip
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/sirupsen/logrus"
+
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreystorecache"
+)
+
+// newLargeGossip returns a Gossip that is not started, whose store cache holds a
+// large value and a small one.
+func newLargeGossip() *Gossip {
+	c := comfreystorecache.New()
+	c.Apply(comfreystorecache.Version{}, comfreystorecache.Version{Revision: 2}, []comfreystorecache.Item{
+		{Key: "large", Revision: 1, Value: bytes.Repeat([]byte("route "), largeItems)}, {Key: "small", Revision: 2, Value: []byte("replica")},
+	})
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return New(Config{
+		Address: "127.0.7.240:1", Logger: logger, StoreVersion: c.Version, StoreChangesSince: c.Since, Placements: func() Placements { return Placements{} },
+		DirectStoreAge: func() (time.Duration, bool) { return 0, false },
+	})
+}
+
+// TestExchangeWithholdsLargeItems checks which exchanges get items: those of
+// older builds always, others only up to their limit and while a transfer slot is
+// free. Small changes are always sent.
+func TestExchangeWithholdsLargeItems(t *testing.T) {
+	tests := []struct {
+		name     string
+		request  *comfreyproto.CopyExchange
+		busy     bool
+		withheld bool
+		items    int
+	}{
+		{"older build", &comfreyproto.CopyExchange{}, true, false, 2},
+		{"within the limit", &comfreyproto.CopyExchange{MaxItemBytes: 1 << 30, AcceptsZstd: true}, false, false, 2},
+		{"above the limit", &comfreyproto.CopyExchange{MaxItemBytes: largeItems, AcceptsZstd: true}, false, true, 0},
+		{"no transfer slot", &comfreyproto.CopyExchange{MaxItemBytes: 1 << 30, AcceptsZstd: true}, true, true, 0},
+		{"small changes, no transfer slot", &comfreyproto.CopyExchange{Complete: 1, MaxItemBytes: largeItems}, true, false, 1},
+	}
+	for _, test := range tests {
+		g := newLargeGossip()
+		if test.busy {
+			for range maxTransfers {
+				g.transfers <- struct{}{}
+			}
+		}
+		r, err := g.Exchange(context.WithValue(t.Context(), slotKey{}, &slot{}), test.request)
+		if err != nil || r.Withheld != test.withheld || len(r.Items) != test.items || r.Complete != 2 {
+			t.Errorf("%s: expected withheld %t with %d items up to revision 2, got %t, %d, %d, %v", test.name, test.withheld, test.items, r.GetWithheld(), len(r.GetItems()), r.GetComplete(), err)
+		}
+		if test.request.MaxItemBytes == 0 && len(r.Items[0].Value) == 0 {
+			t.Errorf("%s: got no uncompressed value", test.name)
+		}
+		items, err := g.codec.decode(r.Items)
+		if err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		for i, x := range items {
+			if want := g.config.StoreChangesSince(comfreystorecache.Version{Revision: test.request.Complete}).Items[i]; !bytes.Equal(x.Value, want.Value) {
+				t.Errorf("%s: expected the value of %q, got %d bytes", test.name, x.Key, len(x.Value))
+			}
+		}
+	}
+}
+
+// TestTransferSlotIsReleased checks that a slot is free again after the response,
+// also after many of them.
+func TestTransferSlotIsReleased(t *testing.T) {
+	g := newLargeGossip()
+	s := httptest.NewServer(g.Handler())
+	defer s.Close()
+	c := comfreyproto.NewGatewaysProtobufClient(s.URL, http.DefaultClient)
+	for range 3 * maxTransfers {
+		r, err := c.Exchange(t.Context(), &comfreyproto.CopyExchange{MaxItemBytes: 1 << 30, AcceptsZstd: true})
+		if err != nil || r.Withheld {
+			t.Fatalf("expected the items, got withheld %t, %v", r.GetWithheld(), err)
+		}
+	}
+}
+
+// TestDecodeRefusesInvalidValues checks that values which cannot be decompressed,
+// or become too large, are errors.
+func TestDecodeRefusesInvalidValues(t *testing.T) {
+	e, err := zstd.NewWriter(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bomb := e.EncodeAll(make([]byte, maxValueSize+1), nil)
+	for name, value := range map[string][]byte{"no zstd": []byte("text"), "too large": bomb} {
+		_, err := newCodec().decode([]*comfreyproto.StoreItem{{Key: "k", Revision: 1, ZstdValue: value}})
+		if err == nil || !strings.Contains(err.Error(), "expected a compressed value of \"k\"") {
+			t.Errorf("%s: expected an error that names the key, got %v", name, err)
+		}
+	}
+}
+
+// TestCatchUpLeavesGatewayThatLostItsChanges checks that an exchange is not
+// repeated without end with a gateway that lacks what it has announced, such as
+// one that was restarted since.
+func TestCatchUpLeavesGatewayThatLostItsChanges(t *testing.T) {
+	var calls atomic.Int64
+	old := newLargeGossip().Handler()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		old.ServeHTTP(w, r)
+	}))
+	defer s.Close()
+	g := newLargeGossip()
+	g.config.MergeStore = func(StoreUpdate) {}
+	address := strings.TrimPrefix(s.URL, "http://")
+	g.AddPeers([]string{address})
+	group := comfreygroup.New(t.Context())
+	group.Go("catch up", g.catchUp)
+	g.requestIfNewer(address, comfreystorecache.Version{Revision: 9})
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, _, ok := g.newerPeer(); !ok {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("timed out waiting until the announcement is forgotten")
+		}
+	}
+	group.Stop()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if n := calls.Load(); n != 1 {
+		t.Errorf("exchanges with the gateway: expected 1, got %d", n)
+	}
+}
