Hold back requests that crash replicas, on all gateways

Cause: a forwarding gateway kept nothing of an attempt whose connection broke, and told the others nothing. The quarantine existed beside sidecars only.

Now gateways record which requests were lost at replicas that have ended without notice, tell each other at once, and let such a request run again only at growing intervals, checked in the one place that sends attempts.

--- a/comfreyconnection/pool.go
+++ b/comfreyconnection/pool.go
@@ -156,6 +156,16 @@
 	return newConnection(address, n), nil
 }
 
+// Dial opens a connection to an address and keeps it for reuse.
+func (p *Pool) Dial(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // Sweep closes idle connections that have expired. It should be called about
 // once a second.
 func (p *Pool) Sweep() {
--- /dev/null
+++ b/comfreyforward/crash.go
@@ -0,0 +1,213 @@
+package comfreyforward
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+const (
+	// crashCheckDelay is how long after a broken connection the replica is dialed.
+	// The other connections of a process that has crashed break meanwhile.
+	crashCheckDelay = 30 * time.Millisecond
+	// crashCheckTimeout bounds that dial. A host that does not respond is no
+	// evidence.
+	crashCheckTimeout = 300 * time.Millisecond
+	// crashRecordsPerMessage bounds the crash records that are sent at a time.
+	crashRecordsPerMessage = 4
+	// crashRecordPushes is how often a gateway sends a record to the others.
+	crashRecordPushes = 4
+)
+
+// newQuarantine returns the table of the crashes that this gateway knows.
+func newQuarantine(c Config) *comfreyquarantine.Table {
+	return comfreyquarantine.NewTable(comfreyquarantine.Config{Host: c.Address, MaxPushes: crashRecordPushes})
+}
+
+// fingerprintOf returns the fingerprint that all copies of a request share: they
+// have the same customer, path and body.
+func fingerprintOf(x *exchange) comfreyquarantine.Fingerprint {
+	return comfreyquarantine.NewFingerprint(x.customer.Name, x.r.Method+" "+x.r.Host+x.r.RequestURI, x.body)
+}
+
+// checkSuspect returns an error if a request may not be sent to a replica, because
+// it was in flight when several replicas crashed.
+func (g *Gateway) checkSuspect(x *exchange) *attemptError {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d, after := g.quarantine.DecideTrial(g.config.Now(), x.fingerprint, g.observer.IsInFlight(x.fingerprint))
+	switch d {
+	case comfreyquarantine.DecisionAllow:
+		return nil
+	case comfreyquarantine.DecisionWait:
+		return &attemptError{reason: comfreyverdict.ReasonSuspectBusy, isNotRun: true, retryAfter: after}
+	default:
+		return &attemptError{reason: comfreyverdict.ReasonSuspectRequest, isNotRun: true, retryAfter: after}
+	}
+}
+
+// beginAttempt records that a request is sent to a replica.
+func (g *Gateway) beginAttempt(x *exchange, c comfreyplacement.Candidate) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observer.Finish(x.execution)
+	x.execution = g.observer.Start(g.upstream(c.ID), x.fingerprint)
+}
+
+// upstream returns the present start of a replica. The mutex must be held.
+func (g *Gateway) upstream(replica string) comfreyquarantine.Upstream {
+	r, _ := g.replicas.Get(replica)
+	return upstreamOf(replica, r)
+}
+
+func upstreamOf(replica string, r comfreyreplica.Replica) comfreyquarantine.Upstream {
+	return comfreyquarantine.Upstream{ID: replica, Incarnation: uint64(max(r.StartMillis, 0))}
+}
+
+// endAttempt records that the current attempt of a request has ended for a reason
+// that tells nothing about its replica.
+func (g *Gateway) endAttempt(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observer.Finish(x.execution)
+}
+
+// completeAttempt records that a replica has responded to the current attempt of a
+// request, which then has not crashed it.
+func (g *Gateway) completeAttempt(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observer.Finish(x.execution)
+	g.quarantine.ClearSuspect(x.fingerprint)
+}
+
+// loseAttempt records that the connection of the current attempt broke before the
+// response was complete, and finds out whether the replica has crashed.
+func (g *Gateway) loseAttempt(x *exchange, c comfreyplacement.Candidate) {
+	g.mu.Lock()
+	now := g.config.Now()
+	u := g.upstream(c.ID)
+	r, isKnown := g.observer.Lose(now, x.execution)
+	mustCheck := !isKnown && now.Sub(g.crashCheckedAt[u]) > crashCheckTimeout
+	if mustCheck {
+		g.crashCheckedAt[u] = now
+	}
+	g.mu.Unlock()
+	if isKnown {
+		g.addCrashRecord(r, "earlier")
+	}
+	if mustCheck {
+		g.config.Group.Go("crash check", func(ctx context.Context) error {
+			g.checkCrashed(ctx, u, c)
+			return nil
+		})
+	}
+}
+
+// checkCrashed dials a replica that has broken a connection. One that refuses it,
+// and has no other request of this gateway in flight, has ended.
+func (g *Gateway) checkCrashed(ctx context.Context, u comfreyquarantine.Upstream, c comfreyplacement.Candidate) {
+	if !comfreygroup.Sleep(ctx, crashCheckDelay) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	if err := g.config.Pool.Dial(ctx, c.Address); isRefused(err) {
+		g.observeEnd(u, "dial")
+	}
+}
+
+// isRefused reports whether the host responded that no process listens.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// observeDialRefused handles a refused dial on the way of a request. Only a replica
+// at which requests were lost is of interest.
+func (g *Gateway) observeDialRefused(c comfreyplacement.Candidate) {
+	g.mu.Lock()
+	u := g.upstream(c.ID)
+	hasLosses := g.observer.HasLosses(u)
+	g.mu.Unlock()
+	if hasLosses {
+		g.observeEnd(u, "dial")
+	}
+}
+
+// observeEnd handles evidence that a replica has ended. One that had announced it
+// has not crashed.
+func (g *Gateway) observeEnd(u comfreyquarantine.Upstream, evidence string) {
+	g.mu.Lock()
+	r, ok := g.replicas.Get(u.ID)
+	isPlanned := ok && upstreamOf(u.ID, r) == u && r.State == comfreyreplica.StateLeaving && !r.IsRemoved
+	if isPlanned || g.observer.HasInFlight(u) {
+		g.mu.Unlock()
+		return
+	}
+	c, ok := g.observer.Crash(g.config.Now(), u)
+	g.mu.Unlock()
+	if ok {
+		g.addCrashRecord(c, evidence)
+	}
+}
+
+// observeRegistration handles a changed registration: one that was removed without
+// notice, or belongs to a later start of its replica.
+func (g *Gateway) observeRegistration(r comfreyreplica.Replica) {
+	if r.IsRemoved {
+		g.observeEnd(upstreamOf(r.ID, r), "registration")
+		return
+	}
+	g.mu.Lock()
+	l := g.observer.Restart(g.config.Now(), upstreamOf(r.ID, r))
+	g.mu.Unlock()
+	for _, c := range l {
+		g.addCrashRecord(c, "restart")
+	}
+}
+
+// addCrashRecord adds the record of a crash that this gateway has observed, and
+// sends it to the other gateways.
+func (g *Gateway) addCrashRecord(r comfreyquarantine.CrashRecord, evidence string) {
+	g.mu.Lock()
+	g.quarantine.Merge(g.config.Now(), []comfreyquarantine.CrashRecord{r})
+	most := 0
+	for _, s := range r.Suspects {
+		most = max(most, g.quarantine.Suspicion(g.config.Now(), s.Fingerprint).Crashes)
+	}
+	g.mu.Unlock()
+	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonEngineFailed, map[string]any{
+		"replica": r.Crash.Host, "born": r.Crash.Incarnation, "state": "crashed", "evidence": evidence, "suspects": len(r.Suspects), "most-crashes": most,
+	})
+	g.config.TriggerGossip()
+}
+
+// CrashRecords returns the crash records to send to the other gateways now.
+func (g *Gateway) CrashRecords() []comfreyquarantine.CrashRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.GossipBatch(g.config.Now(), crashRecordsPerMessage)
+}
+
+// RepeatedSuspects returns the crash records that a gateway needs which was not
+// running when they were sent; see comfreyquarantine.Table.
+func (g *Gateway) RepeatedSuspects() []comfreyquarantine.CrashRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.RepeatedSuspects(g.config.Now())
+}
+
+// MergeCrashRecords adds crash records of another gateway.
+func (g *Gateway) MergeCrashRecords(l []comfreyquarantine.CrashRecord) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.Merge(g.config.Now(), l)
+}
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -12,6 +12,7 @@
 	"comfreyridge.example/comfreyridge/comfreylength"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyrouter"
@@ -54,15 +55,19 @@
 	isDraining atomic.Bool
 	metrics    *metrics
 
-	mu              sync.Mutex
-	storeCache      *comfreystorecache.Cache
-	replicas        *comfreyreplica.Set
-	health          *comfreyreplica.Health
-	estimator       *comfreyoccupancy.Estimator
-	lengths         *comfreylength.Model
-	retryBudgets    map[string]*comfreyrouter.RetryBudget
-	unaryLoads      map[string]*unaryLoad
-	generations     map[*generation]struct{}
+	mu           sync.Mutex
+	storeCache   *comfreystorecache.Cache
+	replicas     *comfreyreplica.Set
+	health       *comfreyreplica.Health
+	estimator    *comfreyoccupancy.Estimator
+	lengths      *comfreylength.Model
+	retryBudgets map[string]*comfreyrouter.RetryBudget
+	unaryLoads   map[string]*unaryLoad
+	generations  map[*generation]struct{}
+	quarantine   *comfreyquarantine.Table
+	observer     *comfreyquarantine.Observer
+	// crashCheckedAt is when a replica was last dialed because a connection broke.
+	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	capacityChanges changeNotifier
 	queues          map[string]*comfreyplacement.Queue
 	// storeCurrentAt is when the store cache was last known to be current, and
@@ -75,15 +80,18 @@
 // started.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		config:       c.withDefaults(),
-		storeCache:   comfreystorecache.New(),
-		replicas:     comfreyreplica.NewSet(comfreyreplica.Config{DrainPeriod: c.DrainPeriod}),
-		health:       comfreyreplica.NewHealth(),
-		lengths:      comfreylength.New(comfreylength.Config{}),
-		retryBudgets: map[string]*comfreyrouter.RetryBudget{},
-		unaryLoads:   map[string]*unaryLoad{},
-		generations:  map[*generation]struct{}{},
-		queues:       map[string]*comfreyplacement.Queue{},
+		config:         c.withDefaults(),
+		storeCache:     comfreystorecache.New(),
+		replicas:       comfreyreplica.NewSet(comfreyreplica.Config{DrainPeriod: c.DrainPeriod}),
+		health:         comfreyreplica.NewHealth(),
+		lengths:        comfreylength.New(comfreylength.Config{}),
+		retryBudgets:   map[string]*comfreyrouter.RetryBudget{},
+		unaryLoads:     map[string]*unaryLoad{},
+		generations:    map[*generation]struct{}{},
+		quarantine:     newQuarantine(c),
+		observer:       comfreyquarantine.NewObserver(0),
+		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
+		queues:         map[string]*comfreyplacement.Queue{},
 	}
 	g.metrics = newMetrics(g)
 	fleet := g.lengths.Distribution(comfreylength.Key{})
@@ -141,6 +149,8 @@
 		if now.Sub(swept) >= sweepInterval {
 			g.estimator.Expire(now)
 			g.health.Expire(now)
+			g.observer.Expire(now)
+			maps.DeleteFunc(g.crashCheckedAt, func(_ comfreyquarantine.Upstream, at time.Time) bool { return now.Sub(at) > sweepInterval })
 			g.expireUnaryLoads()
 		}
 		g.mu.Unlock()
@@ -252,6 +262,7 @@
 		g.record("", comfreydecision.KindUpstream, reason, map[string]any{
 			"replica": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(), "new": c.IsNew, "born": r.StartMillis,
 		})
+		g.observeRegistration(r)
 		if r.State == comfreyreplica.StateLeaving {
 			g.config.Pool.CloseIdle(r.Address)
 			if g.moveAway(r) {
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -52,6 +53,10 @@
 	replica string
 	// tried holds the replicas that must not be chosen again.
 	tried map[string]bool
+	// fingerprint identifies the copies of the request, and execution the current
+	// attempt.
+	fingerprint comfreyquarantine.Fingerprint
+	execution   comfreyquarantine.ExecutionID
 }
 
 // ServeHTTP implements http.Handler.
@@ -63,6 +68,12 @@
 	if !g.resolve(x) {
 		return
 	}
+	x.fingerprint = fingerprintOf(x)
+	if e := g.checkSuspect(x); e != nil {
+		g.refuse(x, e.reason, e.retryAfter)
+		return
+	}
+	defer g.endAttempt(x)
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	if x.route.Kind == comfreyroute.KindStreaming {
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -53,7 +53,7 @@
 // not started. If no attempt may have run, its retry-after is that of the
 // queue.
 func (g *Gateway) respondStreamFailure(ctx context.Context, x *exchange, e *attemptError) {
-	if x.sent == 0 && ctx.Err() == nil {
+	if x.sent == 0 && ctx.Err() == nil && !e.isSuspect() {
 		g.mu.Lock()
 		after := g.queue(x.service.Name).RetryAfter()
 		g.mu.Unlock()
@@ -117,6 +117,7 @@
 		err := o.relay(a)
 		a.Close()
 		if err == nil {
+			g.completeAttempt(x)
 			g.finishStream(x, n, o, comfreyverdict.ReasonAccepted, nil)
 			return true
 		}
@@ -126,6 +127,7 @@
 		}
 		next := g.takeContinuation(n)
 		if next == nil {
+			g.loseAttempt(x, n.replica)
 			g.recordOutcome(n.replica.ID, true)
 			g.abortStream(ctx, x, n, o, err)
 			return false
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -34,7 +34,16 @@
 	reason comfreyverdict.Reason
 	// isNotRun means that the replica did not run the request.
 	isNotRun bool
-	cause    error
+	// retryAfter is the delay after which the caller should retry; zero if the
+	// reason determines it.
+	retryAfter time.Duration
+	cause      error
+}
+
+// isSuspect reports whether the request was held back because of the crashes in
+// which it was in flight.
+func (e *attemptError) isSuspect() bool {
+	return e.reason == comfreyverdict.ReasonSuspectRequest || e.reason == comfreyverdict.ReasonSuspectBusy
 }
 
 // Error implements the error interface.
@@ -90,7 +99,7 @@
 // mayRetry reports whether the request may be sent to another replica after a
 // failed attempt.
 func (g *Gateway) mayRetry(ctx context.Context, x *exchange, e *attemptError) bool {
-	if ctx.Err() != nil || x.offered >= maxReplicasTried {
+	if ctx.Err() != nil || x.offered >= maxReplicasTried || e.isSuspect() {
 		return false
 	}
 	if !e.isNotRun && (x.route.Kind != comfreyroute.KindIdempotent || x.sent >= x.route.MaxAttempts) {
@@ -122,6 +131,8 @@
 		g.fail(x, http.StatusGatewayTimeout, comfreyverdict.ReasonDeadline, cause)
 	case x.sent > 0:
 		g.fail(x, http.StatusBadGateway, reason, cause)
+	case e != nil && e.retryAfter > 0:
+		g.refuse(x, reason, e.retryAfter)
 	default:
 		g.refuse(x, reason, busyRetryAfter)
 	}
@@ -137,6 +148,7 @@
 	}
 	defer a.Close()
 	if a.Status >= http.StatusInternalServerError && x.route.Kind == comfreyroute.KindIdempotent && x.sent < x.route.MaxAttempts && !g.retryBudget(x.service.Name).IsExhausted() {
+		g.completeAttempt(x)
 		return &attemptError{reason: comfreyverdict.ReasonEngineFailed}
 	}
 	return g.relayUnary(x, c, a, reply)
@@ -157,16 +169,27 @@
 // send sends one attempt and reads the response headers. A response that must
 // not be relayed to the caller is returned as an error.
 func (g *Gateway) send(ctx context.Context, x *exchange, c comfreyplacement.Candidate, t comfreycall.Attempt) (*comfreyconnection.Response, comfreycall.ResponseHeader, *attemptError) {
+	if e := g.checkSuspect(x); e != nil {
+		return nil, comfreycall.ResponseHeader{}, e
+	}
 	x.offered++
 	x.replica = c.ID
+	g.beginAttempt(x, c)
 	a, err := g.config.Pool.Do(ctx, c.Address, g.attemptRequest(x, t))
 	if err != nil {
 		var s *comfreyconnection.SendError
 		e := &attemptError{reason: comfreyverdict.ReasonConnectionLost, cause: err}
 		if errors.As(err, &s) && !s.MayHaveArrived {
 			e.isNotRun, e.reason = true, comfreyverdict.ReasonDialFailed
+			g.endAttempt(x)
+			if isRefused(err) {
+				g.observeDialRefused(c)
+			}
 		} else {
 			x.sent++
+			if ctx.Err() == nil {
+				g.loseAttempt(x, c)
+			}
 		}
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			g.recordOutcome(c.ID, true)
@@ -177,6 +200,7 @@
 	switch {
 	case r.IsOtherReplica:
 		a.Close()
+		g.endAttempt(x)
 		g.mu.Lock()
 		changes := g.replicas.MarkReplaced(g.config.Now(), c.ID)
 		g.mu.Unlock()
@@ -184,6 +208,7 @@
 		return nil, r, &attemptError{reason: comfreyverdict.ReasonForeignReplica, isNotRun: true}
 	case r.IsNotRun && a.Status != http.StatusBadRequest:
 		a.Close()
+		g.endAttempt(x)
 		g.recordOutcome(c.ID, true)
 		return nil, r, &attemptError{reason: comfreyverdict.ReasonEngineRefused, isNotRun: true}
 	}
@@ -209,6 +234,9 @@
 	var b bytes.Buffer
 	_, err := io.CopyN(&b, a.Body, maxBufferedBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
+		if x.r.Context().Err() == nil {
+			g.loseAttempt(x, c)
+		}
 		g.recordOutcome(c.ID, true)
 		return &attemptError{reason: comfreyverdict.ReasonAnswerCut, cause: err}
 	}
@@ -228,6 +256,7 @@
 		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, f)
 		panic(http.ErrAbortHandler)
 	}
+	g.completeAttempt(x)
 	g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAccepted, f)
 	g.observeResponse(x, a.Status)
 	return nil
--- /dev/null
+++ b/comfreygossip/crash.go
@@ -0,0 +1,34 @@
+package comfreygossip
+
+import (
+	"slices"
+
+	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
+)
+
+// maxSuspectsPerDatagram is how many suspects fit into one datagram of the usual
+// size.
+const maxSuspectsPerDatagram = 40
+
+// sendCrashRecords sends new crash records to the own cell, and to the other cells
+// if this gateway is a relay. Each receiver sends them on a few times.
+func (g *Gossip) sendCrashRecords() {
+	l := g.config.CrashRecords()
+	if len(l) == 0 {
+		return
+	}
+	layout := g.Layout()
+	to := layout.Members()
+	for _, t := range layout.RelayTargets() {
+		to = append(to, t.Address)
+	}
+	for _, r := range l {
+		for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
+			r.Suspects = s
+			d := &comfreyproto.PlacementDatagram{Crashes: comfreyrpc.EncodeCrashRecords([]comfreyquarantine.CrashRecord{r}, g.config.Now())}
+			g.send(d, g.datagramAddresses(to)...)
+		}
+	}
+}
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -12,6 +12,7 @@
 	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -187,6 +188,9 @@
 	}
 	g.addPeers(r.Gateways, r.DataCentres)
 	g.learnSizes(r.Sizes)
+	if len(r.Crashes) > 0 {
+		g.config.MergeCrashRecords(comfreyrpc.DecodeCrashRecords(r.Crashes, g.config.Now()))
+	}
 	version := comfreystorecache.Version{Era: r.Era, Revision: r.Complete}
 	if r.Withheld {
 		g.requestIfNewer(address, version)
@@ -250,6 +254,7 @@
 		Complete: changes.Version.Revision, Era: changes.Version.Era, Whole: changes.IsSnapshot, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
 		ContactAgeMillis: uint64(max(age, 0).Milliseconds()), ContactKnown: known,
 	}
+	p.Crashes = comfreyrpc.EncodeCrashRecords(g.config.RepeatedSuspects(), g.config.Now())
 	size := itemsSize(changes.Items)
 	// Older builds send no limit, and would take a withheld reply for a complete one.
 	if limit := r.MaxItemBytes; limit > 0 && (size > limit || size > largeItems && !g.transfers.take(ctx)) {
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -19,6 +19,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -122,6 +123,11 @@
 	// ApplyCellState applies that of another cell.
 	CellState      func(receiver comfreycell.ID) CellState
 	ApplyCellState func(cell comfreycell.ID, s CellState)
+	// CrashRecords returns the crash records to send now, and RepeatedSuspects
+	// those that a gateway needs which was not running when they were sent.
+	// MergeCrashRecords adds those of another gateway.
+	CrashRecords, RepeatedSuspects func() []comfreyquarantine.CrashRecord
+	MergeCrashRecords              func(l []comfreyquarantine.CrashRecord)
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 	// Dial opens the connections of exchanges; the default uses net.Dialer.
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -19,6 +19,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyrelay"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
@@ -109,6 +110,9 @@
 			}
 			return s
 		},
+		CrashRecords:      func() []comfreyquarantine.CrashRecord { return nil },
+		RepeatedSuspects:  func() []comfreyquarantine.CrashRecord { return nil },
+		MergeCrashRecords: func([]comfreyquarantine.CrashRecord) {},
 		ApplyCellState: func(c comfreycell.ID, s comfreygossip.CellState) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -47,6 +48,7 @@
 			}
 		}
 		g.sendPlacements()
+		g.sendCrashRecords()
 		t.Reset(placementInterval)
 	}
 }
@@ -145,6 +147,8 @@
 			g.receiveCellState(partial, d.Cell)
 		case d.Store != nil:
 			g.receiveStoreChanges(d.Store)
+		case len(d.Crashes) > 0:
+			g.config.MergeCrashRecords(comfreyrpc.DecodeCrashRecords(d.Crashes, g.config.Now()))
 		default:
 			g.receive(partial, &d)
 		}
--- a/comfreygossip/transfer_test.go
+++ b/comfreygossip/transfer_test.go
@@ -16,6 +16,7 @@
 
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -30,7 +31,8 @@
 	logger.SetOutput(io.Discard)
 	return New(Config{
 		Address: "127.0.7.240:1", Logger: logger, StoreVersion: c.Version, StoreChangesSince: c.Since, Placements: func() Placements { return Placements{} },
-		DirectStoreAge: func() (time.Duration, bool) { return 0, false },
+		RepeatedSuspects: func() []comfreyquarantine.CrashRecord { return nil },
+		DirectStoreAge:   func() (time.Duration, bool) { return 0, false },
 	})
 }
 
--- /dev/null
+++ b/comfreyquarantine/observer.go
@@ -0,0 +1,158 @@
+package comfreyquarantine
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// lossRetention is how long a request whose connection has broken can become a
+	// suspect. It exceeds the time after which the registration of an upstream that
+	// crashed lapses.
+	lossRetention = 10 * time.Second
+	// crashRetention is how long an upstream counts as crashed, so that connections
+	// which break later belong to the same crash.
+	crashRetention = time.Minute
+)
+
+// Upstream identifies one start of an upstream.
+type Upstream struct {
+	ID          string
+	Incarnation uint64
+}
+
+// Observer decides which requests were in flight when an upstream crashed, for a
+// gateway that sees the upstreams only from outside. A broken connection alone is
+// no crash: it needs evidence that the upstream has ended. An Observer is not
+// safe for concurrent use.
+//
+// It is built for this load: a replica crashes with dozens of requests of several
+// gateways, one of which is the cause and is sent again at once, through other
+// gateways.
+type Observer struct {
+	retention time.Duration
+	inFlight  map[ExecutionID]observation
+	losses    map[Upstream][]loss
+	crashedAt map[Upstream]time.Time
+	last      ExecutionID
+}
+
+// observation is a request in flight at an upstream.
+type observation struct {
+	upstream    Upstream
+	fingerprint Fingerprint
+}
+
+// loss is a request whose connection broke before its response was complete.
+type loss struct {
+	fingerprint Fingerprint
+	at          time.Time
+}
+
+// NewObserver returns an observer whose records are kept for a time; zero selects
+// one hour.
+func NewObserver(retention time.Duration) *Observer {
+	if retention <= 0 {
+		retention = defaultRetention
+	}
+	return &Observer{retention: retention, inFlight: map[ExecutionID]observation{}, losses: map[Upstream][]loss{}, crashedAt: map[Upstream]time.Time{}}
+}
+
+// Start records that a request is sent to an upstream.
+func (o *Observer) Start(u Upstream, f Fingerprint) ExecutionID {
+	o.last++
+	o.inFlight[o.last] = observation{u, f}
+	return o.last
+}
+
+// Finish records that a request is no longer in flight: its response is complete,
+// or this gateway has ended it.
+func (o *Observer) Finish(id ExecutionID) {
+	delete(o.inFlight, id)
+}
+
+// Lose records that the connection of a request broke before its response was
+// complete. If the upstream is known to have crashed, it returns the record of
+// the request.
+func (o *Observer) Lose(now time.Time, id ExecutionID) (CrashRecord, bool) {
+	x, ok := o.inFlight[id]
+	if !ok {
+		return CrashRecord{}, false
+	}
+	delete(o.inFlight, id)
+	o.losses[x.upstream] = append(o.losses[x.upstream], loss{x.fingerprint, now})
+	if _, ok := o.crashedAt[x.upstream]; ok {
+		return o.record(now, x.upstream)
+	}
+	return CrashRecord{}, false
+}
+
+// IsInFlight reports whether a copy of a request is in flight at any upstream.
+func (o *Observer) IsInFlight(f Fingerprint) bool {
+	for _, x := range o.inFlight {
+		if x.fingerprint == f {
+			return true
+		}
+	}
+	return false
+}
+
+// HasInFlight reports whether any request is in flight at an upstream.
+func (o *Observer) HasInFlight(u Upstream) bool {
+	for _, x := range o.inFlight {
+		if x.upstream == u {
+			return true
+		}
+	}
+	return false
+}
+
+// HasLosses reports whether requests were lost at an upstream that is not known to
+// have crashed.
+func (o *Observer) HasLosses(u Upstream) bool {
+	return len(o.losses[u]) > 0
+}
+
+// Crash records that an upstream has ended without notice. It returns the record
+// of the requests that were lost there, and false if there were none so far.
+func (o *Observer) Crash(now time.Time, u Upstream) (CrashRecord, bool) {
+	o.crashedAt[u] = now
+	return o.record(now, u)
+}
+
+// Restart records that an upstream has started anew. It returns the records of the
+// requests that were lost at earlier starts.
+func (o *Observer) Restart(now time.Time, u Upstream) []CrashRecord {
+	var l []CrashRecord
+	for earlier := range o.losses {
+		if earlier.ID != u.ID || earlier.Incarnation >= u.Incarnation {
+			continue
+		}
+		if r, ok := o.Crash(now, earlier); ok {
+			l = append(l, r)
+		}
+	}
+	return l
+}
+
+// record returns the record of the requests that were lost at an upstream that has
+// crashed.
+func (o *Observer) record(now time.Time, u Upstream) (CrashRecord, bool) {
+	var s []Suspect
+	for _, l := range o.losses[u] {
+		if now.Sub(l.at) < lossRetention {
+			s = append(s, Suspect{Fingerprint: l.fingerprint})
+		}
+	}
+	delete(o.losses, u)
+	if len(s) == 0 {
+		return CrashRecord{}, false
+	}
+	return CrashRecord{Crash: CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1}, Expiry: now.Add(o.retention), Suspects: mergeSuspects(s)}, true
+}
+
+// Expire removes losses and crashes that are too old to matter.
+func (o *Observer) Expire(now time.Time) {
+	maps.DeleteFunc(o.crashedAt, func(_ Upstream, at time.Time) bool { return now.Sub(at) > crashRetention })
+	maps.DeleteFunc(o.losses, func(_ Upstream, l []loss) bool { return now.Sub(l[len(l)-1].at) > lossRetention })
+}
