Follow replicas that announce in their responses that they leave, or want a pause

Whether a call may be sent to a replica is now decided in one place, comfreyreplica.Set.MayCall, asked before each call and again immediately before it is written: requests, retries, continuations, reservations, load reports and copies. Leaving holds for one start of a replica, against the store. A pause is never shortened, ends with the replica's start, is followed by a gradual opening, and belongs to this gateway. If all replicas of a service pause, its callers are refused at once with the earliest end, spread. Other gateways get a hint that makes them prefer other replicas for 3 s, and takes none out. What gateways say of leaving replicas now names the start, so that late news of an earlier one do not take out a later one. A refusal with a pause does not count as a failure, and a later start begins without the failures of the earlier.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -73,11 +73,26 @@
 	// IsOtherReplica reports whether a replica other than the addressed one
 	// responded.
 	IsOtherReplica bool
+	// IsLeaving reports whether the replica accepts no new requests and stops soon.
+	IsLeaving bool
+	// Pause is how long the replica wants no calls of this gateway; zero if it did
+	// not ask for a pause.
+	Pause time.Duration
 	// HasLoad reports whether the following counts are known.
 	HasLoad                 bool
 	Running, Waiting, Slots int
 }
 
+// Target is the replica that a call is sent to.
+type Target struct {
+	// Address is the replica's IP address and port.
+	Address string
+	// Permit is called immediately before the call is sent; an error ends it.
+	Permit func() error
+	// Observe is called with the header of the response.
+	Observe func(h ResponseHeader)
+}
+
 // KVCopy is a copy of a generation's KV cache at another replica.
 type KVCopy struct {
 	// Handle names the copy; it can be used only once.
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -32,6 +32,9 @@
 	IDHeader string
 	// Timeouts limit the call in addition to its context.
 	Timeouts Timeouts
+	// Permit, if set, is called immediately before the request is written. An
+	// error ends the call; opening a connection may have taken a while.
+	Permit func() error
 }
 
 // SendError reports that a request could not be sent or got no response.
@@ -97,6 +100,13 @@
 		}
 		c = n
 	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			progress.stop()
+			p.put(c)
+			return nil, &SendError{Cause: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, c.close)
 	a, err := p.exchange(c, r)
 	if err != nil {
--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -1,6 +1,7 @@
 package comfreyforward
 
 import (
+	"slices"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
@@ -35,7 +36,7 @@
 	others := layout.LiveMembers()
 	load, summarized := g.estimator.Loads(now), g.estimator.SummarizedLoads(now)
 	for _, r := range g.replicas.ByService(s.Name) {
-		if !r.IsAccepting() || excluded[r.ID] {
+		if !g.replicas.CanPlace(now, r.ID) || excluded[r.ID] {
 			continue
 		}
 		if !layout.IsHome(r.ID, r.DataCentre) {
@@ -51,7 +52,7 @@
 		}
 		l = append(l, g.candidate(now, s, r, load))
 	}
-	return append(l, comfreyplacement.SampleRemote(remote, g.config.Rand)...)
+	return g.withoutHinted(now, append(l, comfreyplacement.SampleRemote(remote, g.config.Rand)...))
 }
 
 // unaryCandidates returns the replicas of a service without engines that accept
@@ -59,11 +60,21 @@
 func (g *Gateway) unaryCandidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
 	var l []comfreyplacement.Candidate
 	for _, r := range g.replicas.ByService(s.Name) {
-		if r.IsAccepting() && !excluded[r.ID] {
+		if g.replicas.CanPlace(now, r.ID) && !excluded[r.ID] {
 			l = append(l, g.candidate(now, s, r, nil))
 		}
 	}
-	return l
+	return g.withoutHinted(now, l)
+}
+
+// withoutHinted leaves out the replicas that leave by a hint of another gateway,
+// unless there are no others. The mutex must be held.
+func (g *Gateway) withoutHinted(now time.Time, l []comfreyplacement.Candidate) []comfreyplacement.Candidate {
+	others := slices.DeleteFunc(slices.Clone(l), func(c comfreyplacement.Candidate) bool { return g.replicas.IsHinted(now, c.ID) })
+	if len(others) == 0 {
+		return l
+	}
+	return others
 }
 
 // candidate returns the local view of one replica. The load function is used
--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -42,17 +42,17 @@
 // EngineClient makes calls to replicas with engines.
 type EngineClient struct {
 	// FetchReport fetches the replica's load report.
-	FetchReport func(ctx context.Context, address string) (comfreyreplica.Report, error)
+	FetchReport func(ctx context.Context, t comfreycall.Target) (comfreyreplica.Report, error)
 	// Reserve reserves memory for a request that arrives within the given time,
 	// and returns the id of the reservation. The error is comfreycall.ErrNoCapacity
 	// if there is not enough free capacity.
-	Reserve func(ctx context.Context, address string, tokens int, life time.Duration) (string, error)
+	Reserve func(ctx context.Context, t comfreycall.Target, tokens int, life time.Duration) (string, error)
 	// CopyKVCache copies the KV cache of a generation to the replica at the
-	// target address. With isLast, the generation is stopped first. The errors
+	// destination address. With isLast, the generation is stopped first. The errors
 	// are those of comfreycall.
-	CopyKVCache func(ctx context.Context, address, request, target string, isLast bool) (comfreycall.KVCopy, error)
+	CopyKVCache func(ctx context.Context, t comfreycall.Target, request, destination string, isLast bool) (comfreycall.KVCopy, error)
 	// ReleaseKVCopy frees the memory of a KV copy.
-	ReleaseKVCopy func(ctx context.Context, address, handle string) error
+	ReleaseKVCopy func(ctx context.Context, t comfreycall.Target, handle string) error
 }
 
 // StoreClient reads the platform's key-value store and decodes its values.
--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -60,6 +60,15 @@
 	defer g.mu.Unlock()
 	g.observer.Finish(x.execution)
 	x.execution = g.observer.Start(g.upstream(c.ID), x.fingerprint)
+	g.replicas.BeginWork(c.ID)
+}
+
+// finishWork records that the response to an attempt has begun, or that the
+// attempt has failed. One that was not sent ends here.
+func (g *Gateway) finishWork(x *exchange, c comfreyplacement.Candidate, failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replicas.EndWork(g.config.Now(), c.ID, failed)
 }
 
 // upstream returns the present start of a replica. The mutex must be held.
@@ -161,16 +170,21 @@
 
 // observeRegistration handles a changed registration: one that was removed without
 // notice, or belongs to a later start of its replica.
-func (g *Gateway) observeRegistration(r comfreyreplica.Replica) {
+func (g *Gateway) observeRegistration(c comfreyreplica.Change) {
+	r := c.Replica
 	if r.IsRemoved {
 		g.observeEnd(upstreamOf(r.ID, r), "registration")
 		return
 	}
+	if !c.IsRestarted {
+		return
+	}
 	g.mu.Lock()
+	g.health.Forget(r.ID)
 	l := g.observer.Restart(g.config.Now(), upstreamOf(r.ID, r))
 	g.mu.Unlock()
-	for _, c := range l {
-		g.addCrashRecord(c, "restart")
+	for _, e := range l {
+		g.addCrashRecord(e, "restart")
 	}
 }
 
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -67,6 +67,7 @@
 	quarantine   *comfreyquarantine.Table
 	observer     *comfreyquarantine.Observer
 	// crashCheckedAt is when a replica was last dialed because a connection broke.
+	announcedAt     map[comfreyreplica.Start]time.Time
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	capacityChanges changeNotifier
 	queues          map[string]*comfreyplacement.Queue
@@ -90,6 +91,7 @@
 		generations:    map[*generation]struct{}{},
 		quarantine:     newQuarantine(c),
 		observer:       comfreyquarantine.NewObserver(0),
+		announcedAt:    map[comfreyreplica.Start]time.Time{},
 		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
 		queues:         map[string]*comfreyplacement.Queue{},
 	}
@@ -211,9 +213,10 @@
 	layout := g.config.Layout()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.config.Now()
 	var l []comfreyreplica.Replica
 	for _, r := range g.replicas.All() {
-		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && layout.IsHome(r.ID, r.DataCentre) {
+		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && g.replicas.MayCall(now, r.ID, comfreyreplica.PurposeControl) == nil && layout.IsHome(r.ID, r.DataCentre) {
 			l = append(l, r)
 		}
 	}
@@ -225,8 +228,11 @@
 func (g *Gateway) fetchReport(ctx context.Context, r comfreyreplica.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	p, err := g.config.Engines.FetchReport(ctx, r.Address)
+	p, err := g.config.Engines.FetchReport(ctx, g.target(r.ID, r.Address, comfreyreplica.PurposeControl))
 	now := g.config.Now()
+	if _, ok := permitReason(err); ok {
+		return
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConnectionLost, map[string]any{"replica": r.ID, "error": err.Error()})
@@ -262,7 +268,7 @@
 		g.record("", comfreydecision.KindUpstream, reason, map[string]any{
 			"replica": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(), "new": c.IsNew, "born": r.StartMillis,
 		})
-		g.observeRegistration(r)
+		g.observeRegistration(c)
 		if r.State == comfreyreplica.StateLeaving {
 			g.config.Pool.CloseIdle(r.Address)
 			if g.moveAway(r) {
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -11,6 +11,8 @@
 
 // continuation is a KV copy from which a generation can be resumed.
 type continuation struct {
+	// source is the replica that made the copy.
+	source      string
 	destination comfreyplacement.Candidate
 	comfreycall.Continuation
 	// completedAt is when the latest copy was complete.
--- a/comfreyforward/metrics.go
+++ b/comfreyforward/metrics.go
@@ -17,7 +17,10 @@
 	longestPause prometheus.Histogram
 	connections  prometheus.Counter
 	storeCalls   prometheus.Counter
-	gauges       []prometheus.Collector
+	// pauses counts responses that asked for a pause, and announcements replicas
+	// that said in a response that they leave.
+	pauses, announcements prometheus.Counter
+	gauges                []prometheus.Collector
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -34,8 +37,10 @@
 		longestPause: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "comfrey_forward_longest_pause_seconds", Help: "Longest time between two events of a stream.", Buckets: latencyBuckets,
 		}),
-		connections: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_connections_total", Help: "Connections opened to replicas and the store."}),
-		storeCalls:  prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_store_calls_total", Help: "Calls to the platform's store."}),
+		connections:   prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_connections_total", Help: "Connections opened to replicas and the store."}),
+		storeCalls:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_store_calls_total", Help: "Calls to the platform's store."}),
+		pauses:        prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_pauses_total", Help: "Responses of replicas that asked for a pause."}),
+		announcements: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_leaving_announced_total", Help: "Replicas that announced in a response that they leave."}),
 		gauges: []prometheus.Collector{
 			gauge("comfrey_forward_streams", "Open streams.", func() float64 { return float64(g.streamCount()) }),
 			gauge("comfrey_forward_replicas", "Replicas that accept new work.", func() float64 { return float64(g.ReplicaCount()) }),
@@ -60,7 +65,7 @@
 // Collectors returns the collectors of the gateway's metrics.
 func (g *Gateway) Collectors() []prometheus.Collector {
 	m := g.metrics
-	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls}, m.gauges...)
+	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements}, m.gauges...)
 }
 
 // CountConnection counts a connection that was opened to a replica or the
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -80,7 +80,7 @@
 func (g *Gateway) fetchLeaveTime(ctx context.Context, r comfreyreplica.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	p, err := g.config.Engines.FetchReport(ctx, r.Address)
+	p, err := g.config.Engines.FetchReport(ctx, g.target(r.ID, r.Address, comfreyreplica.PurposeControl))
 	f := map[string]any{"replica": r.ID, "state": r.State.String()}
 	if err != nil {
 		f["error"] = err.Error()
@@ -206,7 +206,7 @@
 		c, err := g.copyKVCache(ctx, n, r, d, false)
 		switch {
 		case err == nil:
-			return &continuation{destination: d, completedAt: g.config.Now(), generatedTokens: generated, Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
+			return &continuation{source: r.ID, destination: d, completedAt: g.config.Now(), generatedTokens: generated, Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
 		case errors.Is(err, comfreycall.ErrUnknownGeneration) && !g.hasStarted(n) && g.config.Now().Before(r.EndsAt):
 			if !comfreygroup.Sleep(ctx, copyRetryDelay) {
 				return nil
@@ -261,7 +261,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(limit, stopTimeout))
 	defer cancel()
-	c, err := g.config.Engines.CopyKVCache(ctx, r.Address, n.request, d.Address, isLast)
+	c, err := g.config.Engines.CopyKVCache(ctx, g.target(r.ID, r.Address, comfreyreplica.PurposeControl), n.request, d.Address, isLast)
 	f := map[string]any{"replica": r.ID, "to": d.ID, "last": isLast, "handle": c.Handle, "took-ms": g.config.Now().Sub(began).Milliseconds(), "ends-in-ms": r.EndsAt.Sub(began).Milliseconds()}
 	reason := comfreyverdict.ReasonAccepted
 	if err != nil {
@@ -293,7 +293,7 @@
 	g.config.Group.Go("drop", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		if err := g.config.Engines.ReleaseKVCopy(ctx, c.Source, c.Handle); err != nil {
+		if err := g.config.Engines.ReleaseKVCopy(ctx, g.target(c.source, c.Source, comfreyreplica.PurposeControl), c.Handle); err != nil {
 			g.record("", comfreydecision.KindMove, comfreyverdict.ReasonCopyFailed, map[string]any{"handle": c.Handle, "source": c.Source, "error": err.Error()})
 		}
 		return nil
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -82,17 +82,17 @@
 func (g *Gateway) Placements() comfreygossip.Placements {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return comfreygossip.Placements{Generations: g.estimator.Generations(), Leaving: g.recentlyLeaving()}
+	return comfreygossip.Placements{Generations: g.estimator.Generations(), Leaving: g.recentlyLeaving(), Announced: g.announcedStarts()}
 }
 
 // recentlyLeaving returns the replicas that became leaving within
-// leavingGossipTime. The mutex must be held.
-func (g *Gateway) recentlyLeaving() []string {
-	var l []string
+// leavingGossipTime, except for those that only told this gateway so. The mutex must be held.
+func (g *Gateway) recentlyLeaving() []comfreyreplica.Start {
+	var l []comfreyreplica.Start
 	now := g.config.Now()
 	for _, r := range g.replicas.All() {
-		if r.State == comfreyreplica.StateLeaving && now.Sub(r.Since) < leavingGossipTime {
-			l = append(l, r.ID)
+		if _, isAnnounced := g.announcedAt[r.Start()]; r.State == comfreyreplica.StateLeaving && !isAnnounced && now.Sub(r.Since) < leavingGossipTime {
+			l = append(l, r.Start())
 		}
 	}
 	return l
@@ -107,6 +107,9 @@
 	now := g.config.Now()
 	g.estimator.SetPeer(now, gateway, s.Generations)
 	changes := g.markLeaving(now, s.Leaving)
+	for _, k := range s.Announced {
+		g.replicas.Hint(now, k)
+	}
 	g.mu.Unlock()
 	g.handleReplicaChanges(changes)
 	g.announceLeaving(changes)
@@ -114,10 +117,10 @@
 }
 
 // markLeaving marks replicas as leaving. The mutex must be held.
-func (g *Gateway) markLeaving(now time.Time, replicas []string) []comfreyreplica.Change {
+func (g *Gateway) markLeaving(now time.Time, replicas []comfreyreplica.Start) []comfreyreplica.Change {
 	var changes []comfreyreplica.Change
-	for _, id := range replicas {
-		changes = append(changes, g.replicas.MarkLeaving(now, id, 0)...)
+	for _, k := range replicas {
+		changes = append(changes, g.replicas.MarkStartLeaving(now, k)...)
 	}
 	return changes
 }
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -9,6 +9,7 @@
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -52,6 +53,9 @@
 	if p, ok := g.placeGeneration(ctx, x, n); ok {
 		return p, nil
 	}
+	if e := g.checkPaused(x.service.Name); e != nil {
+		return placement{}, e
+	}
 	entered := g.config.Now()
 	timeout := comfreyplacement.QueueTimeout(x.route.TargetLatency, entered.Sub(x.started), n.promptTokens)
 	if !g.enqueue(x, n, timeout) {
@@ -108,6 +112,9 @@
 		if p, ok := g.placeGeneration(ctx, x, n); ok {
 			return p, nil
 		}
+		if e := g.checkPaused(x.service.Name); e != nil {
+			return placement{}, e
+		}
 	}
 }
 
@@ -169,12 +176,13 @@
 	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
 	defer cancel()
 	ttl := min(reservationTTL, x.service.Engine.MaxReservationTime)
-	id, err := g.config.Engines.Reserve(ctx, p.Address, p.toReserve, ttl)
+	id, err := g.config.Engines.Reserve(ctx, g.target(p.ID, p.Address, comfreyreplica.PurposeWork), p.toReserve, ttl)
 	now := g.config.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r, ok := g.replicas.Get(p.ID); err == nil && (!ok || !r.IsAccepting()) {
-		err = errReplicaLeft // The unused reservation expires at the replica.
+	if err == nil {
+		// An unused reservation expires at the replica.
+		err = g.replicas.MayCall(now, p.ID, comfreyreplica.PurposeWork)
 	}
 	if err == nil {
 		p.reservation = id
@@ -183,22 +191,19 @@
 	}
 	f := x.logFields(now)
 	f["replica"], f["tokens"], f["error"] = p.ID, p.toReserve, err.Error()
-	reason := comfreyverdict.ReasonAdmissionFull
+	reason, isNotPermitted := permitReason(err)
 	switch {
-	case errors.Is(err, errReplicaLeft):
-		reason = comfreyverdict.ReasonLeaving
+	case isNotPermitted:
 		g.estimator.Finish(now, n.request)
 	case errors.Is(err, comfreycall.ErrNoCapacity):
+		reason = comfreyverdict.ReasonAdmissionFull
 		g.estimator.Refused(now, p.ID, n.request)
 		delete(x.tried, p.ID) // It may have enough free capacity later.
 	default:
+		reason = comfreyverdict.ReasonAdmissionFull
 		g.estimator.Refused(now, p.ID, n.request)
 		g.health.Record(now, p.ID, true)
 	}
 	g.record(n.request, comfreydecision.KindRetry, reason, f)
 	return false
 }
-
-// errReplicaLeft means that a replica granted a reservation but accepts no new
-// work any more.
-var errReplicaLeft = errors.New("comfreyforward: want a replica that accepts new work, got one that has begun to leave")
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -53,7 +53,7 @@
 // not started. If no attempt may have run, its retry-after is that of the
 // queue.
 func (g *Gateway) respondStreamFailure(ctx context.Context, x *exchange, e *attemptError) {
-	if x.sent == 0 && ctx.Err() == nil && !e.isSuspect() {
+	if x.sent == 0 && ctx.Err() == nil && e.retryAfter == 0 {
 		g.mu.Lock()
 		after := g.queue(x.service.Name).RetryAfter()
 		g.mu.Unlock()
@@ -70,7 +70,7 @@
 	for {
 		c, e := g.awaitPlacement(ctx, x, n)
 		if e != nil {
-			if last != nil {
+			if last != nil && !(last.isNotRun && e.retryAfter > 0) {
 				return nil, last
 			}
 			return nil, e
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -12,6 +12,7 @@
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -34,6 +35,8 @@
 	reason comfreyverdict.Reason
 	// isNotRun means that the replica did not run the request.
 	isNotRun bool
+	// isUnsent means that the attempt was not sent to the replica.
+	isUnsent bool
 	// retryAfter is the delay after which the caller should retry; zero if the
 	// reason determines it.
 	retryAfter time.Duration
@@ -61,6 +64,11 @@
 	for {
 		c, ok := g.chooseUnary(x)
 		if !ok {
+			if last == nil || last.isNotRun {
+				if e := g.checkPaused(x.service.Name); e != nil {
+					last = e
+				}
+			}
 			g.respondFailure(ctx, x, last)
 			return
 		}
@@ -106,7 +114,7 @@
 		return false
 	}
 	// An attempt that reached no replica costs no retry budget.
-	if e.reason == comfreyverdict.ReasonDialFailed {
+	if e.isUnsent || e.reason == comfreyverdict.ReasonDialFailed {
 		return true
 	}
 	isAllowed := g.retryBudget(x.service.Name).TryRetry(g.config.Now(), e.reason)
@@ -175,8 +183,21 @@
 	x.offered++
 	x.replica = c.ID
 	g.beginAttempt(x, c)
-	a, err := g.config.Pool.Do(ctx, c.Address, g.attemptRequest(x, t))
+	purpose := comfreyreplica.PurposeWork
+	if t.Continue != nil {
+		purpose = comfreyreplica.PurposeResume
+	}
+	q := g.attemptRequest(x, t)
+	q.Permit = func() error { return g.mayCall(c.ID, purpose) }
+	a, err := g.config.Pool.Do(ctx, c.Address, q)
+	if reason, ok := permitReason(err); ok {
+		g.finishWork(x, c, true)
+		g.endAttempt(x)
+		x.offered--
+		return nil, comfreycall.ResponseHeader{}, &attemptError{reason: reason, isNotRun: true, isUnsent: true, cause: err}
+	}
 	if err != nil {
+		g.finishWork(x, c, true)
 		var s *comfreyconnection.SendError
 		e := &attemptError{reason: comfreyverdict.ReasonConnectionLost, cause: err}
 		if errors.As(err, &s) && !s.MayHaveArrived {
@@ -197,6 +218,8 @@
 		return nil, comfreycall.ResponseHeader{}, e
 	}
 	r := g.config.Protocol.ParseResponseHeaders(a.Status, a.Header)
+	g.observeHeader(c.ID, r)
+	g.finishWork(x, c, a.Status >= http.StatusInternalServerError)
 	switch {
 	case r.IsOtherReplica:
 		a.Close()
@@ -209,7 +232,9 @@
 	case r.IsNotRun && a.Status != http.StatusBadRequest:
 		a.Close()
 		g.endAttempt(x)
-		g.recordOutcome(c.ID, true)
+		if r.Pause == 0 {
+			g.recordOutcome(c.ID, true)
+		}
 		return nil, r, &attemptError{reason: comfreyverdict.ReasonEngineRefused, isNotRun: true}
 	}
 	x.sent++
--- a/comfreygossip/cells.go
+++ b/comfreygossip/cells.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -30,7 +31,7 @@
 	// Generations are those at replicas of the receiving cell.
 	Generations []comfreyoccupancy.Generation
 	// Leaving are the replicas that recently became leaving.
-	Leaving []string
+	Leaving []comfreyreplica.Start
 }
 
 // relay is a gateway that sends the state of another cell.
@@ -120,7 +121,7 @@
 			Runs:  runs[min(p*maxRuns, len(runs)):min((p+1)*maxRuns, len(runs))],
 		}
 		if p == 0 {
-			d.Leaving = s.Leaving
+			d.Leaving, d.LeavingBorn = encodeLeaving(s.Leaving)
 		}
 		l = append(l, d)
 	}
@@ -165,7 +166,7 @@
 		}
 	}
 	a.cell.Generations = append(a.cell.Generations, decodeGenerations(d.Runs)...)
-	a.cell.Leaving = append(a.cell.Leaving, d.Leaving...)
+	a.cell.Leaving = append(a.cell.Leaving, decodeLeaving(d.Leaving, d.LeavingBorn)...)
 	if len(a.parts) < int(d.Parts) {
 		return
 	}
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -20,6 +20,7 @@
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -84,7 +85,9 @@
 type Placements struct {
 	Generations []comfreyoccupancy.Generation
 	// Leaving are the replicas that recently became leaving.
-	Leaving []string
+	Leaving []comfreyreplica.Start
+	// Announced are those that have told the gateway in a response that they leave.
+	Announced []comfreyreplica.Start
 }
 
 // Config configures a Gossip. All fields except Seeds, Now and Dial are required.
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -21,6 +21,7 @@
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyrelay"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -88,7 +89,7 @@
 		},
 		Placements: func() comfreygossip.Placements {
 			return locked(n, func() comfreygossip.Placements {
-				return comfreygossip.Placements{Generations: slices.Clone(n.generations), Leaving: []string{"old"}}
+				return comfreygossip.Placements{Generations: slices.Clone(n.generations), Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}}
 			})
 		},
 		ApplyPlacements: func(g string, s comfreygossip.Placements) {
@@ -103,7 +104,7 @@
 			return time.Since(n.storeCurrentAt), true
 		},
 		CellState: func(receiver comfreycell.ID) comfreygossip.CellState {
-			s := comfreygossip.CellState{Loads: map[string]comfreyoccupancy.Load{}, Leaving: []string{"old"}}
+			s := comfreygossip.CellState{Loads: map[string]comfreyoccupancy.Load{}, Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}}
 			for i := range 40 { // More than fit into one datagram.
 				s.Loads[fmt.Sprint(dataCentre, i)] = comfreyoccupancy.Load{Running: 1 + i, CapacityTokens: 30_000}
 				s.Generations = append(s.Generations, comfreyoccupancy.Generation{ID: fmt.Sprint(dataCentre, " ", i), Replica: string(receiver)})
@@ -166,7 +167,7 @@
 	await(t, "c receives the placements of b, whose address it has from a", func() bool {
 		return locked(c, func() bool { return slices.Equal(c.placements[b.address].Generations, generations) })
 	})
-	if s := locked(c, func() comfreygossip.Placements { return c.placements[b.address] }); !slices.Equal(s.Leaving, []string{"old"}) {
+	if s := locked(c, func() comfreygossip.Placements { return c.placements[b.address] }); !slices.Equal(s.Leaving, []comfreyreplica.Start{{ID: "old", StartMillis: 7}}) {
 		t.Errorf("leaving replicas of b: got %+v", s)
 	}
 	locked(a, func() bool {
@@ -204,7 +205,7 @@
 			}
 			await(t, "the state of another cell arrives", func() bool { return locked(n, func() bool { return len(n.cells[comfreycell.ID(c)].Loads) > 0 }) })
 			s := locked(n, func() comfreygossip.CellState { return n.cells[comfreycell.ID(c)] })
-			if len(s.Loads) != 40 || s.Loads[c+"7"].Running != 8 || len(s.Generations) != 40 || s.Generations[0].Replica != dataCentres[i%3] || !slices.Equal(s.Leaving, []string{"old"}) {
+			if len(s.Loads) != 40 || s.Loads[c+"7"].Running != 8 || len(s.Generations) != 40 || s.Generations[0].Replica != dataCentres[i%3] || !slices.Equal(s.Leaving, []comfreyreplica.Start{{ID: "old", StartMillis: 7}}) {
 				t.Fatalf("state of %s at a gateway of %s: got %+v", c, dataCentres[i%3], s)
 			}
 		}
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
@@ -91,13 +92,37 @@
 		d := &comfreyproto.PlacementDatagram{Part: uint32(p), Parts: uint32(parts)}
 		d.Runs = encodeGenerations(s.Generations[p*maxGenerations : min((p+1)*maxGenerations, len(s.Generations))])
 		if p == 0 {
-			d.Leaving = s.Leaving
+			d.Leaving, d.LeavingBorn = encodeLeaving(s.Leaving)
+			for _, k := range s.Announced {
+				d.Announced = append(d.Announced, &comfreyproto.ReplicaStart{Replica: k.ID, Born: k.StartMillis})
+			}
 		}
 		l = append(l, d)
 	}
 	return l
 }
 
+// encodeLeaving returns the ids and the starts of replicas.
+func encodeLeaving(l []comfreyreplica.Start) (ids []string, starts []int64) {
+	for _, k := range l {
+		ids, starts = append(ids, k.ID), append(starts, k.StartMillis)
+	}
+	return ids, starts
+}
+
+// decodeLeaving is the reverse of encodeLeaving. Older builds send no starts.
+func decodeLeaving(ids []string, starts []int64) []comfreyreplica.Start {
+	var l []comfreyreplica.Start
+	for i, id := range ids {
+		k := comfreyreplica.Start{ID: id}
+		if len(starts) == len(ids) {
+			k.StartMillis = starts[i]
+		}
+		l = append(l, k)
+	}
+	return l
+}
+
 func encodeGenerations(l []comfreyoccupancy.Generation) []*comfreyproto.PlacedRun {
 	var runs []*comfreyproto.PlacedRun
 	for _, r := range l {
@@ -197,7 +222,10 @@
 		return
 	}
 	a.placements.Generations = append(a.placements.Generations, decodeGenerations(d.Runs)...)
-	a.placements.Leaving = append(a.placements.Leaving, d.Leaving...)
+	a.placements.Leaving = append(a.placements.Leaving, decodeLeaving(d.Leaving, d.LeavingBorn)...)
+	for _, k := range d.Announced {
+		a.placements.Announced = append(a.placements.Announced, comfreyreplica.Start{ID: k.Replica, StartMillis: k.Born})
+	}
 	if len(a.parts) < int(d.Parts) {
 		return
 	}
--- /dev/null
+++ b/comfreyreplica/access.go
@@ -0,0 +1,221 @@
+package comfreyreplica
+
+import (
+	"errors"
+	"time"
+)
+
+// Errors of Set.MayCall.
+var (
+	// ErrLeaving means that a replica accepts no new work.
+	ErrLeaving = errors.New("comfreyreplica: expected a replica that accepts work, got one that leaves")
+	// ErrPaused means that a replica has asked this process not to call it for a
+	// time.
+	ErrPaused = errors.New("comfreyreplica: expected a replica that may be called, got one that has asked for a pause")
+)
+
+const (
+	// MaxPause bounds a pause. A replica that asks for more is asked again after
+	// it, in case the value was meant otherwise.
+	MaxPause = 10 * time.Minute
+	// maxPauseSpread bounds the random time that is added to a pause.
+	maxPauseSpread = 500 * time.Millisecond
+	// maxResumesInPause is how many generations may be resumed at a replica during
+	// one pause. Their KV caches have been copied there already.
+	maxResumesInPause = 2
+	// maxOpening is the number of requests in flight up to which a replica opens
+	// gradually after a pause.
+	maxOpening = 32
+	// openingRetention is how long an opening is kept without requests.
+	openingRetention = 10 * time.Second
+	// hintPeriod is how long a hint that a replica leaves is followed.
+	hintPeriod = 3 * time.Second
+)
+
+// Purpose is what a call to a replica is for.
+type Purpose int
+
+// The purposes.
+const (
+	// PurposeWork is a request, a retry of one, or a reservation.
+	PurposeWork Purpose = iota
+	// PurposeResume resumes a generation whose KV cache was copied to the replica.
+	PurposeResume
+	// PurposeControl is any other call: load reports, and copies of KV caches to
+	// other replicas.
+	PurposeControl
+)
+
+// Start identifies one start of a replica.
+type Start struct {
+	ID string
+	// StartMillis is when the replica started, in Unix milliseconds; zero if
+	// unknown.
+	StartMillis int64
+}
+
+// Start returns the start that the replica is at.
+func (r Replica) Start() Start {
+	return Start{r.ID, r.StartMillis}
+}
+
+// isSame reports whether two starts of one replica can be the same.
+func (s Start) isSame(t Start) bool {
+	return s.ID == t.ID && (s.StartMillis == t.StartMillis || s.StartMillis == 0 || t.StartMillis == 0)
+}
+
+// pause is the time for which a replica wants no calls, and how it opens
+// afterwards.
+type pause struct {
+	until   time.Time
+	resumes int
+	// window is how many requests may be in flight, once the pause is over.
+	window, inFlight int
+}
+
+// MayCall returns nil if a call for a purpose may be sent to a replica now, or
+// else ErrLeaving or ErrPaused. It has to be asked immediately before each call.
+//
+// It is built for this load: replicas are replaced every few seconds while the
+// store is unreachable, or refuse bursts that many processes send at once; and
+// what was decided some time before, such as a request that has waited for its
+// connection, must not reach them any more.
+func (s *Set) MayCall(now time.Time, id string, p Purpose) error {
+	r, ok := s.replicas[id]
+	if p == PurposeWork && (!ok || !r.IsAccepting()) {
+		return ErrLeaving
+	}
+	a, ok := s.pauses[r.Start()]
+	if !ok || !now.Before(a.until) {
+		return nil
+	}
+	if p == PurposeResume && a.resumes < maxResumesInPause {
+		a.resumes++
+		return nil
+	}
+	return ErrPaused
+}
+
+// CanPlace reports whether a replica can be chosen for new work: it may be called,
+// and if it opens after a pause, not too many requests of this process are in
+// flight there.
+func (s *Set) CanPlace(now time.Time, id string) bool {
+	if s.MayCall(now, id, PurposeWork) != nil {
+		return false
+	}
+	a, ok := s.pauses[s.replicas[id].Start()]
+	return !ok || a.inFlight < a.window
+}
+
+// Pause records that a replica has refused a call and wants none for a time, to
+// which up to a quarter is added by a number in [0, 1), so that processes do not
+// return at one moment. A pause is never shortened: each refusal counts for its
+// own time. It ends with the replica's start. A time that is not positive has no
+// effect, and one above MaxPause counts as MaxPause. Pause returns the end.
+func (s *Set) Pause(now time.Time, id string, d time.Duration, random float64) (until time.Time, ok bool) {
+	r, ok := s.replicas[id]
+	if !ok || d <= 0 {
+		return time.Time{}, false
+	}
+	d = min(d, MaxPause)
+	d += time.Duration(random * float64(min(d/4, maxPauseSpread)))
+	a := s.pauses[r.Start()]
+	if a == nil {
+		a = &pause{}
+		s.pauses[r.Start()] = a
+	}
+	if now.After(a.until) {
+		a.resumes = 0
+	}
+	if e := now.Add(d); e.After(a.until) {
+		a.until = e
+	}
+	a.window = 1
+	return a.until, true
+}
+
+// BeginWork records that a request is sent to a replica, and EndWork that its
+// response has begun, or that it failed. They open a replica after a pause: each
+// response that is no failure doubles the number of requests that may be in
+// flight.
+func (s *Set) BeginWork(id string) {
+	if a, ok := s.pauses[s.replicas[id].Start()]; ok {
+		a.inFlight++
+	}
+}
+
+// EndWork is the counterpart of BeginWork.
+func (s *Set) EndWork(now time.Time, id string, failed bool) {
+	k := s.replicas[id].Start()
+	a, ok := s.pauses[k]
+	if !ok {
+		return
+	}
+	a.inFlight = max(a.inFlight-1, 0)
+	if failed || now.Before(a.until) {
+		return
+	}
+	if a.window *= 2; a.window > maxOpening {
+		delete(s.pauses, k)
+	}
+}
+
+// PauseEnd returns when the first replica of a service can be called again, if all
+// those that accept work are paused.
+func (s *Set) PauseEnd(now time.Time, service string) (end time.Time, ok bool) {
+	for _, r := range s.replicas {
+		if r.Service != service || !r.IsAccepting() {
+			continue
+		}
+		a, isPaused := s.pauses[r.Start()]
+		if !isPaused || !now.Before(a.until) {
+			return time.Time{}, false
+		}
+		if end.IsZero() || a.until.Before(end) {
+			end = a.until
+		}
+	}
+	return end, !end.IsZero()
+}
+
+// expirePauses drops pauses that ended long ago.
+func (s *Set) expirePauses(now time.Time) {
+	for k, a := range s.pauses {
+		if now.Sub(a.until) > openingRetention {
+			delete(s.pauses, k)
+		}
+	}
+}
+
+// MarkStartLeaving is MarkLeaving for one start of a replica. It has no effect on
+// another start.
+func (s *Set) MarkStartLeaving(now time.Time, k Start) []Change {
+	if r, ok := s.replicas[k.ID]; !ok || !r.Start().isSame(k) {
+		return nil
+	}
+	return s.MarkLeaving(now, k.ID, 0)
+}
+
+// Hint records that another process was told by a replica that it leaves. For a
+// few seconds it is used only where no other replica can be. Within that time, a
+// replica that leaves tells the store or this process; a hint that is wrong, late
+// or about an earlier start takes no replica out.
+func (s *Set) Hint(now time.Time, k Start) {
+	if r, ok := s.replicas[k.ID]; ok && r.Start().isSame(k) && r.IsAccepting() {
+		s.hints[k.ID] = now.Add(hintPeriod)
+	}
+}
+
+// IsHinted reports whether a replica is used only where no other can be.
+func (s *Set) IsHinted(now time.Time, id string) bool {
+	return now.Before(s.hints[id])
+}
+
+// expireHints drops hints that are no longer followed.
+func (s *Set) expireHints(now time.Time) {
+	for id, until := range s.hints {
+		if !now.Before(until) {
+			delete(s.hints, id)
+		}
+	}
+}
--- a/comfreyreplica/health.go
+++ b/comfreyreplica/health.go
@@ -43,6 +43,11 @@
 	h.records[id] = failureRecord{s, now}
 }
 
+// Forget drops the outcomes of a replica that has started anew.
+func (h *Health) Forget(id string) {
+	delete(h.records, id)
+}
+
 // FailureRate returns the exponentially weighted share of recent requests that
 // failed, from 0 to 1. It decays over time without new requests.
 func (h *Health) FailureRate(now time.Time, id string) float64 {
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -37,8 +37,9 @@
 // Change is a change of one replica in a Set.
 type Change struct {
 	Replica Replica
-	// IsNew means that the replica was not in the set before.
-	IsNew bool
+	// IsNew means that the replica was not in the set before, and IsRestarted that
+	// an earlier start of it was.
+	IsNew, IsRestarted bool
 }
 
 // Set holds the known replicas. It is not safe for concurrent use.
@@ -53,11 +54,14 @@
 	// are known to leave, until restoredUntil.
 	restored      map[string]Registration
 	restoredUntil time.Time
+	pauses        map[Start]*pause
+	// hints holds until when replicas are avoided.
+	hints map[string]time.Time
 }
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
-	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}}
+	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: map[Start]*pause{}, hints: map[string]time.Time{}}
 }
 
 func (c Config) withDefaults() Config {
@@ -97,7 +101,7 @@
 		s.replicas[l.ID] = r
 		return nil
 	}
-	return []Change{{Replica: r, IsNew: !known}}
+	return []Change{{Replica: r, IsNew: !known, IsRestarted: known && old.StartMillis != l.StartMillis}}
 }
 
 // UpdateRestored handles a registration from the older copy from which the
@@ -213,6 +217,8 @@
 // restored registrations once restoredGrace has, and drops replicas that ended
 // long ago. The caller calls it about every 100 ms.
 func (s *Set) Expire(now time.Time) []Change {
+	s.expirePauses(now)
+	s.expireHints(now)
 	var c []Change
 	if len(s.restored) > 0 && !now.Before(s.restoredUntil) {
 		for _, l := range s.restored {
