--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -65,7 +65,7 @@
 
 // finishWork records that the response to an attempt has begun, or that the
 // attempt has failed. One that was not sent ends here.
-func (g *Gateway) finishWork(x *exchange, c comfreyplacement.Candidate, failed bool) {
+func (g *Gateway) finishWork(c comfreyplacement.Candidate, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.replicas.EndWork(g.config.Now(), c.ID, failed)
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -190,36 +190,12 @@
 	q := g.attemptRequest(x, t)
 	q.Permit = func() error { return g.mayCall(c.ID, purpose) }
 	a, err := g.config.Pool.Do(ctx, c.Address, q)
-	if reason, ok := permitReason(err); ok {
-		g.finishWork(x, c, true)
-		g.endAttempt(x)
-		x.offered--
-		return nil, comfreycall.ResponseHeader{}, &attemptError{reason: reason, isNotRun: true, isUnsent: true, cause: err}
-	}
 	if err != nil {
-		g.finishWork(x, c, true)
-		var s *comfreyconnection.SendError
-		e := &attemptError{reason: comfreyverdict.ReasonConnectionLost, cause: err}
-		if errors.As(err, &s) && !s.MayHaveArrived {
-			e.isNotRun, e.reason = true, comfreyverdict.ReasonDialFailed
-			g.endAttempt(x)
-			if isRefused(err) {
-				g.observeDialRefused(c)
-			}
-		} else {
-			x.sent++
-			if ctx.Err() == nil {
-				g.loseAttempt(x, c)
-			}
-		}
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			g.recordOutcome(c.ID, true)
-		}
-		return nil, comfreycall.ResponseHeader{}, e
+		return nil, comfreycall.ResponseHeader{}, g.handleSendError(ctx, x, c, err)
 	}
 	r := g.config.Protocol.ParseResponseHeaders(a.Status, a.Header)
 	g.observeHeader(c.ID, r)
-	g.finishWork(x, c, a.Status >= http.StatusInternalServerError)
+	g.finishWork(c, a.Status >= http.StatusInternalServerError)
 	switch {
 	case r.IsOtherReplica:
 		a.Close()
@@ -246,6 +222,32 @@
 	return a, r, nil
 }
 
+// handleSendError handles an attempt that got no response.
+func (g *Gateway) handleSendError(ctx context.Context, x *exchange, c comfreyplacement.Candidate, err error) *attemptError {
+	g.finishWork(c, true)
+	if reason, ok := permitReason(err); ok {
+		g.endAttempt(x)
+		x.offered--
+		return &attemptError{reason: reason, isNotRun: true, isUnsent: true, cause: err}
+	}
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		g.recordOutcome(c.ID, true)
+	}
+	var s *comfreyconnection.SendError
+	if errors.As(err, &s) && !s.MayHaveArrived {
+		g.endAttempt(x)
+		if isRefused(err) {
+			g.observeDialRefused(c)
+		}
+		return &attemptError{reason: comfreyverdict.ReasonDialFailed, isNotRun: true, cause: err}
+	}
+	x.sent++
+	if ctx.Err() == nil {
+		g.loseAttempt(x, c)
+	}
+	return &attemptError{reason: comfreyverdict.ReasonConnectionLost, cause: err}
+}
+
 // recordOutcome records whether a request to a replica failed, for its failure
 // rate.
 func (g *Gateway) recordOutcome(replica string, failed bool) {
