Limit transfers of the configuration folder by progress too

On a link of 4 Mbit/s a file of 1 MiB never arrived.

Now Timeouts.RoundTrip limits the silence of both calls, and the node gives a fetch up to Timing.FetchTimeout (30 s); one that fails is followed by the next as before, 2 s after it began.

--- a/comfreyconfig/node_peer.go
+++ b/comfreyconfig/node_peer.go
@@ -79,7 +79,7 @@
 // revision if none is missing.
 func (n *Node) continueTransfer(now time.Time) []Action {
 	t := n.transfer
-	t.deadline = now.Add(n.config.Timing.CallTimeout)
+	t.deadline = now.Add(n.config.Timing.FetchTimeout)
 	if t.revision.Number == 0 {
 		return []Action{{Kind: ActionFetch, Peer: t.peer, Hashes: []Hash{t.hash}}}
 	}
--- a/comfreyconfig/node_pending.go
+++ b/comfreyconfig/node_pending.go
@@ -24,6 +24,8 @@
 	// deadline is when the open call, if any, times out.
 	deadline time.Time
 	fetches  int
+	// fetchBegan is when the last fetch began.
+	fetchBegan time.Time
 	// candidate is set once the content is complete and has passed the check.
 	candidate    *Candidate
 	settlePeriod time.Duration
@@ -174,7 +176,8 @@
 		return n.dropForFallback(now)
 	}
 	p.fetches++
-	p.deadline = now.Add(n.config.Timing.CallTimeout)
+	p.fetchBegan = now
+	p.deadline = now.Add(n.config.Timing.FetchTimeout)
 	n.stats.PlatformCalls += uint64(len(m))
 	return []Action{{Kind: ActionFetch, Hashes: m}}
 }
@@ -216,6 +219,8 @@
 		}
 	}
 	if !progress {
+		// The next fetch begins one CallTimeout after this one did, or now.
+		p.deadline = p.fetchBegan.Add(n.config.Timing.CallTimeout)
 		return nil
 	}
 	p.fetches = 0
--- a/comfreyconfig/node_test.go
+++ b/comfreyconfig/node_test.go
@@ -184,3 +184,23 @@
 		t.Errorf("%d reads of the host list in a minute, want one each 2 s", reads)
 	}
 }
+
+// TestSlowFetchIsNotBegunAgain checks that a fetch of files that lasts for many
+// seconds is not begun again meanwhile, since both would share the link.
+func TestSlowFetchIsNotBegunAgain(t *testing.T) {
+	n := newActiveNode(t)
+	r := comfreyconfig.NewRevision(n.Store().Revision().Number+1, content("b"))
+	d := comfreyconfig.Digest{Number: r.Number, Hash: r.Hash}
+	isFetch := func(a comfreyconfig.Action) bool { return a.Kind == comfreyconfig.ActionFetch }
+	if a := n.ObserveDigest(testStart, testPeer, d); !slices.ContainsFunc(a, isFetch) {
+		t.Fatalf("the digest of a newer revision returned actions %+v, want a fetch", a)
+	}
+	for now := testStart; now.Before(testStart.Add(20 * time.Second)); now = now.Add(500 * time.Millisecond) {
+		if a := append(n.Tick(now), n.ObserveDigest(now, testPeer, d)...); slices.ContainsFunc(a, isFetch) {
+			t.Fatalf("%v after a fetch began: got another one", now.Sub(testStart))
+		}
+	}
+	if a := n.HandleFetchResult(testStart.Add(20*time.Second), comfreyconfig.FetchResult{Peer: testPeer, Blobs: [][]byte{r.Manifest()}}); !slices.ContainsFunc(a, isFetch) {
+		t.Errorf("the manifest arrived: got actions %+v, want a fetch of the files", a)
+	}
+}
--- a/comfreyconfig/timing.go
+++ b/comfreyconfig/timing.go
@@ -30,6 +30,9 @@
 	// CallTimeout is the timeout of a call, in addition to WatchTimeout for a
 	// watch; 2 s by default.
 	CallTimeout time.Duration
+	// FetchTimeout is the timeout of a fetch of files, whose duration depends on
+	// their size and the link; 30 s by default. A fetch that fails ends sooner.
+	FetchTimeout time.Duration
 	// Fanout is the number of peers with which a process exchanges digests at
 	// once when it starts and when it activates a revision; 4 by default.
 	Fanout int
@@ -43,6 +46,7 @@
 	defaultHosts     = 2 * time.Second
 	defaultRetry     = 2 * time.Second
 	defaultAnswer    = 2 * time.Second
+	defaultFetch     = 30 * time.Second
 	defaultFanout    = 4
 )
 
@@ -59,6 +63,7 @@
 	set(&t.HostsInterval, defaultHosts)
 	set(&t.RetryInterval, defaultRetry)
 	set(&t.CallTimeout, defaultAnswer)
+	set(&t.FetchTimeout, defaultFetch)
 	if t.WatchesPerDataCentre <= 0 {
 		t.WatchesPerDataCentre = defaultWatches
 	}
--- a/comfreyconnection/timeouts.go
+++ b/comfreyconnection/timeouts.go
@@ -38,6 +38,21 @@
 	return ctx, p
 }
 
+// RoundTrip applies the timeouts to a call that is made by f, such as the Do method
+// of an http.Client.
+func (t Timeouts) RoundTrip(r *http.Request, f func(r *http.Request) (*http.Response, error)) (*http.Response, error) {
+	ctx, p := t.start(r.Context())
+	a, err := f(r.WithContext(ctx))
+	if err != nil {
+		err = causeOf(ctx, err)
+		p.stop()
+		return nil, err
+	}
+	p.receiveHeader()
+	a.Body = p.body(ctx, a.Body)
+	return a, nil
+}
+
 // progress is the progress of one call.
 type progress struct {
 	timeouts Timeouts
@@ -105,16 +120,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	ctx, p := t.Timeouts.start(r.Context())
-	a, err := t.Transport.RoundTrip(r.WithContext(ctx))
-	if err != nil {
-		err = causeOf(ctx, err)
-		p.stop()
-		return nil, err
-	}
-	p.receiveHeader()
-	a.Body = &transportBody{ReadCloser: a.Body, progress: p, context: ctx}
-	return a, nil
+	return t.Timeouts.RoundTrip(r, t.Transport.RoundTrip)
 }
 
 // causeOf returns the reason why a context was canceled, or err if it was not.
@@ -125,15 +131,21 @@
 	return err
 }
 
-// transportBody is the body of a response to a Transport.
-type transportBody struct {
+// progressBody is the body of a response whose call has timeouts.
+type progressBody struct {
 	io.ReadCloser
 	progress *progress
 	context  context.Context
 }
 
+// body returns the body of the response, which records what arrives and, when it
+// is closed, ends the timeouts. The context is that of the call.
+func (p *progress) body(ctx context.Context, b io.ReadCloser) io.ReadCloser {
+	return &progressBody{ReadCloser: b, progress: p, context: ctx}
+}
+
 // Read implements io.Reader.
-func (b *transportBody) Read(p []byte) (int, error) {
+func (b *progressBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.progress.receive(n)
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -143,7 +155,7 @@
 }
 
 // Close implements io.Closer.
-func (b *transportBody) Close() error {
+func (b *progressBody) Close() error {
 	err := b.ReadCloser.Close()
 	b.progress.stop()
 	return err
--- a/comfreyplatform/agent.go
+++ b/comfreyplatform/agent.go
@@ -14,7 +14,8 @@
 // ExchangeFunc sends a digest to a peer and returns the peer's digest.
 type ExchangeFunc func(ctx context.Context, p comfreyconfig.Peer, d comfreyconfig.Digest) (comfreyconfig.Digest, error)
 
-// FetchFunc requests blobs from a peer, which serves them with Agent.Serve.
+// FetchFunc requests blobs from a peer, which serves them with Agent.Serve. It
+// limits the time for which the peer is silent.
 type FetchFunc func(ctx context.Context, p comfreyconfig.Peer, hashes []comfreyconfig.Hash) ([][]byte, error)
 
 // AgentConfig configures an Agent. Node.Seed must differ between processes.
--- a/comfreyplatform/call.go
+++ b/comfreyplatform/call.go
@@ -44,8 +44,6 @@
 		f.Failed = true
 		return f
 	}
-	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
-	defer cancel()
 	b, err := a.config.Fetch(ctx, x.Peer, x.Hashes)
 	f.Blobs, f.Failed = b, err != nil
 	return f
--- a/comfreyplatform/client.go
+++ b/comfreyplatform/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 )
 
 // MaxValueSizeBytes is the largest value that the platform stores.
@@ -28,8 +29,9 @@
 type Config struct {
 	// URL is the base URL of the platform, such as "http://10.0.0.1:7000".
 	URL string
-	// Timeout limits a call; a watch may take its wait time in addition. The
-	// default is 1.5 s. It should be below comfreyconfig.Timing.Answer.
+	// Timeout limits the time until a response begins, to which a watch adds its
+	// wait time, and each pause in it. The default is 1.5 s. It should be below
+	// comfreyconfig.Timing.CallTimeout.
 	Timeout time.Duration
 	// HTTP makes the calls. The default keeps idle connections for only 5 s, so
 	// that a connection that delivers no more data is not reused for long.
@@ -120,15 +122,15 @@
 	unchanged bool
 }
 
-// get makes one call.
+// get makes one call, whose response begins within the timeout. How long it then
+// takes depends on the size of the value and the link.
 func (c *Client) get(ctx context.Context, path string, timeout time.Duration) (value, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.config.URL+path, nil)
 	if err != nil {
 		return value{}, fmt.Errorf("comfreyplatform: %w", err)
 	}
-	p, err := c.config.HTTP.Do(r)
+	t := comfreyconnection.Timeouts{Header: timeout, Silence: c.config.Timeout}
+	p, err := t.RoundTrip(r, c.config.HTTP.Do)
 	if err != nil {
 		c.config.HTTP.CloseIdleConnections()
 		return value{}, fmt.Errorf("comfreyplatform: %w", err)
--- a/comfreyprocess/peer.go
+++ b/comfreyprocess/peer.go
@@ -8,13 +8,15 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyconfig"
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyplatform"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
 )
 
-// peerTimeout bounds a call to another process about the configuration.
+// peerTimeout bounds a call to another process about the configuration, or the
+// silence of one that sends files.
 const peerTimeout = 1500 * time.Millisecond
 
 // digestToWire converts a digest, with the sender that others can ask back.
@@ -62,13 +64,11 @@
 // fetch returns the function by which an agent asks peers for blobs.
 func fetch(c *comfreyrpc.Client) comfreyplatform.FetchFunc {
 	return func(ctx context.Context, p comfreyconfig.Peer, hashes []comfreyconfig.Hash) ([][]byte, error) {
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-		defer cancel()
 		r := &comfreyproto.FetchRequest{}
 		for _, h := range hashes {
 			r.Hashes = append(r.Hashes, h[:])
 		}
-		m, err := c.Peer(p.Address).Fetch(ctx, r)
+		m, err := c.PeerTransfers(p.Address, comfreyconnection.Timeouts{Header: peerTimeout, Silence: peerTimeout}).Fetch(ctx, r)
 		if err != nil {
 			return nil, err
 		}
--- a/comfreyrpc/client.go
+++ b/comfreyrpc/client.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -101,6 +102,23 @@
 	return comfreyproto.NewPeerProtobufClient("http://"+address, c)
 }
 
+// PeerTransfers is Peer for calls with large responses, which are limited by their
+// progress.
+func (c *Client) PeerTransfers(address string, t comfreyconnection.Timeouts) comfreyproto.Peer {
+	return comfreyproto.NewPeerProtobufClient("http://"+address, &transferClient{client: c, timeouts: t})
+}
+
+// transferClient is a Client for twirp with timeouts.
+type transferClient struct {
+	client   *Client
+	timeouts comfreyconnection.Timeouts
+}
+
+// Do sends a request; see Client.Do.
+func (c *transferClient) Do(r *http.Request) (*http.Response, error) {
+	return c.timeouts.RoundTrip(r, c.client.Do)
+}
+
 // Stream is an open stream of frames. It is not safe for concurrent use,
 // except for Close.
 type Stream struct {
