--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -89,7 +89,7 @@
 		},
 		Placements: func() comfreygossip.Placements {
 			return locked(n, func() comfreygossip.Placements {
-				return comfreygossip.Placements{Generations: slices.Clone(n.generations), Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}}
+				return comfreygossip.Placements{Generations: slices.Clone(n.generations), Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}, Announced: []comfreyreplica.Start{{ID: "new", StartMillis: 8}}}
 			})
 		},
 		ApplyPlacements: func(g string, s comfreygossip.Placements) {
@@ -167,7 +167,7 @@
 	await(t, "c receives the placements of b, whose address it has from a", func() bool {
 		return locked(c, func() bool { return slices.Equal(c.placements[b.address].Generations, generations) })
 	})
-	if s := locked(c, func() comfreygossip.Placements { return c.placements[b.address] }); !slices.Equal(s.Leaving, []comfreyreplica.Start{{ID: "old", StartMillis: 7}}) {
+	if s := locked(c, func() comfreygossip.Placements { return c.placements[b.address] }); !slices.Equal(s.Leaving, []comfreyreplica.Start{{ID: "old", StartMillis: 7}}) || !slices.Equal(s.Announced, []comfreyreplica.Start{{ID: "new", StartMillis: 8}}) {
 		t.Errorf("leaving replicas of b: got %+v", s)
 	}
 	locked(a, func() bool {
