--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -70,6 +70,9 @@
 // withoutHinted leaves out the replicas that leave by a hint of another gateway,
 // unless there are no others. The mutex must be held.
 func (g *Gateway) withoutHinted(now time.Time, l []comfreyplacement.Candidate) []comfreyplacement.Candidate {
+	if !g.replicas.HasHints() {
+		return l
+	}
 	others := slices.DeleteFunc(slices.Clone(l), func(c comfreyplacement.Candidate) bool { return g.replicas.IsHinted(now, c.ID) })
 	if len(others) == 0 {
 		return l
--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -43,7 +43,7 @@
 func (g *Gateway) checkSuspect(x *exchange) *attemptError {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d, after := g.quarantine.DecideTrial(g.config.Now(), x.fingerprint, g.observer.IsInFlight(x.fingerprint))
+	d, after := g.quarantine.DecideTrial(g.config.Now(), x.fingerprint, g.observer.IsInFlight)
 	switch d {
 	case comfreyquarantine.DecisionAllow:
 		return nil
--- a/comfreyquarantine/observer_test.go
+++ b/comfreyquarantine/observer_test.go
@@ -63,7 +63,7 @@
 	var crashes []time.Duration
 	for d := time.Duration(0); d < 2*time.Minute; d += 100 * time.Millisecond {
 		now := testStart.Add(d)
-		decision, after := table.DecideTrial(now, f, o.IsInFlight(f))
+		decision, after := table.DecideTrial(now, f, o.IsInFlight)
 		if decision != DecisionAllow {
 			if after <= 0 {
 				t.Fatalf("after %v: expected a delay with %v, got %v", d, decision, after)
@@ -81,20 +81,21 @@
 	}
 
 	harmless := testFingerprint("harmless")
+	isCopyInFlight := func(Fingerprint) bool { return true }
 	for i := range 2 {
 		table.Merge(testStart, []CrashRecord{{Crash: CrashID{fmt.Sprint("j-", i), 1, 1}, Expiry: testStart.Add(time.Hour), Suspects: []Suspect{{Fingerprint: harmless}}}})
 	}
-	if d, _ := table.DecideTrial(testStart.Add(time.Second), harmless, false); d != DecisionRefuse {
+	if d, _ := table.DecideTrial(testStart.Add(time.Second), harmless, o.IsInFlight); d != DecisionRefuse {
 		t.Errorf("a second after two crashes: expected %v, got %v", DecisionRefuse, d)
 	}
-	if d, _ := table.DecideTrial(testStart.Add(3*time.Second), harmless, true); d != DecisionWait {
+	if d, _ := table.DecideTrial(testStart.Add(3*time.Second), harmless, isCopyInFlight); d != DecisionWait {
 		t.Errorf("with a copy in flight: expected %v, got %v", DecisionWait, d)
 	}
-	if d, _ := table.DecideTrial(testStart.Add(3*time.Second), harmless, false); d != DecisionAllow {
+	if d, _ := table.DecideTrial(testStart.Add(3*time.Second), harmless, o.IsInFlight); d != DecisionAllow {
 		t.Errorf("three seconds after two crashes: expected %v, got %v", DecisionAllow, d)
 	}
 	table.ClearSuspect(harmless)
-	if d, _ := table.DecideTrial(testStart, harmless, true); d != DecisionAllow {
+	if d, _ := table.DecideTrial(testStart, harmless, isCopyInFlight); d != DecisionAllow {
 		t.Errorf("after a run: expected %v, got %v", DecisionAllow, d)
 	}
 	for _, r := range table.RepeatedSuspects(testStart.Add(time.Second)) {
--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -20,8 +20,9 @@
 // DecideTrial returns the decision on a request before upstreams that cannot be
 // reserved for a single suspect: DecisionAllow, DecisionWait while another copy of
 // a suspect is in flight, or DecisionRefuse. If the request may not run, it also
-// returns the delay after which it may.
-func (t *Table) DecideTrial(now time.Time, f Fingerprint, isInFlight bool) (Decision, time.Duration) {
+// returns the delay after which it may. The function isInFlight reports
+// whether another copy is in flight; it is called for suspects only.
+func (t *Table) DecideTrial(now time.Time, f Fingerprint, isInFlight func(f Fingerprint) bool) (Decision, time.Duration) {
 	if len(t.records) == 0 {
 		return DecisionAllow, 0
 	}
@@ -46,7 +47,7 @@
 	if now.Before(until) {
 		return DecisionRefuse, until.Sub(now)
 	}
-	if isInFlight {
+	if isInFlight(f) {
 		return DecisionWait, busyRetryDelay
 	}
 	return DecisionAllow, 0
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -85,6 +85,9 @@
 	if p == PurposeWork && (!ok || !r.IsAccepting()) {
 		return ErrLeaving
 	}
+	if len(s.pauses) == 0 {
+		return nil
+	}
 	a, ok := s.pauses[r.Start()]
 	if !ok || !now.Before(a.until) {
 		return nil
@@ -103,6 +106,9 @@
 	if s.MayCall(now, id, PurposeWork) != nil {
 		return false
 	}
+	if len(s.pauses) == 0 {
+		return true
+	}
 	a, ok := s.pauses[s.replicas[id].Start()]
 	return !ok || a.inFlight < a.window
 }
@@ -206,6 +212,11 @@
 	}
 }
 
+// HasHints reports whether any replica is avoided because of a hint.
+func (s *Set) HasHints() bool {
+	return len(s.hints) > 0
+}
+
 // IsHinted reports whether a replica is used only where no other can be.
 func (s *Set) IsHinted(now time.Time, id string) bool {
 	return now.Before(s.hints[id])
