--- a/comfreygossip/transfer.go
+++ b/comfreygossip/transfer.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/klauspost/compress/zstd"
 
@@ -22,6 +24,10 @@
 	// them would share its link, and all be late. Each receiver becomes a source
 	// for the others.
 	maxTransfers = 2
+	// receiverSilence is the time within which a receiver has to read progressBytes
+	// of a response.
+	receiverSilence = 1500 * time.Millisecond
+	progressBytes   = 16 << 10
 	// minCompressedValue is the size in bytes from which values are compressed.
 	minCompressedValue = 4 << 10
 	// maxValueSize bounds the size in bytes of a decompressed value.
@@ -46,13 +52,46 @@
 func (s transferSlots) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t := &slot{}
-		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), slotKey{}, t)))
+		p := &progressWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
+		h.ServeHTTP(p, r.WithContext(context.WithValue(r.Context(), slotKey{}, t)))
+		p.clearDeadline()
 		if t.isTaken {
 			<-s
 		}
 	})
 }
 
+// progressWriter ends the connection of a receiver that reads nothing for
+// receiverSilence, which would hold its slot.
+type progressWriter struct {
+	http.ResponseWriter
+	controller *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (w *progressWriter) Write(b []byte) (int, error) {
+	sent := 0
+	for part := range slices.Chunk(b, progressBytes) {
+		w.setDeadline(time.Now().Add(receiverSilence))
+		n, err := w.ResponseWriter.Write(part)
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
+}
+
+// clearDeadline ends the deadline, so that the connection can be reused.
+func (w *progressWriter) clearDeadline() {
+	w.setDeadline(time.Time{})
+}
+
+func (w *progressWriter) setDeadline(t time.Time) {
+	// A connection that does not support deadlines is written to without one.
+	_ = w.controller.SetWriteDeadline(t)
+}
+
 // take takes a slot for the request of a context and reports whether one was
 // free.
 func (s transferSlots) take(ctx context.Context) bool {
--- a/comfreygossip/transfer_test.go
+++ b/comfreygossip/transfer_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +15,7 @@
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyproto"
@@ -23,9 +26,14 @@
 // newLargeGossip returns a Gossip that is not started, whose store cache holds a
 // large value and a small one.
 func newLargeGossip() *Gossip {
+	return newGossipWith(bytes.Repeat([]byte("route "), largeItems))
+}
+
+// newGossipWith is newLargeGossip with a given large value.
+func newGossipWith(value []byte) *Gossip {
 	c := comfreystorecache.New()
 	c.Apply(comfreystorecache.Version{}, comfreystorecache.Version{Revision: 2}, []comfreystorecache.Item{
-		{Key: "large", Revision: 1, Value: bytes.Repeat([]byte("route "), largeItems)}, {Key: "small", Revision: 2, Value: []byte("replica")},
+		{Key: "large", Revision: 1, Value: value}, {Key: "small", Revision: 2, Value: []byte("replica")},
 	})
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -94,6 +102,38 @@
 	}
 }
 
+// TestVanishedReceiversReleaseTransferSlots guards against receivers that stop
+// reading, such as hosts without power, and keep others from large responses.
+func TestVanishedReceiversReleaseTransferSlots(t *testing.T) {
+	g := newGossipWith(make([]byte, 24<<20)) // More than the buffers of a connection hold.
+	s := httptest.NewServer(g.Handler())
+	defer s.Close()
+	b, err := proto.Marshal(&comfreyproto.CopyExchange{MaxItemBytes: 1 << 30})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range maxTransfers {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := fmt.Fprintf(c, "POST %sExchange HTTP/1.1\r\nHost: x\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n%s", comfreyproto.GatewaysPathPrefix, len(b), b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait := func(what string, f func() bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("timed out waiting until %s", what)
+			}
+		}
+	}
+	wait("all slots are taken", func() bool { return len(g.transfers) == maxTransfers })
+	wait("all slots are free again", func() bool { return len(g.transfers) == 0 })
+}
+
 // TestDecodeRefusesInvalidValues checks that values which cannot be decompressed,
 // or become too large, are errors.
 func TestDecodeRefusesInvalidValues(t *testing.T) {
