--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -182,7 +182,7 @@
 		Address: g.config.Address, DataCentre: g.config.DataCentre, Complete: after.Revision, Era: after.Era, Gateways: l, DataCentres: dataCentres, Sizes: sizes,
 		MaxItemBytes: maxItems, AcceptsZstd: true,
 	})
-	g.recordExchange(address, k, transfer{from: after, took: time.Since(started), received: received.Load(), dataCentre: r.GetDataCentre()}, err)
+	g.recordExchange(address, k, exchangeStats{from: after, took: time.Since(started), received: received.Load(), dataCentre: r.GetDataCentre()}, err)
 	if err != nil {
 		return exchangeFailed
 	}
@@ -206,8 +206,8 @@
 	return exchangeMerged
 }
 
-// transfer describes one exchange for the log.
-type transfer struct {
+// exchangeStats describes one exchange for the log.
+type exchangeStats struct {
 	// from is the version after which changes were requested.
 	from comfreystorecache.Version
 	took time.Duration
@@ -218,7 +218,7 @@
 
 // recordExchange records whether a gateway is reachable, and its data centre. It
 // logs an exchange that failed midway each time: another one may end the same way.
-func (g *Gossip) recordExchange(address string, k *peer, t transfer, err error) {
+func (g *Gossip) recordExchange(address string, k *peer, t exchangeStats, err error) {
 	g.mu.Lock()
 	wasUnreachable := k.isUnreachable
 	k.isUnreachable = err != nil
