--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -74,7 +74,8 @@
 }
 
 // MayCall returns nil if a call for a purpose may be sent to a replica now, or
-// else ErrLeaving or ErrPaused. It has to be asked immediately before each call.
+// else ErrLeaving or ErrPaused. It has to be asked immediately before each call,
+// and once for each, since it counts the resumed generations of a pause.
 //
 // It is built for this load: replicas are replaced every few seconds while the
 // store is unreachable, or refuse bursts that many processes send at once; and
