Refuse listings to empty gateways without collecting them

The few gateways that have a listing are asked by dozens that have none, every 60 ms, and collected and sorted thousands of registrations for each refusal.

That this is the cause is worked out, not traced. Now a gateway without anything is refused before the items are collected, and the delay between two requests doubles up to 0.4 s.

--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -57,6 +57,7 @@
 		if _, v, ok := g.newerPeer(); ok && v.Era > g.config.StoreVersion().Era && g.config.StoreVersion().Revision > 0 {
 			comfreygroup.Sleep(ctx, time.Duration(rand.Float64()*float64(newEraSpread)))
 		}
+		delay := withheldRetryDelay
 		for ctx.Err() == nil {
 			a, v, ok := g.newerPeer()
 			if !ok {
@@ -70,7 +71,8 @@
 				// The others can get the changes from this gateway from now on.
 				g.PlacementsChanged()
 			case exchangeWithheld:
-				comfreygroup.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(withheldRetryDelay)))
+				comfreygroup.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(delay)))
+				delay = min(2*delay, maxWithheldRetryDelay)
 			case exchangeFailed:
 				g.forgetVersion(a)
 			}
@@ -248,6 +250,9 @@
 	g.mu.Unlock()
 	g.addPeers(r.Gateways, r.DataCentres)
 	g.learnSizes(r.Sizes)
+	if own := g.config.StoreVersion(); g.mustWithholdListing(r, own) {
+		return &comfreyproto.CopyExchangeReply{Complete: own.Revision, Era: own.Era, Withheld: true, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes}, nil
+	}
 	changes := g.config.StoreChangesSince(comfreystorecache.Version{Era: r.Era, Revision: r.Complete})
 	age, known := g.config.DirectStoreAge()
 	p := &comfreyproto.CopyExchangeReply{
@@ -265,6 +270,17 @@
 	return p, nil
 }
 
+// mustWithholdListing reports whether a gateway that has nothing yet, and needs a
+// complete listing, cannot get one now. After a restart of the whole fleet, dozens
+// of them ask the few that have one, which must not collect the items of thousands
+// of replicas for each refusal.
+func (g *Gossip) mustWithholdListing(r *comfreyproto.CopyExchange, own comfreystorecache.Version) bool {
+	if r.MaxItemBytes == 0 || r.Complete > 0 || own.Revision == 0 {
+		return false
+	}
+	return r.MaxItemBytes <= largeItems || len(g.transfers) == cap(g.transfers)
+}
+
 // Handler returns the HTTP handler that serves exchanges.
 func (g *Gossip) Handler() http.Handler {
 	return g.transfers.handler(comfreyproto.NewGatewaysServer(g))
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -54,7 +54,9 @@
 	silentPeerInterval = 2 * time.Second
 	// withheldRetryDelay is the mean delay before another gateway is asked after one
 	// has withheld a large reply.
-	withheldRetryDelay = 60 * time.Millisecond
+	// It doubles up to maxWithheldRetryDelay.
+	withheldRetryDelay    = 60 * time.Millisecond
+	maxWithheldRetryDelay = 400 * time.Millisecond
 	// newEraSpread is the time over which the gateways spread their exchanges when
 	// the store was restored.
 	newEraSpread = 300 * time.Millisecond
