--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -66,7 +66,8 @@
 	generations  map[*generation]struct{}
 	quarantine   *comfreyquarantine.Table
 	observer     *comfreyquarantine.Observer
-	// crashCheckedAt is when a replica was last dialed because a connection broke.
+	// announcedAt is when replicas told this gateway in a response that they leave,
+	// and crashCheckedAt when they were last dialed because a connection broke.
 	announcedAt     map[comfreyreplica.Start]time.Time
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	capacityChanges changeNotifier
--- a/comfreygossip/transfer.go
+++ b/comfreygossip/transfer.go
@@ -53,11 +53,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t := &slot{}
 		p := &progressWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
+		defer func() {
+			p.clearDeadline()
+			if t.isTaken {
+				<-s
+			}
+		}()
 		h.ServeHTTP(p, r.WithContext(context.WithValue(r.Context(), slotKey{}, t)))
-		p.clearDeadline()
-		if t.isTaken {
-			<-s
-		}
 	})
 }
 
