One reply of an exchange; the start of an attempt's replica; one transport

- Exchange built its reply in two places, and the one for empty gateways left out the suspects.
It is built once.
The refusal of listings had no test: with it switched off, TestEmptyGatewayIsRefusedWithoutCollectingTheListing fails.
- A lost attempt was counted at the replica's present start, not at the one it was sent to, and a body that the gateway's own deadline ended counted as lost.
- comfreyconnection.Transport had one user, which needs its own transport anyway; Timeouts.RoundTrip remains.

--- a/comfreyconnection/timeouts.go
+++ b/comfreyconnection/timeouts.go
@@ -16,8 +16,8 @@
 
 // Timeouts limits a call by its progress. How long a large response takes depends
 // on the link, so a limit for the whole call would end each attempt on a slow
-// link, and the next one would begin again with the first byte. Either both are set, or
-// none, which means no limit.
+// link, and the next one would begin again with the first byte. Either both are
+// set, or none, which means no limit.
 type Timeouts struct {
 	// Header is the time until the header of the response has arrived, including
 	// that for opening a connection.
@@ -111,18 +111,6 @@
 	p.cancel(context.Canceled)
 }
 
-// Transport applies timeouts to the calls of an http.Client.
-type Transport struct {
-	// Transport makes the calls.
-	*http.Transport
-	Timeouts Timeouts
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.Timeouts.RoundTrip(r, t.Transport.RoundTrip)
-}
-
 // causeOf returns the reason why a context was canceled, or err if it was not.
 func causeOf(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
--- a/comfreyconnection/timeouts_test.go
+++ b/comfreyconnection/timeouts_test.go
@@ -30,8 +30,8 @@
 }
 
 // TestTimeoutsFollowProgress checks that a call lasts as long as its response
-// makes progress, and ends soon after it stops, both through a Pool and through a
-// Transport.
+// makes progress, and ends soon after it stops, both through a Pool and through
+// RoundTrip.
 func TestTimeoutsFollowProgress(t *testing.T) {
 	timeouts := comfreyconnection.Timeouts{Header: 200 * time.Millisecond, Silence: 200 * time.Millisecond}
 	tests := []struct {
@@ -64,10 +64,14 @@
 				defer a.Close()
 				return io.ReadAll(a.Body)
 			},
-			"transport": func() ([]byte, error) {
-				c := &http.Client{Transport: &comfreyconnection.Transport{Transport: &http.Transport{}, Timeouts: timeouts}}
+			"round trip": func() ([]byte, error) {
+				c := &http.Client{Transport: &http.Transport{}}
 				defer c.CloseIdleConnections()
-				a, err := c.Get(s.URL)
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL, http.NoBody)
+				if err != nil {
+					return nil, err
+				}
+				a, err := timeouts.RoundTrip(r, c.Do)
 				if err != nil {
 					return nil, err
 				}
--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -103,7 +103,11 @@
 func (g *Gateway) loseAttempt(x *exchange, c comfreyplacement.Candidate) {
 	g.mu.Lock()
 	now := g.config.Now()
-	u := g.upstream(c.ID)
+	u, ok := g.observer.Upstream(x.execution)
+	if !ok {
+		g.mu.Unlock()
+		return
+	}
 	r, isKnown := g.observer.Lose(now, x.execution)
 	mustCheck := !isKnown && now.Sub(g.crashCheckedAt[u]) > crashCheckTimeout
 	if mustCheck {
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -159,7 +159,7 @@
 		g.completeAttempt(x)
 		return &attemptError{reason: comfreyverdict.ReasonEngineFailed}
 	}
-	return g.relayUnary(x, c, a, reply)
+	return g.relayUnary(ctx, x, c, a, reply)
 }
 
 // finishUnary ends the count of an attempt and stores the load in its response.
@@ -257,11 +257,11 @@
 }
 
 // relayUnary relays a response. A small one is read completely first.
-func (g *Gateway) relayUnary(x *exchange, c comfreyplacement.Candidate, a *comfreyconnection.Response, r comfreycall.ResponseHeader) *attemptError {
+func (g *Gateway) relayUnary(ctx context.Context, x *exchange, c comfreyplacement.Candidate, a *comfreyconnection.Response, r comfreycall.ResponseHeader) *attemptError {
 	var b bytes.Buffer
 	_, err := io.CopyN(&b, a.Body, maxBufferedBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
-		if x.r.Context().Err() == nil {
+		if ctx.Err() == nil {
 			g.loseAttempt(x, c)
 		}
 		g.recordOutcome(c.ID, true)
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -250,16 +250,18 @@
 	g.mu.Unlock()
 	g.addPeers(r.Gateways, r.DataCentres)
 	g.learnSizes(r.Sizes)
+	p := &comfreyproto.CopyExchangeReply{
+		Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
+		Crashes: comfreyrpc.EncodeCrashRecords(g.config.RepeatedSuspects(), g.config.Now()),
+	}
 	if own := g.config.StoreVersion(); g.mustWithholdListing(r, own) {
-		return &comfreyproto.CopyExchangeReply{Complete: own.Revision, Era: own.Era, Withheld: true, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes}, nil
+		p.Complete, p.Era, p.Withheld = own.Revision, own.Era, true
+		return p, nil
 	}
 	changes := g.config.StoreChangesSince(comfreystorecache.Version{Era: r.Era, Revision: r.Complete})
+	p.Complete, p.Era, p.Whole = changes.Version.Revision, changes.Version.Era, changes.IsSnapshot
 	age, known := g.config.DirectStoreAge()
-	p := &comfreyproto.CopyExchangeReply{
-		Complete: changes.Version.Revision, Era: changes.Version.Era, Whole: changes.IsSnapshot, Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
-		ContactAgeMillis: uint64(max(age, 0).Milliseconds()), ContactKnown: known,
-	}
-	p.Crashes = comfreyrpc.EncodeCrashRecords(g.config.RepeatedSuspects(), g.config.Now())
+	p.ContactAgeMillis, p.ContactKnown = uint64(max(age, 0).Milliseconds()), known
 	size := itemsSize(changes.Items)
 	// Older builds send no limit, and would take a withheld reply for a complete one.
 	if limit := r.MaxItemBytes; limit > 0 && (size > limit || size > largeItems && !g.transfers.take(ctx)) {
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -221,9 +221,9 @@
 		transfers:   make(transferSlots, maxTransfers),
 		codec:       newCodec(),
 		cellChanged: make(chan struct{}, 1),
-		http: &http.Client{Transport: &countingTransport{comfreyconnection.Transport{Timeouts: exchangeTimeouts, Transport: &http.Transport{
+		http: &http.Client{Transport: &exchangeTransport{&http.Transport{
 			DialContext: c.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
-		}}}},
+		}}},
 		peers:  map[string]*peer{},
 		relays: map[string]relay{},
 		sizes:  map[string]reportedSize{},
--- a/comfreygossip/transfer_test.go
+++ b/comfreygossip/transfer_test.go
@@ -102,6 +102,36 @@
 	}
 }
 
+// TestEmptyGatewayIsRefusedWithoutCollectingTheListing guards against a restart of
+// the whole fleet, in which dozens of gateways that have nothing keep the few that
+// have a listing busy with collecting it for refusals.
+func TestEmptyGatewayIsRefusedWithoutCollectingTheListing(t *testing.T) {
+	for name, test := range map[string]struct {
+		request   *comfreyproto.CopyExchange
+		collected int
+	}{
+		"regular exchange":     {&comfreyproto.CopyExchange{MaxItemBytes: largeItems}, 0},
+		"no transfer slot":     {&comfreyproto.CopyExchange{MaxItemBytes: 1 << 30}, 0},
+		"older build":          {&comfreyproto.CopyExchange{}, 1},
+		"has an older listing": {&comfreyproto.CopyExchange{Complete: 1, MaxItemBytes: largeItems}, 1},
+	} {
+		g := newLargeGossip()
+		collected := 0
+		since := g.config.StoreChangesSince
+		g.config.StoreChangesSince = func(v comfreystorecache.Version) comfreystorecache.Changes {
+			collected++
+			return since(v)
+		}
+		for range maxTransfers {
+			g.transfers <- struct{}{}
+		}
+		r, err := g.Exchange(context.WithValue(t.Context(), slotKey{}, &slot{}), test.request)
+		if err != nil || collected != test.collected || r.Withheld != (test.collected == 0) || r.Complete != 2 {
+			t.Errorf("%s: expected %d collections of the items at revision 2, got %d, withheld %t, revision %d, %v", name, test.collected, collected, r.GetWithheld(), r.GetComplete(), err)
+		}
+	}
+}
+
 // TestVanishedReceiversReleaseTransferSlots guards against receivers that stop
 // reading, such as hosts without power, and keep others from large responses.
 func TestVanishedReceiversReleaseTransferSlots(t *testing.T) {
--- a/comfreygossip/transport.go
+++ b/comfreygossip/transport.go
@@ -5,28 +5,27 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-
-	"comfreyridge.example/comfreyridge/comfreyconnection"
 )
 
 // receivedKey is the context key of the counter that countReceived adds.
 type receivedKey struct{}
 
-// countReceived returns a context for one call through a countingTransport, and
+// countReceived returns a context for one call through an exchangeTransport, and
 // the number of bytes of the response body that have arrived.
 func countReceived(ctx context.Context) (context.Context, *atomic.Int64) {
 	n := &atomic.Int64{}
 	return context.WithValue(ctx, receivedKey{}, n), n
 }
 
-// countingTransport counts the bytes of response bodies; see countReceived.
-type countingTransport struct {
-	comfreyconnection.Transport
+// exchangeTransport limits exchanges by their progress, and counts the bytes of
+// response bodies; see countReceived.
+type exchangeTransport struct {
+	*http.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	p, err := t.Transport.RoundTrip(r)
+func (t *exchangeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	p, err := exchangeTimeouts.RoundTrip(r, t.Transport.RoundTrip)
 	if n, ok := r.Context().Value(receivedKey{}).(*atomic.Int64); ok && err == nil {
 		p.Body = &countingBody{ReadCloser: p.Body, received: n}
 	}
--- a/comfreyquarantine/observer.go
+++ b/comfreyquarantine/observer.go
@@ -87,6 +87,12 @@
 	return CrashRecord{}, false
 }
 
+// Upstream returns the upstream of a request in flight.
+func (o *Observer) Upstream(id ExecutionID) (Upstream, bool) {
+	x, ok := o.inFlight[id]
+	return x.upstream, ok
+}
+
 // IsInFlight reports whether a copy of a request is in flight at any upstream.
 func (o *Observer) IsInFlight(f Fingerprint) bool {
 	for _, x := range o.inFlight {
