--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -38,10 +38,7 @@
 	now := g.config.Now()
 	var changes []comfreyreplica.Change
 	if h.IsLeaving {
-		changes = g.replicas.MarkLeaving(now, replica, 0)
-		for _, c := range changes {
-			g.announcedAt[c.Replica.Start()] = now
-		}
+		changes = g.replicas.Announce(now, replica)
 	}
 	until, isPaused := g.replicas.Pause(now, replica, h.Pause, g.config.Rand())
 	g.mu.Unlock()
@@ -90,18 +87,3 @@
 
 // pausedRetrySpread is the least time over which callers return after a pause.
 const pausedRetrySpread = 200 * time.Millisecond
-
-// announcedStarts returns the replicas that have lately told this gateway in a
-// response that they leave. The mutex must be held.
-func (g *Gateway) announcedStarts() []comfreyreplica.Start {
-	var l []comfreyreplica.Start
-	now := g.config.Now()
-	for k, at := range g.announcedAt {
-		if now.Sub(at) < leavingGossipTime {
-			l = append(l, k)
-		} else {
-			delete(g.announcedAt, k)
-		}
-	}
-	return l
-}
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -66,9 +66,7 @@
 	generations  map[*generation]struct{}
 	quarantine   *comfreyquarantine.Table
 	observer     *comfreyquarantine.Observer
-	// announcedAt is when replicas told this gateway in a response that they leave,
-	// and crashCheckedAt when they were last dialed because a connection broke.
-	announcedAt     map[comfreyreplica.Start]time.Time
+	// crashCheckedAt is when replicas were last dialed because a connection broke.
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	capacityChanges changeNotifier
 	queues          map[string]*comfreyplacement.Queue
@@ -92,7 +90,6 @@
 		generations:    map[*generation]struct{}{},
 		quarantine:     newQuarantine(c),
 		observer:       comfreyquarantine.NewObserver(0),
-		announcedAt:    map[comfreyreplica.Start]time.Time{},
 		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
 		queues:         map[string]*comfreyplacement.Queue{},
 	}
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -82,20 +82,25 @@
 func (g *Gateway) Placements() comfreygossip.Placements {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return comfreygossip.Placements{Generations: g.estimator.Generations(), Leaving: g.recentlyLeaving(), Announced: g.announcedStarts()}
+	leaving, announced := g.recentlyLeaving()
+	return comfreygossip.Placements{Generations: g.estimator.Generations(), Leaving: leaving, Announced: announced}
 }
 
 // recentlyLeaving returns the replicas that became leaving within
-// leavingGossipTime, except for those that only told this gateway so. The mutex must be held.
-func (g *Gateway) recentlyLeaving() []comfreyreplica.Start {
-	var l []comfreyreplica.Start
+// leavingGossipTime; apart from the others, those that announced it to this
+// gateway only. The mutex must be held.
+func (g *Gateway) recentlyLeaving() (leaving, announced []comfreyreplica.Start) {
 	now := g.config.Now()
 	for _, r := range g.replicas.All() {
-		if _, isAnnounced := g.announcedAt[r.Start()]; r.State == comfreyreplica.StateLeaving && !isAnnounced && now.Sub(r.Since) < leavingGossipTime {
-			l = append(l, r.Start())
+		switch {
+		case r.State != comfreyreplica.StateLeaving || now.Sub(r.Since) >= leavingGossipTime:
+		case r.IsAnnounced:
+			announced = append(announced, r.Start())
+		default:
+			leaving = append(leaving, r.Start())
 		}
 	}
-	return l
+	return leaving, announced
 }
 
 // leavingGossipTime is how long gossip messages list a replica as leaving.
@@ -144,7 +149,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	layout := g.config.Layout()
-	s := comfreygossip.CellState{Loads: map[string]comfreyoccupancy.Load{}, Leaving: g.recentlyLeaving()}
+	leaving, _ := g.recentlyLeaving()
+	s := comfreygossip.CellState{Loads: map[string]comfreyoccupancy.Load{}, Leaving: leaving}
 	offered := slices.DeleteFunc(g.homeCandidates(layout), func(c comfreyplacement.Candidate) bool {
 		guest, ok := layout.Guest(c.ID)
 		return !ok || guest != receiver
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -194,6 +194,17 @@
 	}
 }
 
+// Announce records that a replica has said in a response to this process that it
+// leaves.
+func (s *Set) Announce(now time.Time, id string) []Change {
+	c := s.MarkLeaving(now, id, 0)
+	for i := range c {
+		c[i].Replica.IsAnnounced = true
+		s.replicas[id] = c[i].Replica
+	}
+	return c
+}
+
 // MarkStartLeaving is MarkLeaving for one start of a replica. It has no effect on
 // another start.
 func (s *Set) MarkStartLeaving(now time.Time, k Start) []Change {
--- a/comfreyreplica/access_test.go
+++ b/comfreyreplica/access_test.go
@@ -133,7 +133,12 @@
 		t.Error("a hint: expected it to hold for its period")
 	}
 	checkCall(t, s, "after a hint", start, "a", comfreyreplica.PurposeWork, nil)
-	s.MarkLeaving(start, "a", 0)
+	if c := s.Announce(start, "a"); len(c) != 1 || !c[0].Replica.IsAnnounced {
+		t.Errorf("an announcement: expected a change that says so, got %+v", c)
+	}
+	if c := s.Announce(start, "a"); len(c) != 0 {
+		t.Errorf("a second announcement: expected no change, got %+v", c)
+	}
 	checkCall(t, s, "work", start, "a", comfreyreplica.PurposeWork, comfreyreplica.ErrLeaving)
 	checkCall(t, s, "control", start, "a", comfreyreplica.PurposeControl, nil)
 	s.Update(start, comfreyreplica.Registration{ID: "a", Service: "app", Address: "a", StartMillis: 7, Slots: 9})
--- a/comfreyreplica/replica.go
+++ b/comfreyreplica/replica.go
@@ -66,6 +66,9 @@
 	// IsRemoved means that the replica's registration was removed or that another
 	// replica responded at its address.
 	IsRemoved bool
+	// IsAnnounced means that the replica has told this process in a response that it
+	// leaves, before the store or another process told so.
+	IsAnnounced bool
 }
 
 // IsAccepting reports whether the replica accepts new requests.
