Log what is learnt of a suspect: losses, unused evidence, trials, clearances

The lines tell apart why a request that crashes replicas is sent on: a second attempt before the crash is known, a clearance by a response that is no success, evidence that is not used since the replica is busy, or a gateway that knows nothing of the request.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,6 +26,8 @@
 	crashRecordsPerMessage = 4
 	// crashRecordPushes is how often a gateway sends a record to the others.
 	crashRecordPushes = 4
+	// maxLoggedSuspects bounds the suspects that the log line of a crash names.
+	maxLoggedSuspects = 8
 )
 
 // newQuarantine returns the table of the crashes that this gateway knows.
@@ -43,7 +46,13 @@
 func (g *Gateway) checkSuspect(x *exchange) *attemptError {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d, after := g.quarantine.DecideTrial(g.config.Now(), x.fingerprint, g.observer.IsInFlight)
+	now := g.config.Now()
+	d, after := g.quarantine.DecideTrial(now, x.fingerprint, g.observer.IsInFlight)
+	if p := g.quarantine.Suspicion(now, x.fingerprint); p.Crashes > 0 {
+		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonSuspectRequest, map[string]any{
+			"fingerprint": x.fingerprint.String(), "crashes": p.Crashes, "decision": d.String(), "wait-ms": after.Milliseconds(), "offered": x.offered,
+		})
+	}
 	switch d {
 	case comfreyquarantine.DecisionAllow:
 		return nil
@@ -91,10 +100,15 @@
 
 // completeAttempt records that a replica has responded to the current attempt of a
 // request, which then has not crashed it.
-func (g *Gateway) completeAttempt(x *exchange) {
+func (g *Gateway) completeAttempt(x *exchange, status int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observer.Finish(x.execution)
+	if p := g.quarantine.Suspicion(g.config.Now(), x.fingerprint); p.Crashes > 0 {
+		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonAccepted, map[string]any{
+			"fingerprint": x.fingerprint.String(), "crashes": p.Crashes, "decision": "clear", "replica": x.replica, "status": status,
+		})
+	}
 	g.quarantine.ClearSuspect(x.fingerprint)
 }
 
@@ -109,6 +123,9 @@
 		return
 	}
 	r, isKnown := g.observer.Lose(now, x.execution)
+	g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonConnectionLost, map[string]any{
+		"fingerprint": x.fingerprint.String(), "replica": u.ID, "crash-known": isKnown,
+	})
 	mustCheck := !isKnown && now.Sub(g.crashCheckedAt[u]) > crashCheckTimeout
 	if mustCheck {
 		g.crashCheckedAt[u] = now
@@ -161,8 +178,15 @@
 	g.mu.Lock()
 	r, ok := g.replicas.Get(u.ID)
 	isPlanned := ok && upstreamOf(u.ID, r) == u && r.State == comfreyreplica.StateLeaving && !r.IsRemoved
-	if isPlanned || g.observer.HasInFlight(u) {
+	isBusy := g.observer.HasInFlight(u)
+	if isPlanned || isBusy {
+		hasLosses := g.observer.HasLosses(u)
 		g.mu.Unlock()
+		if hasLosses {
+			g.record("", comfreydecision.KindSuspect, comfreyverdict.ReasonConnectionLost, map[string]any{
+				"replica": u.ID, "evidence": evidence, "planned": isPlanned, "in-flight": isBusy,
+			})
+		}
 		return
 	}
 	c, ok := g.observer.Crash(g.config.Now(), u)
@@ -204,10 +228,21 @@
 	g.mu.Unlock()
 	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonEngineFailed, map[string]any{
 		"replica": r.Crash.Host, "born": r.Crash.Incarnation, "state": "crashed", "evidence": evidence, "suspects": len(r.Suspects), "most-crashes": most,
+		"fingerprints": loggedSuspects(r),
 	})
 	g.config.TriggerGossip()
 }
 
+// loggedSuspects returns the fingerprints of the first maxLoggedSuspects suspects of
+// a record.
+func loggedSuspects(r comfreyquarantine.CrashRecord) string {
+	var l []string
+	for _, s := range r.Suspects[:min(len(r.Suspects), maxLoggedSuspects)] {
+		l = append(l, s.Fingerprint.String())
+	}
+	return strings.Join(l, ",")
+}
+
 // CrashRecords returns the crash records to send to the other gateways now.
 func (g *Gateway) CrashRecords() []comfreyquarantine.CrashRecord {
 	g.mu.Lock()
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -117,7 +117,7 @@
 		err := o.relay(a)
 		a.Close()
 		if err == nil {
-			g.completeAttempt(x)
+			g.completeAttempt(x, a.Status)
 			g.finishStream(x, n, o, comfreyverdict.ReasonAccepted, nil)
 			return true
 		}
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -156,7 +156,7 @@
 	}
 	defer a.Close()
 	if a.Status >= http.StatusInternalServerError && x.route.Kind == comfreyroute.KindIdempotent && x.sent < x.route.MaxAttempts && !g.retryBudget(x.service.Name).IsExhausted() {
-		g.completeAttempt(x)
+		g.completeAttempt(x, a.Status)
 		return &attemptError{reason: comfreyverdict.ReasonEngineFailed}
 	}
 	return g.relayUnary(ctx, x, c, a, reply)
@@ -283,7 +283,7 @@
 		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, f)
 		panic(http.ErrAbortHandler)
 	}
-	g.completeAttempt(x)
+	g.completeAttempt(x, a.Status)
 	g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAccepted, f)
 	g.observeResponse(x, a.Status)
 	return nil
