Clear a suspect only by a successful response

A gateway cleared a request that had crashed replicas on a response of any status. Replicas that start, are overloaded or fail answer errors to requests which they have not run, so the request went out again. Only a success clears it now.

TestErrorDoesNotClearASuspect fails for the three errors without the change.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -98,12 +99,16 @@
 	g.observer.Finish(x.execution)
 }
 
-// completeAttempt records that a replica has responded to the current attempt of a
-// request, which then has not crashed it.
+// completeAttempt records that the response to the current attempt of a request is
+// complete. A success shows that the request does not crash its replica. An error
+// does not: a replica can send one without having run the request.
 func (g *Gateway) completeAttempt(x *exchange, status int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observer.Finish(x.execution)
+	if status >= http.StatusBadRequest {
+		return
+	}
 	if p := g.quarantine.Suspicion(g.config.Now(), x.fingerprint); p.Crashes > 0 {
 		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonAccepted, map[string]any{
 			"fingerprint": x.fingerprint.String(), "crashes": p.Crashes, "decision": "clear", "replica": x.replica, "status": status,
