Look for a crash again while a busy replica has other requests in flight

A replica that refused a dial was taken for crashed only if the gateway had no other request in flight there 30 ms after the first connection broke, and looked at only once in 300 ms. The connections of a busy replica break one after the other, so its crash stayed unknown until the registration lapsed, 3.6 s later. The dial is now repeated after a delay that doubles up to 1 s.

TestCrashOfABusyReplicaIsRecorded times out without the change.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -20,6 +20,9 @@
 	// crashCheckDelay is how long after a broken connection the replica is dialed.
 	// The other connections of a process that has crashed break meanwhile.
 	crashCheckDelay = 30 * time.Millisecond
+	// maxCrashCheckDelay bounds the delay, which doubles, before a replica is dialed
+	// again at which other requests were in flight.
+	maxCrashCheckDelay = time.Second
 	// crashCheckTimeout bounds that dial. A host that does not respond is no
 	// evidence.
 	crashCheckTimeout = 300 * time.Millisecond
@@ -148,16 +151,21 @@
 }
 
 // checkCrashed dials a replica that has broken a connection. One that refuses it,
-// and has no other request of this gateway in flight, has ended.
+// and has no other request of this gateway in flight, has ended. While there are
+// others, which break a little later, it is dialed again.
 func (g *Gateway) checkCrashed(ctx context.Context, u comfreyquarantine.Upstream, c comfreyplacement.Candidate) {
-	if !comfreygroup.Sleep(ctx, crashCheckDelay) {
-		return
+	for delay := crashCheckDelay; delay <= maxCrashCheckDelay; delay *= 2 {
+		if !comfreygroup.Sleep(ctx, delay) || !g.refusesDial(ctx, c.Address) || g.observeEnd(u, "dial") {
+			return
+		}
 	}
+}
+
+// refusesDial reports whether no process listens at an address.
+func (g *Gateway) refusesDial(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	if err := g.config.Pool.Dial(ctx, c.Address); isRefused(err) {
-		g.observeEnd(u, "dial")
-	}
+	return isRefused(g.config.Pool.Dial(ctx, address))
 }
 
 // isRefused reports whether the host responded that no process listens.
@@ -178,8 +186,9 @@
 }
 
 // observeEnd handles evidence that a replica has ended. One that had announced it
-// has not crashed.
-func (g *Gateway) observeEnd(u comfreyquarantine.Upstream, evidence string) {
+// has not crashed. It reports false if the evidence has to be looked for again,
+// since other requests of this gateway are in flight there.
+func (g *Gateway) observeEnd(u comfreyquarantine.Upstream, evidence string) bool {
 	g.mu.Lock()
 	r, ok := g.replicas.Get(u.ID)
 	isPlanned := ok && upstreamOf(u.ID, r) == u && r.State == comfreyreplica.StateLeaving && !r.IsRemoved
@@ -192,13 +201,14 @@
 				"replica": u.ID, "evidence": evidence, "planned": isPlanned, "in-flight": isBusy,
 			})
 		}
-		return
+		return isPlanned
 	}
 	c, ok := g.observer.Crash(g.config.Now(), u)
 	g.mu.Unlock()
 	if ok {
 		g.addCrashRecord(c, evidence)
 	}
+	return true
 }
 
 // observeRegistration handles a changed registration: one that was removed without
