Wait for evidence of a crash before a request is sent again

An idempotent request whose connection broke went to a second replica at once, before its gateway knew whether the first one had crashed: each send of a request that crashes replicas cost two of them, trials too. It now waits 50 ms, in which the crash becomes known here and at the other gateways, and is then decided on anew.

--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -11,6 +11,7 @@
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
@@ -28,6 +29,10 @@
 	// busyRetryAfter is the retry-after of a request for which every replica
 	// was busy: a request to an application takes some tens of milliseconds.
 	busyRetryAfter = 150 * time.Millisecond
+	// lossRetryDelay is the delay before a request is sent again after its connection
+	// broke. It exceeds crashCheckDelay, so that a crash is known by then, also one
+	// that another gateway has observed.
+	lossRetryDelay = 50 * time.Millisecond
 )
 
 // attemptError is why an attempt did not produce a response for the caller.
@@ -35,6 +40,8 @@
 	reason comfreyverdict.Reason
 	// isNotRun means that the replica did not run the request.
 	isNotRun bool
+	// isLost means that the connection broke before the response was complete.
+	isLost bool
 	// isUnsent means that the attempt was not sent to the replica.
 	isUnsent bool
 	// retryAfter is the delay after which the caller should retry; zero if the
@@ -79,6 +86,9 @@
 			}
 			return
 		}
+		if last.isLost {
+			comfreygroup.Sleep(ctx, lossRetryDelay)
+		}
 	}
 }
 
@@ -245,7 +255,7 @@
 	if ctx.Err() == nil {
 		g.loseAttempt(x, c)
 	}
-	return &attemptError{reason: comfreyverdict.ReasonConnectionLost, cause: err}
+	return &attemptError{reason: comfreyverdict.ReasonConnectionLost, isLost: true, cause: err}
 }
 
 // recordOutcome records whether a request to a replica failed, for its failure
@@ -265,7 +275,7 @@
 			g.loseAttempt(x, c)
 		}
 		g.recordOutcome(c.ID, true)
-		return &attemptError{reason: comfreyverdict.ReasonAnswerCut, cause: err}
+		return &attemptError{reason: comfreyverdict.ReasonAnswerCut, isLost: true, cause: err}
 	}
 	isComplete := errors.Is(err, io.EOF)
 	if isComplete && a.Length >= 0 && int64(b.Len()) != a.Length && x.r.Method != http.MethodHead {
