Tell the cause of crashes from the requests that were near them

Callers saw sound requests refused for minutes as suspects on all gateways: a popular request is in flight in the crashes of a whole service, each of which counted against it, and a request that does not run is never cleared.

Now a feature that had run elsewhere up to 2 s before a crash is an unlikely cause of it; a request is held back only if it holds more than half of the features that explain its crashes, one at a time if more than a third; crashes during a hold do not lengthen it; and a clearance is sent to the other gateways, in exchanges too.

TestBystanderOfCrashesIsNotHeldBack and TestCrashesDuringAHoldDoNotLengthenIt replay the load in the decisions alone. TestTrialsOfASuspect has moved; its last check covers cleared suspects, which are now sent on as cleared.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -30,8 +30,8 @@
 	crashRecordsPerMessage = 4
 	// crashRecordPushes is how often a gateway sends a record to the others.
 	crashRecordPushes = 4
-	// maxLoggedSuspects bounds the suspects that the log line of a crash names.
-	maxLoggedSuspects = 8
+	// maxLoggedFeatures bounds the features that a log line names.
+	maxLoggedFeatures = 8
 )
 
 // newQuarantine returns the table of the crashes that this gateway knows.
@@ -39,10 +39,13 @@
 	return comfreyquarantine.NewTable(comfreyquarantine.Config{Host: c.Address, MaxPushes: crashRecordPushes})
 }
 
-// fingerprintOf returns the fingerprint that all copies of a request share: they
-// have the same customer, path and body.
-func fingerprintOf(x *exchange) comfreyquarantine.Fingerprint {
-	return comfreyquarantine.NewFingerprint(x.customer.Name, x.r.Method+" "+x.r.Host+x.r.RequestURI, x.body)
+// featuresOf returns the features of a request that may make it crash replicas: the
+// fingerprint that all of its copies share, which have the same customer, path and
+// body.
+func featuresOf(x *exchange) []comfreyquarantine.Fingerprint {
+	return []comfreyquarantine.Fingerprint{
+		comfreyquarantine.NewFingerprint(x.customer.Name, x.r.Method+" "+x.r.Host+x.r.RequestURI, x.body),
+	}
 }
 
 // checkSuspect returns an error if a request may not be sent to a replica, because
@@ -51,10 +54,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	d, after := g.quarantine.DecideTrial(now, x.fingerprint, g.observer.IsInFlight)
-	if p := g.quarantine.Suspicion(now, x.fingerprint); p.Crashes > 0 {
+	d, after := g.quarantine.DecideTrial(now, x.features, comfreyquarantine.TrialConditions{IsInFlight: g.observer.IsInFlight})
+	if a, ok := g.quarantine.Assess(now, x.features); ok && (a.Crashes > 1 || d != comfreyquarantine.DecisionAllow) {
 		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonSuspectRequest, map[string]any{
-			"fingerprint": x.fingerprint.String(), "crashes": p.Crashes, "decision": d.String(), "wait-ms": after.Milliseconds(), "offered": x.offered,
+			"feature": a.Cause.String(), "crashes": a.Crashes, "holds": a.Holds, "probability": a.Probability,
+			"decision": d.String(), "wait-ms": after.Milliseconds(), "offered": x.offered,
 		})
 	}
 	switch d {
@@ -72,7 +76,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observer.Finish(x.execution)
-	x.execution = g.observer.Start(g.upstream(c.ID), x.fingerprint)
+	x.execution = g.observer.Start(g.upstream(c.ID), x.features)
 	g.replicas.BeginWork(c.ID)
 }
 
@@ -112,12 +116,21 @@
 	if status >= http.StatusBadRequest {
 		return
 	}
-	if p := g.quarantine.Suspicion(g.config.Now(), x.fingerprint); p.Crashes > 0 {
-		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonAccepted, map[string]any{
-			"fingerprint": x.fingerprint.String(), "crashes": p.Crashes, "decision": "clear", "replica": x.replica, "status": status,
-		})
+	g.recordRun(x, g.config.Now())
+}
+
+// recordRun records that a request has run at a time without a crash, which clears
+// its features. The mutex must be held.
+func (g *Gateway) recordRun(x *exchange, at time.Time) {
+	g.observer.RecordRun(at, x.features)
+	for _, f := range x.features {
+		if g.quarantine.ClearSuspectBefore(at, f) {
+			g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonAccepted, map[string]any{
+				"feature": f.String(), "decision": "clear", "replica": x.replica,
+			})
+			g.config.TriggerGossip()
+		}
 	}
-	g.quarantine.ClearSuspect(x.fingerprint)
 }
 
 // loseAttempt records that the connection of the current attempt broke before the
@@ -132,7 +145,7 @@
 	}
 	r, isKnown := g.observer.Lose(now, x.execution)
 	g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonConnectionLost, map[string]any{
-		"fingerprint": x.fingerprint.String(), "replica": u.ID, "crash-known": isKnown,
+		"features": loggedFeatures(x.features), "replica": u.ID, "crash-known": isKnown,
 	})
 	mustCheck := !isKnown && now.Sub(g.crashCheckedAt[u]) > crashCheckTimeout
 	if mustCheck {
@@ -237,25 +250,26 @@
 	g.mu.Lock()
 	g.quarantine.Merge(g.config.Now(), []comfreyquarantine.CrashRecord{r})
 	most := 0
+	var features []comfreyquarantine.Fingerprint
 	for _, s := range r.Suspects {
+		features = append(features, s.Fingerprint)
 		most = max(most, g.quarantine.Suspicion(g.config.Now(), s.Fingerprint).Crashes)
 	}
 	g.mu.Unlock()
 	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonEngineFailed, map[string]any{
 		"replica": r.Crash.Host, "born": r.Crash.Incarnation, "state": "crashed", "evidence": evidence, "suspects": len(r.Suspects), "most-crashes": most,
-		"fingerprints": loggedSuspects(r),
+		"features": loggedFeatures(features),
 	})
 	g.config.TriggerGossip()
 }
 
-// loggedSuspects returns the fingerprints of the first maxLoggedSuspects suspects of
-// a record.
-func loggedSuspects(r comfreyquarantine.CrashRecord) string {
-	var l []string
-	for _, s := range r.Suspects[:min(len(r.Suspects), maxLoggedSuspects)] {
-		l = append(l, s.Fingerprint.String())
+// loggedFeatures returns the first maxLoggedFeatures features.
+func loggedFeatures(l []comfreyquarantine.Fingerprint) string {
+	var s []string
+	for _, f := range l[:min(len(l), maxLoggedFeatures)] {
+		s = append(s, f.String())
 	}
-	return strings.Join(l, ",")
+	return strings.Join(s, ",")
 }
 
 // CrashRecords returns the crash records to send to the other gateways now.
@@ -277,5 +291,5 @@
 func (g *Gateway) MergeCrashRecords(l []comfreyquarantine.CrashRecord) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quarantine.Merge(g.config.Now(), l)
+	g.quarantine.Merge(g.config.Now(), g.observer.WithRuns(l))
 }
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -53,10 +53,10 @@
 	replica string
 	// tried holds the replicas that must not be chosen again.
 	tried map[string]bool
-	// fingerprint identifies the copies of the request, and execution the current
-	// attempt.
-	fingerprint comfreyquarantine.Fingerprint
-	execution   comfreyquarantine.ExecutionID
+	// features are those that may make the request crash replicas, and execution is
+	// the current attempt.
+	features  []comfreyquarantine.Fingerprint
+	execution comfreyquarantine.ExecutionID
 }
 
 // ServeHTTP implements http.Handler.
@@ -68,7 +68,7 @@
 	if !g.resolve(x) {
 		return
 	}
-	x.fingerprint = fingerprintOf(x)
+	x.features = featuresOf(x)
 	if e := g.checkSuspect(x); e != nil {
 		g.refuse(x, e.reason, e.retryAfter)
 		return
--- a/comfreyquarantine/crash_record.go
+++ b/comfreyquarantine/crash_record.go
@@ -29,6 +29,9 @@
 	IsConfirmed bool
 	// IsCleared means that the request has completed at another upstream since.
 	IsCleared bool
+	// HasRun means that the request had completed at an upstream shortly before the
+	// crash, so that it is an unlikely cause.
+	HasRun bool
 }
 
 // CrashRecord lists the requests that were in flight in one crash. Copies of a
@@ -53,6 +56,41 @@
 	return 1 / float64(len(r.Suspects))
 }
 
+// at returns when the crash was recorded, by processes that keep records for the
+// retention.
+func (r CrashRecord) at(retention time.Duration) time.Time {
+	return r.Expiry.Add(-retention)
+}
+
+// possibleCauses returns the suspects that may have caused the crash: those that
+// were not cleared, and of these the ones that had not run shortly before, if there
+// are any.
+func (r CrashRecord) possibleCauses() []Suspect {
+	var l, hasRun []Suspect
+	for _, s := range r.Suspects {
+		switch {
+		case s.IsCleared:
+		case s.HasRun:
+			hasRun = append(hasRun, s)
+		default:
+			l = append(l, s)
+		}
+	}
+	if len(l) == 0 {
+		return hasRun
+	}
+	return l
+}
+
+// isPossibleCause reports whether f is one of the possible causes.
+func (r CrashRecord) isPossibleCause(f Fingerprint) bool {
+	i, ok := r.find(f)
+	if !ok || r.Suspects[i].IsCleared {
+		return false
+	}
+	return !r.Suspects[i].HasRun || !slices.ContainsFunc(r.Suspects, func(s Suspect) bool { return !s.IsCleared && !s.HasRun })
+}
+
 func (r CrashRecord) find(f Fingerprint) (int, bool) {
 	return slices.BinarySearchFunc(r.Suspects, f, func(s Suspect, f Fingerprint) int {
 		return slices.Compare(s.Fingerprint[:], f[:])
@@ -80,6 +118,7 @@
 		if n := len(u); n > 0 && u[n-1].Fingerprint == p.Fingerprint {
 			u[n-1].IsConfirmed = u[n-1].IsConfirmed || p.IsConfirmed
 			u[n-1].IsCleared = u[n-1].IsCleared || p.IsCleared
+			u[n-1].HasRun = u[n-1].HasRun || p.HasRun
 			continue
 		}
 		u = append(u, p)
--- a/comfreyquarantine/observer.go
+++ b/comfreyquarantine/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,11 @@
 	// crashRetention is how long an upstream counts as crashed, so that connections
 	// which break later belong to the same crash.
 	crashRetention = time.Minute
+	// runRetention is how long a feature counts as an unlikely cause after a request
+	// with it has run.
+	runRetention = 2 * time.Second
+	// maxRuns bounds the features that are kept of the runs of one runRetention.
+	maxRuns = 1 << 13
 )
 
 // Upstream identifies one start of an upstream.
@@ -35,18 +41,22 @@
 	losses    map[Upstream][]loss
 	crashedAt map[Upstream]time.Time
 	last      ExecutionID
+	// runs holds when requests with a feature have run, since runsSince; earlierRuns
+	// holds those of the runRetention before.
+	runs, earlierRuns map[Fingerprint]time.Time
+	runsSince         time.Time
 }
 
 // observation is a request in flight at an upstream.
 type observation struct {
-	upstream    Upstream
-	fingerprint Fingerprint
+	upstream Upstream
+	features []Fingerprint
 }
 
 // loss is a request whose connection broke before its response was complete.
 type loss struct {
-	fingerprint Fingerprint
-	at          time.Time
+	features []Fingerprint
+	at       time.Time
 }
 
 // NewObserver returns an observer whose records are kept for a time; zero selects
@@ -55,13 +65,13 @@
 	if retention <= 0 {
 		retention = defaultRetention
 	}
-	return &Observer{retention: retention, inFlight: map[ExecutionID]observation{}, losses: map[Upstream][]loss{}, crashedAt: map[Upstream]time.Time{}}
+	return &Observer{retention: retention, inFlight: map[ExecutionID]observation{}, losses: map[Upstream][]loss{}, crashedAt: map[Upstream]time.Time{}, runs: map[Fingerprint]time.Time{}}
 }
 
-// Start records that a request is sent to an upstream.
-func (o *Observer) Start(u Upstream, f Fingerprint) ExecutionID {
+// Start records that a request with some features is sent to an upstream.
+func (o *Observer) Start(u Upstream, features []Fingerprint) ExecutionID {
 	o.last++
-	o.inFlight[o.last] = observation{u, f}
+	o.inFlight[o.last] = observation{u, features}
 	return o.last
 }
 
@@ -80,7 +90,7 @@
 		return CrashRecord{}, false
 	}
 	delete(o.inFlight, id)
-	o.losses[x.upstream] = append(o.losses[x.upstream], loss{x.fingerprint, now})
+	o.losses[x.upstream] = append(o.losses[x.upstream], loss{x.features, now})
 	if _, ok := o.crashedAt[x.upstream]; ok {
 		return o.record(now, x.upstream)
 	}
@@ -93,10 +103,10 @@
 	return x.upstream, ok
 }
 
-// IsInFlight reports whether a copy of a request is in flight at any upstream.
+// IsInFlight reports whether a request with a feature is in flight at any upstream.
 func (o *Observer) IsInFlight(f Fingerprint) bool {
 	for _, x := range o.inFlight {
-		if x.fingerprint == f {
+		if slices.Contains(x.features, f) {
 			return true
 		}
 	}
@@ -119,6 +129,42 @@
 	return len(o.losses[u]) > 0
 }
 
+// RecordRun records that a request with some features has run without a crash.
+func (o *Observer) RecordRun(now time.Time, features []Fingerprint) {
+	if now.Sub(o.runsSince) >= runRetention {
+		o.runs, o.earlierRuns, o.runsSince = map[Fingerprint]time.Time{}, o.runs, now
+	}
+	for _, f := range features {
+		if len(o.runs) < maxRuns {
+			o.runs[f] = now
+		}
+	}
+}
+
+// hasRunBefore reports whether a request with a feature has run shortly before a
+// crash.
+func (o *Observer) hasRunBefore(crash time.Time, f Fingerprint) bool {
+	at, ok := o.runs[f]
+	if !ok {
+		at, ok = o.earlierRuns[f]
+	}
+	return ok && crash.Sub(at) < runRetention
+}
+
+// WithRuns returns crash records in which the suspects are marked that have run here
+// shortly before the crash.
+func (o *Observer) WithRuns(l []CrashRecord) []CrashRecord {
+	l = slices.Clone(l)
+	for i, r := range l {
+		s := slices.Clone(r.Suspects)
+		for j := range s {
+			s[j].HasRun = s[j].HasRun || o.hasRunBefore(r.at(o.retention), s[j].Fingerprint)
+		}
+		l[i].Suspects = s
+	}
+	return l
+}
+
 // Crash records that an upstream has ended without notice. It returns the record
 // of the requests that were lost there, and false if there were none so far.
 func (o *Observer) Crash(now time.Time, u Upstream) (CrashRecord, bool) {
@@ -147,7 +193,9 @@
 	var s []Suspect
 	for _, l := range o.losses[u] {
 		if now.Sub(l.at) < lossRetention {
-			s = append(s, Suspect{Fingerprint: l.fingerprint})
+			for _, f := range l.features {
+				s = append(s, Suspect{Fingerprint: f, HasRun: o.hasRunBefore(now, f)})
+			}
 		}
 	}
 	delete(o.losses, u)
--- a/comfreyquarantine/table.go
+++ b/comfreyquarantine/table.go
@@ -204,6 +204,26 @@
 	}
 }
 
+// ClearSuspectBefore clears a feature in the records of the crashes before a time at
+// which a request with it has run. It reports whether the feature was a suspect of
+// two of them or more, so that others have to know.
+func (t *Table) ClearSuspectBefore(at time.Time, f Fingerprint) bool {
+	var changed []CrashID
+	for c, r := range t.records {
+		if i, ok := r.find(f); ok && !r.Suspects[i].IsCleared && r.at(t.config.Retention).Before(at) {
+			t.records[c] = r.withCleared(f)
+			changed = append(changed, c)
+		}
+	}
+	if len(changed) < 2 {
+		return false
+	}
+	for _, c := range changed {
+		t.pushCounts[c] = 0
+	}
+	return true
+}
+
 // RecordCrash records a crash of the upstream, that is an end for which there
 // is no known cause such as a planned stop. It returns the record of the
 // requests in flight, and false if there were none.
--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -1,82 +1,163 @@
 package comfreyquarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// busyRetryDelay is the delay after which a suspect may be sent again while
-	// another copy of it is in flight. Most requests take less.
+	// another request with the same suspect feature is in flight. Most requests take
+	// less.
 	busyRetryDelay = 200 * time.Millisecond
-	// maxTrials is the number of crashes from which on a request does not run
-	// before its records expire.
-	maxTrials = 5
+	// likelyCause and possibleCause are the probabilities of having caused a crash
+	// above which a request is held back for a time, and above which a process runs
+	// one at a time.
+	likelyCause   = 1.0 / 2
+	possibleCause = 1.0 / 3
+	// maxHolds is the number of holds after which a request does not run before the
+	// records of its crashes expire.
+	maxHolds = 5
+	// maxRepeatedRecords bounds the records that RepeatedSuspects returns.
+	maxRepeatedRecords = 64
 )
 
-// trialDelays is the time after the last crash after which a request that was in
-// flight in that many crashes may run again. A harmless request that was near two
-// crashes by chance is cleared by its next run; the cause of the crashes gets few
-// runs.
-var trialDelays = [maxTrials]time.Duration{0, 0, 2 * time.Second, time.Minute, 10 * time.Minute}
+// holdDurations is the duration of each hold of a request, which its crashes begin.
+// A harmless request that was near two crashes by chance is cleared by its next
+// run; the cause of the crashes gets few runs. The first crash holds nothing.
+var holdDurations = [maxHolds]time.Duration{0, 0, 2 * time.Second, time.Minute, 10 * time.Minute}
 
-// DecideTrial returns the decision on a request before upstreams that cannot be
-// reserved for a single suspect: DecisionAllow, DecisionWait while another copy of
-// a suspect is in flight, or DecisionRefuse. If the request may not run, it also
-// returns the delay after which it may. The function isInFlight reports
-// whether another copy is in flight; it is called for suspects only.
-func (t *Table) DecideTrial(now time.Time, f Fingerprint, isInFlight func(f Fingerprint) bool) (Decision, time.Duration) {
-	if len(t.records) == 0 {
-		return DecisionAllow, 0
+// Assessment is what crash records tell about a request.
+type Assessment struct {
+	// Cause is the feature of the request that explains the most crashes, and
+	// Crashes is their number.
+	Cause   Fingerprint
+	Crashes int
+	// Holds is how many of the crashes happened while the cause was not held back.
+	Holds int
+	// Probability is the probability that the cause of these crashes is a feature of
+	// the request. It counts all features alike that explain each of them.
+	Probability float64
+	// HeldUntil is when the latest hold ends.
+	HeldUntil time.Time
+}
+
+// Assess returns what the records tell about a request with some features. It
+// reports false if they tell nothing against it.
+func (t *Table) Assess(now time.Time, features []Fingerprint) (Assessment, bool) {
+	var cause Fingerprint
+	var crashes []CrashRecord
+	for _, f := range features {
+		if l := t.explained(now, f); len(l) > len(crashes) {
+			cause, crashes = f, l
+		}
+	}
+	if len(crashes) == 0 {
+		return Assessment{}, false
 	}
-	crashes, expiry := 0, time.Time{}
+	a := Assessment{Cause: cause, Crashes: len(crashes)}
+	a.Holds, a.HeldUntil = t.hold(crashes)
+	total, own := 0, 0
+	for _, s := range crashes[0].possibleCauses() {
+		isInAll := !slices.ContainsFunc(crashes[1:], func(r CrashRecord) bool { return !r.isPossibleCause(s.Fingerprint) })
+		if isInAll {
+			total++
+			if slices.Contains(features, s.Fingerprint) {
+				own++
+			}
+		}
+	}
+	a.Probability = float64(own) / float64(total)
+	return a, true
+}
+
+// explained returns the records of the crashes that a feature may have caused,
+// oldest first.
+func (t *Table) explained(now time.Time, f Fingerprint) []CrashRecord {
+	var l []CrashRecord
 	for _, r := range t.records {
-		i, ok := r.find(f)
-		if !ok || r.Suspects[i].IsCleared || !now.Before(r.Expiry) {
+		if now.Before(r.Expiry) && r.isPossibleCause(f) {
+			l = append(l, r)
+		}
+	}
+	slices.SortFunc(l, func(a, b CrashRecord) int { return a.Expiry.Compare(b.Expiry) })
+	return l
+}
+
+// hold returns how many of the crashes happened outside a hold, and when the last
+// hold ends. Requests that were in flight when a hold began may crash upstreams
+// during it, which does not lengthen it.
+func (t *Table) hold(crashes []CrashRecord) (holds int, until time.Time) {
+	for _, r := range crashes {
+		at := r.at(t.config.Retention)
+		if at.Before(until) {
 			continue
 		}
-		crashes++
-		if r.Expiry.After(expiry) {
-			expiry = r.Expiry
+		holds++
+		until = r.Expiry
+		if holds < maxHolds {
+			until = at.Add(holdDurations[holds])
 		}
 	}
-	if crashes == 0 {
+	return holds, until
+}
+
+// TrialConditions tell whether a process may run a suspect now.
+type TrialConditions struct {
+	// IsInFlight reports whether a request with a feature is in flight, and has not
+	// shown yet whether it crashes its upstream.
+	IsInFlight func(f Fingerprint) bool
+}
+
+// DecideTrial returns the decision on a request before upstreams that cannot be
+// reserved for a single suspect: DecisionAllow, DecisionWait while another request
+// with its suspect feature is in flight, or DecisionRefuse. If the request may not
+// run, it also returns the delay after which it may. The conditions are asked about
+// suspects only.
+//
+// A process runs one suspect at a time. After two crashes, a likely cause is held
+// back for a time and a possible one is not.
+func (t *Table) DecideTrial(now time.Time, features []Fingerprint, c TrialConditions) (Decision, time.Duration) {
+	if len(t.records) == 0 {
+		return DecisionAllow, 0
+	}
+	a, ok := t.Assess(now, features)
+	if !ok || a.Probability <= possibleCause {
 		return DecisionAllow, 0
 	}
-	until := expiry
-	if crashes < maxTrials {
-		until = expiry.Add(trialDelays[crashes] - t.config.Retention)
+	from := a.HeldUntil
+	if a.Probability <= likelyCause {
+		from = now
 	}
-	if now.Before(until) {
-		return DecisionRefuse, until.Sub(now)
+	if now.Before(from) {
+		return DecisionRefuse, from.Sub(now)
 	}
-	if isInFlight(f) {
+	if c.IsInFlight(a.Cause) {
 		return DecisionWait, busyRetryDelay
 	}
 	return DecisionAllow, 0
 }
 
-// RepeatedSuspects returns the records, reduced to the suspects of two crashes or
-// more that were not cleared. They are what a process has to know that was not
-// there when the crashes happened.
+// RepeatedSuspects returns the newest records, reduced to the features that are
+// suspects of two crashes or more, also those that were cleared since. They are what
+// a process has to know that did not receive the records when they were sent.
 func (t *Table) RepeatedSuspects(now time.Time) []CrashRecord {
 	counts := map[Fingerprint]int{}
 	for _, r := range t.records {
 		for _, s := range r.Suspects {
-			if !s.IsCleared && now.Before(r.Expiry) {
+			if now.Before(r.Expiry) {
 				counts[s.Fingerprint]++
 			}
 		}
 	}
 	var l []CrashRecord
 	for _, r := range t.records {
-		var u []Suspect
-		for _, s := range r.Suspects {
-			if counts[s.Fingerprint] >= 2 {
-				u = append(u, s)
-			}
-		}
-		if len(u) > 0 {
-			r.Suspects = u
+		r.Suspects = slices.DeleteFunc(slices.Clone(r.Suspects), func(s Suspect) bool { return counts[s.Fingerprint] < 2 })
+		if len(r.Suspects) > 0 {
 			l = append(l, r)
 		}
 	}
-	return l
+	slices.SortFunc(l, func(a, b CrashRecord) int { return cmp.Or(b.Expiry.Compare(a.Expiry), a.Crash.compare(b.Crash)) })
+	return l[:min(len(l), maxRepeatedRecords)]
 }
--- /dev/null
+++ b/comfreyquarantine/trial_test.go
@@ -0,0 +1,97 @@
+package comfreyquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestTrialsOfASuspect replays a request that crashes each of its upstreams and is
+// sent again every 100 ms: after the third crash it runs once within two minutes,
+// and a harmless request that was near two crashes is cleared by its next run.
+func TestTrialsOfASuspect(t *testing.T) {
+	table, o := NewTable(Config{}), NewObserver(0)
+	f := testFeatures("crash")
+	var crashes []time.Duration
+	for d := time.Duration(0); d < 2*time.Minute; d += 100 * time.Millisecond {
+		now := testStart.Add(d)
+		decision, after := table.DecideTrial(now, f, anyTrial)
+		if decision != DecisionAllow {
+			if after <= 0 {
+				t.Fatalf("after %v: expected a delay with %v, got %v", d, decision, after)
+			}
+			continue
+		}
+		u := Upstream{fmt.Sprint("i-", len(crashes)), 1}
+		o.Lose(now, o.Start(u, f))
+		r, _ := o.Crash(now, u)
+		table.Merge(now, []CrashRecord{r})
+		crashes = append(crashes, d)
+	}
+	if len(crashes) != 4 || crashes[2]-crashes[1] < 2*time.Second || crashes[3]-crashes[2] < time.Minute {
+		t.Errorf("expected four crashes, the third 2 s after the second and the fourth a minute later, got %v", crashes)
+	}
+
+	harmless := testFeatures("harmless")
+	busy := anyTrial
+	busy.IsInFlight = func(Fingerprint) bool { return true }
+	for i := range 2 {
+		table.Merge(testStart, []CrashRecord{testCrash(fmt.Sprint("j-", i), testStart, "harmless")})
+	}
+	if d, _ := table.DecideTrial(testStart.Add(time.Second), harmless, anyTrial); d != DecisionRefuse {
+		t.Errorf("a second after two crashes: expected %v, got %v", DecisionRefuse, d)
+	}
+	if d, _ := table.DecideTrial(testStart.Add(3*time.Second), harmless, busy); d != DecisionWait {
+		t.Errorf("with a copy in flight: expected %v, got %v", DecisionWait, d)
+	}
+	if d, _ := table.DecideTrial(testStart.Add(3*time.Second), harmless, anyTrial); d != DecisionAllow {
+		t.Errorf("three seconds after two crashes: expected %v, got %v", DecisionAllow, d)
+	}
+	if !table.ClearSuspectBefore(testStart.Add(3*time.Second), harmless[0]) {
+		t.Error("after a run: expected a suspect of two crashes to be cleared")
+	}
+	if d, _ := table.DecideTrial(testStart, harmless, busy); d != DecisionAllow {
+		t.Errorf("after a run: expected %v, got %v", DecisionAllow, d)
+	}
+	for _, r := range table.RepeatedSuspects(testStart.Add(time.Second)) {
+		for _, s := range r.Suspects {
+			if s.Fingerprint == harmless[0] != s.IsCleared {
+				t.Errorf("repeated suspects: expected the harmless request to be cleared and no other, got %+v", r)
+			}
+		}
+	}
+}
+
+// TestCrashesDuringAHoldDoNotLengthenIt replays a popular request that is near the
+// crashes of a whole service within 100 ms: it is held for 2 s like after two.
+func TestCrashesDuringAHoldDoNotLengthenIt(t *testing.T) {
+	table := NewTable(Config{})
+	for i := range 4 {
+		at := testStart.Add(time.Duration(i) * 30 * time.Millisecond)
+		table.Merge(at, []CrashRecord{testCrash(fmt.Sprint("i-", i), at, "popular")})
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  Decision
+	}{{time.Second, DecisionRefuse}, {2100 * time.Millisecond, DecisionAllow}} {
+		if d, _ := table.DecideTrial(testStart.Add(c.after), testFeatures("popular"), anyTrial); d != c.want {
+			t.Errorf("%v after the first crash: expected %v, got %v", c.after, c.want, d)
+		}
+	}
+}
+
+// TestBystanderOfCrashesIsNotHeldBack replays two requests that crash two upstreams
+// each, beside a popular request that was served until then.
+func TestBystanderOfCrashesIsNotHeldBack(t *testing.T) {
+	table, o := NewTable(Config{}), NewObserver(0)
+	now := testStart.Add(time.Second)
+	o.RecordRun(testStart, testFeatures("popular"))
+	for i, cause := range []string{"a", "a", "b", "b"} {
+		table.Merge(now, o.WithRuns([]CrashRecord{testCrash(fmt.Sprint("i-", i), now, cause, "popular")}))
+	}
+	for name, want := range map[string]Decision{"a": DecisionRefuse, "b": DecisionRefuse, "popular": DecisionAllow} {
+		if d, _ := table.DecideTrial(now, testFeatures(name), anyTrial); d != want {
+			t.Errorf("request %s: expected %v, got %v", name, want, d)
+		}
+	}
+}
--- a/comfreyrpc/crash.go
+++ b/comfreyrpc/crash.go
@@ -22,7 +22,7 @@
 			ExpiresMillis: Millis(r.Expiry.Sub(now)),
 		}
 		for _, x := range r.Suspects {
-			m.Suspects = append(m.Suspects, &comfreyproto.CrashSuspect{Fingerprint: x.Fingerprint[:], Confirmed: x.IsConfirmed, Cleared: x.IsCleared})
+			m.Suspects = append(m.Suspects, &comfreyproto.CrashSuspect{Fingerprint: x.Fingerprint[:], Confirmed: x.IsConfirmed, Cleared: x.IsCleared, Ran: x.HasRun})
 		}
 		records = append(records, m)
 	}
@@ -40,7 +40,7 @@
 		}
 		for _, x := range m.Suspects {
 			if f, ok := FingerprintOf(x.Fingerprint); ok {
-				r.Suspects = append(r.Suspects, comfreyquarantine.Suspect{Fingerprint: f, IsConfirmed: x.Confirmed, IsCleared: x.Cleared})
+				r.Suspects = append(r.Suspects, comfreyquarantine.Suspect{Fingerprint: f, IsConfirmed: x.Confirmed, IsCleared: x.Cleared, HasRun: x.Ran})
 			}
 		}
 		records = append(records, r)
