Run a suspect whose hold has ended at one gateway first

When the hold of a suspect ended, each gateway let one copy of it through: a fleet of n gateways lost up to n replicas to each trial. The gateways now agree by rendezvous hashing on one that may; after each further 2 s without an outcome twice as many may, in case the first ones receive no copy. One cell of a large fleet comes before the others.

TestTrialProcessesDouble and TestPossibleCauseRunsAtOneProcess check the decision.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -54,7 +54,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	d, after := g.quarantine.DecideTrial(now, x.features, comfreyquarantine.TrialConditions{IsInFlight: g.observer.IsInFlight})
+	d, after := g.quarantine.DecideTrial(now, x.features, comfreyquarantine.TrialConditions{IsElected: g.isTrialProcess, IsInFlight: g.observer.IsInFlight})
 	if a, ok := g.quarantine.Assess(now, x.features); ok && (a.Crashes > 1 || d != comfreyquarantine.DecisionAllow) {
 		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonSuspectRequest, map[string]any{
 			"feature": a.Cause.String(), "crashes": a.Crashes, "holds": a.Holds, "probability": a.Probability,
@@ -71,6 +71,19 @@
 	}
 }
 
+// isTrialProcess reports whether this gateway is one of those that may send requests
+// with a suspect feature, a time after it was allowed. One cell of a large fleet
+// comes before the others. The mutex must be held.
+func (g *Gateway) isTrialProcess(f comfreyquarantine.Fingerprint, overdue time.Duration) bool {
+	layout := g.config.Layout()
+	others := layout.LiveMembers()
+	preceding := 0
+	if !layout.IsHome(f.String(), "") {
+		preceding = len(others) + 1
+	}
+	return comfreyquarantine.IsTrialProcess(f, g.config.Address, others, preceding, overdue)
+}
+
 // beginAttempt records that a request is sent to a replica.
 func (g *Gateway) beginAttempt(x *exchange, c comfreyplacement.Candidate) {
 	g.mu.Lock()
--- a/comfreyquarantine/observer_test.go
+++ b/comfreyquarantine/observer_test.go
@@ -31,6 +31,7 @@
 
 // anyTrial allows all trials.
 var anyTrial = TrialConditions{
+	IsElected:  func(Fingerprint, time.Duration) bool { return true },
 	IsInFlight: func(Fingerprint) bool { return false },
 }
 
--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -12,13 +12,16 @@
 	// less.
 	busyRetryDelay = 200 * time.Millisecond
 	// likelyCause and possibleCause are the probabilities of having caused a crash
-	// above which a request is held back for a time, and above which a process runs
-	// one at a time.
+	// above which a request is held back for a time, and above which it runs at one
+	// process only.
 	likelyCause   = 1.0 / 2
 	possibleCause = 1.0 / 3
 	// maxHolds is the number of holds after which a request does not run before the
 	// records of its crashes expire.
 	maxHolds = 5
+	// TrialInterval is the time after which twice as many processes may run a suspect
+	// whose hold has ended, and after which a caller should try another one.
+	TrialInterval = 2 * time.Second
 	// maxRepeatedRecords bounds the records that RepeatedSuspects returns.
 	maxRepeatedRecords = 64
 )
@@ -105,6 +108,9 @@
 
 // TrialConditions tell whether a process may run a suspect now.
 type TrialConditions struct {
+	// IsElected reports whether this process is one of those that may run requests
+	// with a feature, a time after it was allowed; see IsTrialProcess.
+	IsElected func(f Fingerprint, overdue time.Duration) bool
 	// IsInFlight reports whether a request with a feature is in flight, and has not
 	// shown yet whether it crashes its upstream.
 	IsInFlight func(f Fingerprint) bool
@@ -116,8 +122,9 @@
 // run, it also returns the delay after which it may. The conditions are asked about
 // suspects only.
 //
-// A process runs one suspect at a time. After two crashes, a likely cause is held
-// back for a time and a possible one is not.
+// After one crash, a process runs one suspect at a time. After more, a likely cause
+// is held back for a time and a possible one is not; both then run at one process,
+// and at more of them as long as no run has ended.
 func (t *Table) DecideTrial(now time.Time, features []Fingerprint, c TrialConditions) (Decision, time.Duration) {
 	if len(t.records) == 0 {
 		return DecisionAllow, 0
@@ -133,12 +140,29 @@
 	if now.Before(from) {
 		return DecisionRefuse, from.Sub(now)
 	}
+	if a.Holds > 1 && !c.IsElected(a.Cause, max(now.Sub(a.HeldUntil), 0)) {
+		return DecisionRefuse, TrialInterval
+	}
 	if c.IsInFlight(a.Cause) {
 		return DecisionWait, busyRetryDelay
 	}
 	return DecisionAllow, 0
 }
 
+// IsTrialProcess reports whether a process is one of those that may run requests
+// with a suspect feature, a time after it was allowed. These are the first ones in
+// rendezvous order: one of all processes, and twice as many after each TrialInterval,
+// in case the first ones receive no such request. The processes that know each
+// other are self and others; preceding is how many others come before them.
+func IsTrialProcess(f Fingerprint, self string, others []string, preceding int, overdue time.Duration) bool {
+	n := 1 << min(int(overdue/TrialInterval), 30)
+	if n <= preceding {
+		return false
+	}
+	all := append(slices.Clone(others), self)
+	return slices.Contains(WitnessHosts(f, all, min(n-preceding, len(all))), self)
+}
+
 // RepeatedSuspects returns the newest records, reduced to the features that are
 // suspects of two crashes or more, also those that were cleared since. They are what
 // a process has to know that did not receive the records when they were sent.
--- a/comfreyquarantine/trial_test.go
+++ b/comfreyquarantine/trial_test.go
@@ -95,3 +95,59 @@
 		}
 	}
 }
+
+// TestPossibleCauseRunsAtOneProcess checks that of two features which explain two
+// crashes alike, requests with one of them run without delay, at one process.
+func TestPossibleCauseRunsAtOneProcess(t *testing.T) {
+	table := NewTable(Config{})
+	for i := range 2 {
+		table.Merge(testStart, []CrashRecord{testCrash(fmt.Sprint("i-", i), testStart, "a", "b")})
+	}
+	elsewhere := anyTrial
+	elsewhere.IsElected = func(Fingerprint, time.Duration) bool { return false }
+	for _, c := range []struct {
+		features   []Fingerprint
+		conditions TrialConditions
+		want       Decision
+	}{
+		{testFeatures("a"), anyTrial, DecisionAllow},
+		{testFeatures("a"), elsewhere, DecisionRefuse},
+		{testFeatures("a", "b"), anyTrial, DecisionRefuse},
+		{testFeatures("c"), elsewhere, DecisionAllow},
+	} {
+		if d, _ := table.DecideTrial(testStart, c.features, c.conditions); d != c.want {
+			t.Errorf("request with %d features: expected %v, got %v", len(c.features), c.want, d)
+		}
+	}
+	table.ClearSuspectBefore(testStart.Add(time.Second), testFingerprint("b"))
+	if d, _ := table.DecideTrial(testStart, testFeatures("a"), anyTrial); d != DecisionRefuse {
+		t.Errorf("the only feature left: expected %v, got %v", DecisionRefuse, d)
+	}
+}
+
+// TestTrialProcessesDouble checks that all processes agree on the one that may run a
+// suspect, that there are twice as many after each interval, and that processes of
+// another cell follow.
+func TestTrialProcessesDouble(t *testing.T) {
+	var all []string
+	for i := range 8 {
+		all = append(all, fmt.Sprint("gateway-", i))
+	}
+	f := testFingerprint("crash")
+	for i, want := range []int{1, 2, 4, 8, 8} {
+		n, later := 0, 0
+		for j, self := range all {
+			others := append(append([]string{}, all[:j]...), all[j+1:]...)
+			overdue := time.Duration(i) * TrialInterval
+			if IsTrialProcess(f, self, others, 0, overdue) {
+				n++
+			}
+			if IsTrialProcess(f, self, others, len(all), overdue) {
+				later++
+			}
+		}
+		if n != want || i < 4 && later > 0 || i == 4 && later != len(all) {
+			t.Errorf("after %d intervals: expected %d processes of the first cell, got %d and %d of the other", i, want, n, later)
+		}
+	}
+}
