Log the prompt parts of requests that were lost

The log named the requests of a crash, but not the parts of their prompts that others share, so that a part which crashes replicas could not be seen.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -33,6 +33,9 @@
 	// PromptTokens and MaxTokens are the length of the prompt and the maximum
 	// number of output tokens; zero if the request does not state them.
 	PromptTokens, MaxTokens int
+	// PromptParts are the ids of the parts of the prompt that other requests may
+	// share, in the order of the prompt.
+	PromptParts []string
 }
 
 // Continuation names the KV copy from which a generation continues.
--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -158,7 +158,7 @@
 	}
 	r, isKnown := g.observer.Lose(now, x.execution)
 	g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonConnectionLost, map[string]any{
-		"features": loggedFeatures(x.features), "replica": u.ID, "crash-known": isKnown,
+		"features": loggedFeatures(x.features), "parts": loggedParts(x.call.PromptParts), "replica": u.ID, "crash-known": isKnown,
 	})
 	mustCheck := !isKnown && now.Sub(g.crashCheckedAt[u]) > crashCheckTimeout
 	if mustCheck {
@@ -285,6 +285,11 @@
 	return strings.Join(s, ",")
 }
 
+// loggedParts returns the first maxLoggedFeatures parts of a prompt.
+func loggedParts(l []string) string {
+	return strings.Join(l[:min(len(l), maxLoggedFeatures)], ",")
+}
+
 // CrashRecords returns the crash records to send to the other gateways now.
 func (g *Gateway) CrashRecords() []comfreyquarantine.CrashRecord {
 	g.mu.Lock()
