Hold back requests by the part of their prompt that crashes replicas

Callers lost their streams over and over: requests of which no two were alike shared a part of their prompts that crashes each replica which begins to answer it. The quarantine was keyed by whole requests, so that each crash had suspects of its own.

The features of a request are now the whole request and the shared parts of its prompt, and all that the records tell of requests holds for both: the part that all crashes have in common is found, told to the other gateways, tried again at growing intervals and cleared by a run.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -40,12 +41,25 @@
 }
 
 // featuresOf returns the features of a request that may make it crash replicas: the
-// fingerprint that all of its copies share, which have the same customer, path and
-// body.
+// fingerprint that its copies share, which have the same customer, path and body, and
+// those of the parts of its prompt that others share.
 func featuresOf(x *exchange) []comfreyquarantine.Fingerprint {
-	return []comfreyquarantine.Fingerprint{
+	l := []comfreyquarantine.Fingerprint{
 		comfreyquarantine.NewFingerprint(x.customer.Name, x.r.Method+" "+x.r.Host+x.r.RequestURI, x.body),
 	}
+	for _, p := range x.call.PromptParts {
+		l = append(l, comfreyquarantine.NewPartFingerprint(p))
+	}
+	return l
+}
+
+// describeFeature returns the part of a request's prompt that a feature stands for,
+// or "request" for the whole request.
+func describeFeature(x *exchange, f comfreyquarantine.Fingerprint) string {
+	if i := slices.Index(x.features, f); i > 0 {
+		return "part " + x.call.PromptParts[i-1]
+	}
+	return "request"
 }
 
 // checkSuspect returns an error if a request may not be sent to a replica, because
@@ -57,7 +71,7 @@
 	d, after := g.quarantine.DecideTrial(now, x.features, comfreyquarantine.TrialConditions{IsElected: g.isTrialProcess, IsInFlight: g.observer.IsInFlight})
 	if a, ok := g.quarantine.Assess(now, x.features); ok && (a.Crashes > 1 || d != comfreyquarantine.DecisionAllow) {
 		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonSuspectRequest, map[string]any{
-			"feature": a.Cause.String(), "crashes": a.Crashes, "holds": a.Holds, "probability": a.Probability,
+			"feature": a.Cause.String(), "cause": describeFeature(x, a.Cause), "crashes": a.Crashes, "holds": a.Holds, "probability": a.Probability,
 			"decision": d.String(), "wait-ms": after.Milliseconds(), "offered": x.offered,
 		})
 	}
@@ -139,7 +153,7 @@
 	for _, f := range x.features {
 		if g.quarantine.ClearSuspectBefore(at, f) {
 			g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonAccepted, map[string]any{
-				"feature": f.String(), "decision": "clear", "replica": x.replica,
+				"feature": f.String(), "cause": describeFeature(x, f), "decision": "clear", "replica": x.replica,
 			})
 			g.config.TriggerGossip()
 		}
--- a/comfreyquarantine/fingerprint.go
+++ b/comfreyquarantine/fingerprint.go
@@ -15,7 +15,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint identifies a request. All copies of the request share it.
+// Fingerprint identifies a feature of requests that may make them crash their
+// upstream: the whole request, which its copies share, or a part of its prompt.
 type Fingerprint [16]byte
 
 // NewFingerprint returns the fingerprint of a request's customer, service and
@@ -30,6 +31,15 @@
 	return Fingerprint(h.Sum(nil))
 }
 
+// NewPartFingerprint returns the fingerprint of a part of a prompt, which the requests
+// share that have the part, whatever else they hold.
+func NewPartFingerprint(part string) Fingerprint {
+	h := sha256.New()
+	h.Write([]byte("prompt part "))
+	h.Write([]byte(part))
+	return Fingerprint(h.Sum(nil))
+}
+
 // String returns f in hexadecimal digits.
 func (f Fingerprint) String() string {
 	return hex.EncodeToString(f[:])
