Clear the parts of a stream once it has begun

A stream cleared its features only when it was complete, after ten seconds, so that a first part which many requests share stayed a suspect beside the one that crashes replicas; and each request that was lost in a crash was a suspect of it, though most had streamed for seconds.

A request that has produced output for half a second is proven: it clears its features of the crashes before its first output, and is an unlikely cause of later ones. A generation that is resumed after its first event is not held back.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -139,11 +139,23 @@
 func (g *Gateway) completeAttempt(x *exchange, status int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	at, ok := g.observer.FirstOutput(x.execution)
+	if !ok {
+		at = g.config.Now()
+	}
 	g.observer.Finish(x.execution)
-	if status >= http.StatusBadRequest {
-		return
+	if status < http.StatusBadRequest {
+		g.recordRun(x, at)
+	}
+}
+
+// recordOutput records that output of the current attempt of a request has arrived. A
+// request that has produced output for a while shows that it does not crash its
+// replica; its response may take much longer. The mutex must be held.
+func (g *Gateway) recordOutput(x *exchange) {
+	if first, isProven := g.observer.RecordOutput(g.config.Now(), x.execution); isProven {
+		g.recordRun(x, first)
 	}
-	g.recordRun(x, g.config.Now())
 }
 
 // recordRun records that a request has run at a time without a crash, which clears
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -100,9 +100,10 @@
 
 // countEvent records an event that was sent to the caller. The first one ends a
 // prefill, because of which waiting requests may have avoided the replica.
-func (g *Gateway) countEvent(n *generation, id string) {
+func (g *Gateway) countEvent(x *exchange, n *generation, id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordOutput(x)
 	before := n.generatedTokens()
 	n.events++
 	n.lastEvent = id
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -250,7 +250,7 @@
 		if isEnd {
 			return nil
 		}
-		o.g.countEvent(o.n, e.id)
+		o.g.countEvent(o.x, o.n, e.id)
 		o.observeEventTime(o.g.config.Now())
 	}
 }
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -187,8 +187,11 @@
 // send sends one attempt and reads the response headers. A response that must
 // not be relayed to the caller is returned as an error.
 func (g *Gateway) send(ctx context.Context, x *exchange, c comfreyplacement.Candidate, t comfreycall.Attempt) (*comfreyconnection.Response, comfreycall.ResponseHeader, *attemptError) {
-	if e := g.checkSuspect(x); e != nil {
-		return nil, comfreycall.ResponseHeader{}, e
+	// A generation that is resumed after its first event has run without a crash.
+	if t.Continue == nil || t.Continue.LastEvent == "" {
+		if e := g.checkSuspect(x); e != nil {
+			return nil, comfreycall.ResponseHeader{}, e
+		}
 	}
 	x.offered++
 	x.replica = c.ID
--- a/comfreyquarantine/observer.go
+++ b/comfreyquarantine/observer.go
@@ -17,6 +17,9 @@
 	// runRetention is how long a feature counts as an unlikely cause after a request
 	// with it has run.
 	runRetention = 2 * time.Second
+	// provenAfter is how long a request has to produce output until it counts as one
+	// that does not crash its upstream by beginning to run.
+	provenAfter = 500 * time.Millisecond
 	// maxRuns bounds the features that are kept of the runs of one runRetention.
 	maxRuns = 1 << 13
 )
@@ -50,13 +53,33 @@
 // observation is a request in flight at an upstream.
 type observation struct {
 	upstream Upstream
+	// features are those of the request; the first is that of the whole request.
 	features []Fingerprint
+	// outputAt is when its first output arrived; zero before. It is proven if output
+	// arrived for provenAfter.
+	outputAt time.Time
+	isProven bool
 }
 
 // loss is a request whose connection broke before its response was complete.
 type loss struct {
-	features []Fingerprint
-	at       time.Time
+	observation
+	at time.Time
+}
+
+// suspects returns the features of a lost request, which were not cleared otherwise.
+// Those of a proven one are unlikely causes; if it began long before, its parts tell
+// nothing of requests that begin now.
+func (l loss) suspects() []Suspect {
+	f := l.features
+	if l.isProven && l.at.Sub(l.outputAt) >= runRetention {
+		f = f[:1]
+	}
+	var s []Suspect
+	for _, f := range f {
+		s = append(s, Suspect{Fingerprint: f, HasRun: l.isProven})
+	}
+	return s
 }
 
 // NewObserver returns an observer whose records are kept for a time; zero selects
@@ -71,10 +94,25 @@
 // Start records that a request with some features is sent to an upstream.
 func (o *Observer) Start(u Upstream, features []Fingerprint) ExecutionID {
 	o.last++
-	o.inFlight[o.last] = observation{u, features}
+	o.inFlight[o.last] = observation{upstream: u, features: features}
 	return o.last
 }
 
+// RecordOutput records that output of a request has arrived. It reports true once the
+// request is proven, and when its first output arrived.
+func (o *Observer) RecordOutput(now time.Time, id ExecutionID) (first time.Time, isProven bool) {
+	x, ok := o.inFlight[id]
+	if !ok || x.isProven {
+		return time.Time{}, false
+	}
+	if x.outputAt.IsZero() {
+		x.outputAt = now
+	}
+	x.isProven = now.Sub(x.outputAt) >= provenAfter
+	o.inFlight[id] = x
+	return x.outputAt, x.isProven
+}
+
 // Finish records that a request is no longer in flight: its response is complete,
 // or this gateway has ended it.
 func (o *Observer) Finish(id ExecutionID) {
@@ -90,7 +128,7 @@
 		return CrashRecord{}, false
 	}
 	delete(o.inFlight, id)
-	o.losses[x.upstream] = append(o.losses[x.upstream], loss{x.features, now})
+	o.losses[x.upstream] = append(o.losses[x.upstream], loss{x, now})
 	if _, ok := o.crashedAt[x.upstream]; ok {
 		return o.record(now, x.upstream)
 	}
@@ -103,10 +141,18 @@
 	return x.upstream, ok
 }
 
-// IsInFlight reports whether a request with a feature is in flight at any upstream.
+// FirstOutput returns when the first output of a request arrived. It reports false if
+// none has.
+func (o *Observer) FirstOutput(id ExecutionID) (time.Time, bool) {
+	x := o.inFlight[id]
+	return x.outputAt, !x.outputAt.IsZero()
+}
+
+// IsInFlight reports whether a request with a feature is in flight at any upstream,
+// and not proven.
 func (o *Observer) IsInFlight(f Fingerprint) bool {
 	for _, x := range o.inFlight {
-		if slices.Contains(x.features, f) {
+		if !x.isProven && slices.Contains(x.features, f) {
 			return true
 		}
 	}
@@ -193,8 +239,9 @@
 	var s []Suspect
 	for _, l := range o.losses[u] {
 		if now.Sub(l.at) < lossRetention {
-			for _, f := range l.features {
-				s = append(s, Suspect{Fingerprint: f, HasRun: o.hasRunBefore(now, f)})
+			for _, p := range l.suspects() {
+				p.HasRun = p.HasRun || o.hasRunBefore(now, p.Fingerprint)
+				s = append(s, p)
 			}
 		}
 	}
--- a/comfreyquarantine/observer_test.go
+++ b/comfreyquarantine/observer_test.go
@@ -95,3 +95,38 @@
 		t.Errorf("a record without other suspects: expected a marked suspect that is a possible cause, got %+v", l)
 	}
 }
+
+// TestStreamThatHasBegunIsAnUnlikelyCause replays an engine that crashes when a request
+// begins to run, beside streams with the same first part: one that began shortly before
+// and one that began long before, whose parts tell nothing.
+func TestStreamThatHasBegunIsAnUnlikelyCause(t *testing.T) {
+	u := Upstream{"i-1", 1}
+	o := NewObserver(0)
+	old, recent, cause := o.Start(u, testFeatures("old", "first", "rare")), o.Start(u, testFeatures("recent", "second")), o.Start(u, testFeatures("cause", "first", "rare", "crash"))
+	now := testStart
+	for id, began := range map[ExecutionID]time.Duration{old: -10 * time.Second, recent: -time.Second} {
+		if _, isProven := o.RecordOutput(now.Add(began), id); isProven {
+			t.Error("the first output: expected an unproven request")
+		}
+		first, isProven := o.RecordOutput(now.Add(began+provenAfter), id)
+		if !isProven || !first.Equal(now.Add(began)) {
+			t.Errorf("output for %v: expected a request proven since its first output, got %t, %v", provenAfter, isProven, first)
+		}
+		if _, isProven = o.RecordOutput(now.Add(began+2*provenAfter), id); isProven {
+			t.Error("a proven request: expected to be told once")
+		}
+	}
+	o.RecordOutput(now, cause)
+	if o.IsInFlight(testFingerprint("old")) || !o.IsInFlight(testFingerprint("crash")) {
+		t.Error("in flight and unproven: expected the request with the cause alone")
+	}
+	for _, id := range []ExecutionID{old, recent, cause} {
+		o.Lose(now, id)
+	}
+	r, _ := o.Crash(now, u)
+	for name, want := range map[string]bool{"old": false, "recent": false, "second": false, "first": true, "rare": true, "crash": true, "cause": true} {
+		if got := r.isPossibleCause(testFingerprint(name)); got != want {
+			t.Errorf("possible cause %s: expected %t, got %t", name, want, got)
+		}
+	}
+}
