Count the trials of a possible cause from its last crash

Sound requests that share a part with requests which crash replicas run at one gateway until they are cleared, and at more as time passes. That time was counted from the end of the hold of those requests, a minute later, so that the sound ones were refused at all gateways but one.

TestSoundRequestsWithPartsOfTheCauseRun: 0 s instead of 5 s without the change.

--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -42,8 +42,9 @@
 	// Probability is the probability that the cause of these crashes is a feature of
 	// the request. It counts all features alike that explain each of them.
 	Probability float64
-	// HeldUntil is when the latest hold ends.
-	HeldUntil time.Time
+	// LastCrash is when the latest of the crashes was recorded, and HeldUntil when the
+	// latest hold ends.
+	LastCrash, HeldUntil time.Time
 }
 
 // Assess returns what the records tell about a request with some features. It
@@ -61,6 +62,7 @@
 	}
 	a := Assessment{Cause: cause, Crashes: len(crashes)}
 	a.Holds, a.HeldUntil = t.hold(crashes)
+	a.LastCrash = crashes[len(crashes)-1].at(t.config.Retention)
 	total, own := 0, 0
 	for _, s := range crashes[0].possibleCauses() {
 		isInAll := !slices.ContainsFunc(crashes[1:], func(r CrashRecord) bool { return !r.isPossibleCause(s.Fingerprint) })
@@ -135,12 +137,12 @@
 	}
 	from := a.HeldUntil
 	if a.Probability <= likelyCause {
-		from = now
+		from = a.LastCrash
 	}
 	if now.Before(from) {
 		return DecisionRefuse, from.Sub(now)
 	}
-	if a.Holds > 1 && !c.IsElected(a.Cause, max(now.Sub(a.HeldUntil), 0)) {
+	if a.Holds > 1 && !c.IsElected(a.Cause, now.Sub(from)) {
 		return DecisionRefuse, TrialInterval
 	}
 	if c.IsInFlight(a.Cause) {
--- a/comfreyquarantine/trial_test.go
+++ b/comfreyquarantine/trial_test.go
@@ -151,3 +151,27 @@
 		}
 	}
 }
+
+// TestSoundRequestsWithPartsOfTheCauseRun replays a part that crashes upstreams, in
+// requests that all share two further parts: while requests with the part are held
+// back for a minute, sound requests with the two others run at more and more processes.
+func TestSoundRequestsWithPartsOfTheCauseRun(t *testing.T) {
+	table := NewTable(Config{})
+	for i, at := range []time.Duration{0, time.Second, 4 * time.Second} {
+		table.Merge(testStart, []CrashRecord{testCrash(fmt.Sprint("i-", i), testStart.Add(at), "first", "second", "crash", fmt.Sprint("own-", i))})
+	}
+	table.ClearSuspectBefore(testStart.Add(5*time.Second), testFingerprint("first"))
+	now := testStart.Add(9 * time.Second)
+	if d, _ := table.DecideTrial(now, testFeatures("own", "first", "second", "crash"), anyTrial); d != DecisionRefuse {
+		t.Errorf("request with the cause: expected %v, got %v", DecisionRefuse, d)
+	}
+	var overdue time.Duration
+	c := anyTrial
+	c.IsElected = func(_ Fingerprint, d time.Duration) bool { overdue = d; return true }
+	if d, _ := table.DecideTrial(now, testFeatures("own", "first", "second"), c); d != DecisionAllow || overdue != 5*time.Second {
+		t.Errorf("sound request: expected %v, with trials since the last crash 5 s before, got %v, %v", DecisionAllow, d, overdue)
+	}
+	if d, _ := table.DecideTrial(now, testFeatures("own", "first"), anyTrial); d != DecisionAllow {
+		t.Errorf("request with a cleared part: expected %v, got %v", DecisionAllow, d)
+	}
+}
