A stream that ends inside an event is not complete

An answer may come with neither a length nor chunks and end with its connection. If a replica broke off inside an event, callers got a stream that looked complete, with a part of the event. Bytes after the last event of an event stream now count as a broken connection, and are not sent on.

TestStreamWithoutFraming: four of five cases fail without the change.

--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
@@ -239,6 +240,9 @@
 		if err != nil && !isEnd {
 			return err
 		}
+		if isEnd && len(b) > 0 && isEventStream(a) {
+			return errPartialEvent
+		}
 		if !o.isHeaderSent {
 			o.writeHeader(a)
 		}
@@ -255,6 +259,15 @@
 	}
 }
 
+// errPartialEvent means that a stream has ended inside an event.
+var errPartialEvent = errors.New("comfreyforward: expected the end of an event, got the end of the stream")
+
+// isEventStream reports whether the body of a response consists of events. That of an
+// error may not.
+func isEventStream(a *comfreyconnection.Response) bool {
+	return strings.HasPrefix(strings.ToLower(a.Header.Get("Content-Type")), "text/event-stream")
+}
+
 // writeHeader sends the status and headers of the response to the caller.
 func (o *streamWriter) writeHeader(a *comfreyconnection.Response) {
 	o.isHeaderSent = true
