--- a/comfreyconnection/connection.go
+++ b/comfreyconnection/connection.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -12,11 +14,17 @@
 // all events of a stream fit into it.
 const readBufferBytes = 4 << 10
 
+// maxHeadBytes bounds what is read of a connection before the end of a response
+// header, including responses that are skipped.
+const maxHeadBytes = 256 << 10
+
 // connection is one HTTP/1.1 connection to a replica.
 type connection struct {
 	address string
 	net     net.Conn
 	reader  *bufio.Reader
+	// limiter is the source of the reader.
+	limiter *headLimiter
 	// expires is the time after which the connection is not reused.
 	expires time.Time
 	// keepAlive is how long the replica keeps an idle connection open; zero if
@@ -25,7 +33,42 @@
 }
 
 func newConnection(address string, n net.Conn) *connection {
-	return &connection{address: address, net: n, reader: bufio.NewReaderSize(n, readBufferBytes)}
+	l := &headLimiter{reader: n}
+	return &connection{address: address, net: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+}
+
+// errHeadTooLarge means that a connection has delivered too many bytes before the end
+// of a response header.
+var errHeadTooLarge = fmt.Errorf("comfreyconnection: expected a response header of at most %d bytes, got more", maxHeadBytes)
+
+// headLimiter limits how many bytes are read while a response header is expected, so
+// that a peer which sends bytes without end cannot exhaust the memory.
+type headLimiter struct {
+	reader    io.Reader
+	isLimited bool
+	left      int
+}
+
+// begin starts a limit, and end ends it.
+func (l *headLimiter) begin() {
+	l.isLimited, l.left = true, maxHeadBytes
+}
+
+func (l *headLimiter) end() {
+	l.isLimited = false
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.isLimited {
+		return l.reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 func (c *connection) close() {
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -143,7 +143,9 @@
 			return nil // Reading the response reports why the connection failed.
 		})
 	}
+	c.limiter.begin()
 	h, err := readResponseHeader(c.reader, r)
+	c.limiter.end()
 	if err != nil {
 		return nil, err
 	}
