Close idle connections on which data arrives

Bytes that a replica sends without end after a complete response stayed unread on an idle connection, up to the size of the receive buffer, until the connection was used again or expired; unread bytes count as memory of the gateway.

TestReplicaThatSendsWithoutEnd/AfterTheResponse, both kinds, fails without the change.

--- a/comfreyconnection/pool.go
+++ b/comfreyconnection/pool.go
@@ -166,8 +166,8 @@
 	return nil
 }
 
-// Sweep closes idle connections that have expired. It should be called about
-// once a second.
+// Sweep closes idle connections that have expired, or on which data has arrived that
+// belongs to no request. It should be called about once a second.
 func (p *Pool) Sweep() {
 	now := p.config.Now()
 	var old []*connection
@@ -175,7 +175,7 @@
 	for a, l := range p.idle {
 		kept := l[:0]
 		for _, c := range l {
-			if now.Before(c.expires) {
+			if now.Before(c.expires) && c.isIdle() {
 				kept = append(kept, c)
 			} else {
 				old = append(old, c)
