End requests in flight that become the likely cause of crashes

By the time that the part of prompts which crashes replicas was known, further requests with it had been sent and waited or prefilled; each crashed its replica too, with the streams of others beside it. A gateway now ends such requests, as long as they have produced no output, with 502.

TestSuspectInFlightIsEnded: status 504 at the timeout without the change.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -102,8 +102,9 @@
 func (g *Gateway) beginAttempt(x *exchange, c comfreyplacement.Candidate) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.observer.Finish(x.execution)
+	g.finishAttempt(x)
 	x.execution = g.observer.Start(g.upstream(c.ID), x.features)
+	g.cancels[x.execution] = x.cancel
 	g.replicas.BeginWork(c.ID)
 }
 
@@ -130,7 +131,38 @@
 func (g *Gateway) endAttempt(x *exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.finishAttempt(x)
+}
+
+// finishAttempt is endAttempt. The mutex must be held.
+func (g *Gateway) finishAttempt(x *exchange) {
 	g.observer.Finish(x.execution)
+	delete(g.cancels, x.execution)
+}
+
+// errHeldBack is the cause of the end of a request that is in flight when it becomes
+// the likely cause of crashes.
+var errHeldBack = errors.New("comfreyforward: the request is held back as the likely cause of crashes")
+
+// isHeldBack reports whether a request was ended by cancelSuspects.
+func isHeldBack(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errHeldBack)
+}
+
+// isCallerGone reports whether the caller of a request has disconnected.
+func isCallerGone(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !isHeldBack(ctx)
+}
+
+// cancelSuspects ends the requests in flight that are held back by what was learnt
+// since they were sent. Each would crash its replica once it begins to run there, with
+// all that runs beside it. The mutex must be held.
+func (g *Gateway) cancelSuspects(now time.Time) {
+	for id, features := range g.observer.Unproven() {
+		if a, ok := g.quarantine.Assess(now, features); ok && a.IsHeld(now) {
+			g.cancels[id](errHeldBack)
+		}
+	}
 }
 
 // completeAttempt records that the response to the current attempt of a request is
@@ -143,7 +175,7 @@
 	if !ok {
 		at = g.config.Now()
 	}
-	g.observer.Finish(x.execution)
+	g.finishAttempt(x)
 	if status < http.StatusBadRequest {
 		g.recordRun(x, at)
 	}
@@ -287,12 +319,14 @@
 // sends it to the other gateways.
 func (g *Gateway) addCrashRecord(r comfreyquarantine.CrashRecord, evidence string) {
 	g.mu.Lock()
-	g.quarantine.Merge(g.config.Now(), []comfreyquarantine.CrashRecord{r})
+	now := g.config.Now()
+	g.quarantine.Merge(now, []comfreyquarantine.CrashRecord{r})
+	g.cancelSuspects(now)
 	most := 0
 	var features []comfreyquarantine.Fingerprint
 	for _, s := range r.Suspects {
 		features = append(features, s.Fingerprint)
-		most = max(most, g.quarantine.Suspicion(g.config.Now(), s.Fingerprint).Crashes)
+		most = max(most, g.quarantine.Suspicion(now, s.Fingerprint).Crashes)
 	}
 	g.mu.Unlock()
 	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonEngineFailed, map[string]any{
@@ -335,5 +369,8 @@
 func (g *Gateway) MergeCrashRecords(l []comfreyquarantine.CrashRecord) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quarantine.Merge(g.config.Now(), g.observer.WithRuns(l))
+	now := g.config.Now()
+	if g.quarantine.Merge(now, g.observer.WithRuns(l)) > 0 {
+		g.cancelSuspects(now)
+	}
 }
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -66,6 +66,8 @@
 	generations  map[*generation]struct{}
 	quarantine   *comfreyquarantine.Table
 	observer     *comfreyquarantine.Observer
+	// cancels end the requests of the attempts in flight.
+	cancels map[comfreyquarantine.ExecutionID]context.CancelCauseFunc
 	// crashCheckedAt is when replicas were last dialed because a connection broke.
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	capacityChanges changeNotifier
@@ -90,6 +92,7 @@
 		generations:    map[*generation]struct{}{},
 		quarantine:     newQuarantine(c),
 		observer:       comfreyquarantine.NewObserver(0),
+		cancels:        map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
 		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
 		queues:         map[string]*comfreyplacement.Queue{},
 	}
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -57,6 +57,8 @@
 	// the current attempt.
 	features  []comfreyquarantine.Fingerprint
 	execution comfreyquarantine.ExecutionID
+	// cancel ends the request.
+	cancel context.CancelCauseFunc
 }
 
 // ServeHTTP implements http.Handler.
@@ -74,8 +76,10 @@
 		return
 	}
 	defer g.endAttempt(x)
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
-	defer cancel()
+	ctx, stop := context.WithDeadline(r.Context(), x.deadline)
+	defer stop()
+	ctx, x.cancel = context.WithCancelCause(ctx)
+	defer x.cancel(nil)
 	if x.route.Kind == comfreyroute.KindStreaming {
 		g.forwardStream(ctx, x)
 		return
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -169,10 +169,12 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = comfreyverdict.ReasonDeadline
+	case isHeldBack(ctx):
+		reason, err = comfreyverdict.ReasonSuspectRequest, errHeldBack
 	case ctx.Err() != nil || o.isBroken:
 		reason = comfreyverdict.ReasonCallerGone
 	}
-	if !o.isHeaderSent && !o.isBroken && !errors.Is(ctx.Err(), context.Canceled) {
+	if !o.isHeaderSent && !o.isBroken && !isCallerGone(ctx) {
 		status := http.StatusBadGateway
 		if reason == comfreyverdict.ReasonDeadline {
 			status = http.StatusGatewayTimeout
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -142,7 +142,9 @@
 		reason, cause = e.reason, e.cause
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case isHeldBack(ctx):
+		g.fail(x, http.StatusBadGateway, comfreyverdict.ReasonSuspectRequest, errHeldBack)
+	case isCallerGone(ctx):
 		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonCallerGone, x.logFields(g.config.Now()))
 		panic(http.ErrAbortHandler)
 	case x.sent > 0 && ctx.Err() != nil:
--- a/comfreyquarantine/observer.go
+++ b/comfreyquarantine/observer.go
@@ -141,6 +141,17 @@
 	return x.upstream, ok
 }
 
+// Unproven returns the features of the requests in flight that are not proven.
+func (o *Observer) Unproven() map[ExecutionID][]Fingerprint {
+	l := map[ExecutionID][]Fingerprint{}
+	for id, x := range o.inFlight {
+		if !x.isProven {
+			l[id] = x.features
+		}
+	}
+	return l
+}
+
 // FirstOutput returns when the first output of a request arrived. It reports false if
 // none has.
 func (o *Observer) FirstOutput(id ExecutionID) (time.Time, bool) {
--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -47,6 +47,11 @@
 	LastCrash, HeldUntil time.Time
 }
 
+// IsHeld reports whether the request is held back as the likely cause of crashes.
+func (a Assessment) IsHeld(now time.Time) bool {
+	return a.Probability > likelyCause && now.Before(a.HeldUntil)
+}
+
 // Assess returns what the records tell about a request with some features. It
 // reports false if they tell nothing against it.
 func (t *Table) Assess(now time.Time, features []Fingerprint) (Assessment, bool) {
