Keep the record of a crash near which requests had many features

A record of more than 512 suspects is ignored, also by the gateway that has made it. Prompts have up to 64 parts that count, so that a crash near a dozen such requests was lost. The record now holds the first 512, likely causes first.

TestRecordOfManyFeaturesIsKept: a record of 1,280 suspects was ignored.

--- a/comfreyquarantine/observer.go
+++ b/comfreyquarantine/observer.go
@@ -67,9 +67,9 @@
 	at time.Time
 }
 
-// suspects returns the features of a lost request, which were not cleared otherwise.
-// Those of a proven one are unlikely causes; if it began long before, its parts tell
-// nothing of requests that begin now.
+// suspects returns the features of a lost request. Those of a proven one are unlikely
+// causes. If it began long before, only the first is returned: that its other features
+// ran then tells nothing of requests that begin now.
 func (l loss) suspects() []Suspect {
 	f := l.features
 	if l.isProven && l.at.Sub(l.outputAt) >= runRetention {
@@ -260,7 +260,25 @@
 	if len(s) == 0 {
 		return CrashRecord{}, false
 	}
-	return CrashRecord{Crash: CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1}, Expiry: now.Add(o.retention), Suspects: mergeSuspects(s)}, true
+	s = mergeSuspects(s)
+	if len(s) > defaultMaxSuspects {
+		// Prompts may have many parts, and others ignore a larger record.
+		slices.SortStableFunc(s, func(a, b Suspect) int { return compareBool(a.HasRun, b.HasRun) })
+		s = mergeSuspects(s[:defaultMaxSuspects])
+	}
+	return CrashRecord{Crash: CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1}, Expiry: now.Add(o.retention), Suspects: s}, true
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // Expire removes losses and crashes that are too old to matter.
--- a/comfreyquarantine/observer_test.go
+++ b/comfreyquarantine/observer_test.go
@@ -1,6 +1,7 @@
 package comfreyquarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -130,3 +131,31 @@
 		}
 	}
 }
+
+// TestRecordOfManyFeaturesIsKept replays a crash beside requests whose prompts have so
+// many parts that the table would ignore the record: it keeps the likely causes.
+func TestRecordOfManyFeaturesIsKept(t *testing.T) {
+	u := Upstream{"i-1", 1}
+	o, table := NewObserver(0), NewTable(Config{})
+	for i := range 20 {
+		var names []string
+		for j := range 64 {
+			names = append(names, fmt.Sprint(i, "-", j))
+		}
+		id := o.Start(u, testFeatures(names...))
+		if i > 0 {
+			o.RecordOutput(testStart.Add(-time.Second), id)
+			o.RecordOutput(testStart, id)
+		}
+		o.Lose(testStart, id)
+	}
+	r, _ := o.Crash(testStart, u)
+	if table.Merge(testStart, []CrashRecord{r}) != 1 {
+		t.Fatalf("a record of %d suspects was ignored", len(r.Suspects))
+	}
+	for j := range 64 {
+		if !r.isPossibleCause(testFingerprint(fmt.Sprint(0, "-", j))) {
+			t.Fatalf("feature %d of the request that had not run is no possible cause", j)
+		}
+	}
+}
