--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -31,8 +28,6 @@
 	crashRecordsPerMessage = 4
 	// crashRecordPushes is how often a gateway sends a record to the others.
 	crashRecordPushes = 4
-	// maxLoggedFeatures bounds the features that a log line names.
-	maxLoggedFeatures = 8
 )
 
 // newQuarantine returns the table of the crashes that this gateway knows.
@@ -40,74 +35,6 @@
 	return comfreyquarantine.NewTable(comfreyquarantine.Config{Host: c.Address, MaxPushes: crashRecordPushes})
 }
 
-// featuresOf returns the features of a request that may make it crash replicas: the
-// fingerprint that its copies share, which have the same customer, path and body, and
-// those of the parts of its prompt that others share.
-func featuresOf(x *exchange) []comfreyquarantine.Fingerprint {
-	l := []comfreyquarantine.Fingerprint{
-		comfreyquarantine.NewFingerprint(x.customer.Name, x.r.Method+" "+x.r.Host+x.r.RequestURI, x.body),
-	}
-	for _, p := range x.call.PromptParts {
-		l = append(l, comfreyquarantine.NewPartFingerprint(p))
-	}
-	return l
-}
-
-// describeFeature returns the part of a request's prompt that a feature stands for,
-// or "request" for the whole request.
-func describeFeature(x *exchange, f comfreyquarantine.Fingerprint) string {
-	if i := slices.Index(x.features, f); i > 0 {
-		return "part " + x.call.PromptParts[i-1]
-	}
-	return "request"
-}
-
-// checkSuspect returns an error if a request may not be sent to a replica, because
-// it was in flight when several replicas crashed.
-func (g *Gateway) checkSuspect(x *exchange) *attemptError {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.config.Now()
-	d, after := g.quarantine.DecideTrial(now, x.features, comfreyquarantine.TrialConditions{IsElected: g.isTrialProcess, IsInFlight: g.observer.IsInFlight})
-	if a, ok := g.quarantine.Assess(now, x.features); ok && (a.Crashes > 1 || d != comfreyquarantine.DecisionAllow) {
-		g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonSuspectRequest, map[string]any{
-			"feature": a.Cause.String(), "cause": describeFeature(x, a.Cause), "crashes": a.Crashes, "holds": a.Holds, "probability": a.Probability,
-			"decision": d.String(), "wait-ms": after.Milliseconds(), "offered": x.offered,
-		})
-	}
-	switch d {
-	case comfreyquarantine.DecisionAllow:
-		return nil
-	case comfreyquarantine.DecisionWait:
-		return &attemptError{reason: comfreyverdict.ReasonSuspectBusy, isNotRun: true, retryAfter: after}
-	default:
-		return &attemptError{reason: comfreyverdict.ReasonSuspectRequest, isNotRun: true, retryAfter: after}
-	}
-}
-
-// isTrialProcess reports whether this gateway is one of those that may send requests
-// with a suspect feature, a time after it was allowed. One cell of a large fleet
-// comes before the others. The mutex must be held.
-func (g *Gateway) isTrialProcess(f comfreyquarantine.Fingerprint, overdue time.Duration) bool {
-	layout := g.config.Layout()
-	others := layout.LiveMembers()
-	preceding := 0
-	if !layout.IsHome(f.String(), "") {
-		preceding = len(others) + 1
-	}
-	return comfreyquarantine.IsTrialProcess(f, g.config.Address, others, preceding, overdue)
-}
-
-// beginAttempt records that a request is sent to a replica.
-func (g *Gateway) beginAttempt(x *exchange, c comfreyplacement.Candidate) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.finishAttempt(x)
-	x.execution = g.observer.Start(g.upstream(c.ID), x.features)
-	g.cancels[x.execution] = x.cancel
-	g.replicas.BeginWork(c.ID)
-}
-
 // finishWork records that the response to an attempt has begun, or that the
 // attempt has failed. One that was not sent ends here.
 func (g *Gateway) finishWork(c comfreyplacement.Candidate, failed bool) {
@@ -126,84 +53,6 @@
 	return comfreyquarantine.Upstream{ID: replica, Incarnation: uint64(max(r.StartMillis, 0))}
 }
 
-// endAttempt records that the current attempt of a request has ended for a reason
-// that tells nothing about its replica.
-func (g *Gateway) endAttempt(x *exchange) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.finishAttempt(x)
-}
-
-// finishAttempt is endAttempt. The mutex must be held.
-func (g *Gateway) finishAttempt(x *exchange) {
-	g.observer.Finish(x.execution)
-	delete(g.cancels, x.execution)
-}
-
-// errHeldBack is the cause of the end of a request that is in flight when it becomes
-// the likely cause of crashes.
-var errHeldBack = errors.New("comfreyforward: the request is held back as the likely cause of crashes")
-
-// isHeldBack reports whether a request was ended by cancelSuspects.
-func isHeldBack(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), errHeldBack)
-}
-
-// isCallerGone reports whether the caller of a request has disconnected.
-func isCallerGone(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !isHeldBack(ctx)
-}
-
-// cancelSuspects ends the requests in flight that are held back by what was learnt
-// since they were sent. Each would crash its replica once it begins to run there, with
-// all that runs beside it. The mutex must be held.
-func (g *Gateway) cancelSuspects(now time.Time) {
-	for id, features := range g.observer.Unproven() {
-		if a, ok := g.quarantine.Assess(now, features); ok && a.IsHeld(now) {
-			g.cancels[id](errHeldBack)
-		}
-	}
-}
-
-// completeAttempt records that the response to the current attempt of a request is
-// complete. A success shows that the request does not crash its replica. An error
-// does not: a replica can send one without having run the request.
-func (g *Gateway) completeAttempt(x *exchange, status int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	at, ok := g.observer.FirstOutput(x.execution)
-	if !ok {
-		at = g.config.Now()
-	}
-	g.finishAttempt(x)
-	if status < http.StatusBadRequest {
-		g.recordRun(x, at)
-	}
-}
-
-// recordOutput records that output of the current attempt of a request has arrived. A
-// request that has produced output for a while shows that it does not crash its
-// replica; its response may take much longer. The mutex must be held.
-func (g *Gateway) recordOutput(x *exchange) {
-	if first, isProven := g.observer.RecordOutput(g.config.Now(), x.execution); isProven {
-		g.recordRun(x, first)
-	}
-}
-
-// recordRun records that a request has run at a time without a crash, which clears
-// its features. The mutex must be held.
-func (g *Gateway) recordRun(x *exchange, at time.Time) {
-	g.observer.RecordRun(at, x.features)
-	for _, f := range x.features {
-		if g.quarantine.ClearSuspectBefore(at, f) {
-			g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonAccepted, map[string]any{
-				"feature": f.String(), "cause": describeFeature(x, f), "decision": "clear", "replica": x.replica,
-			})
-			g.config.TriggerGossip()
-		}
-	}
-}
-
 // loseAttempt records that the connection of the current attempt broke before the
 // response was complete, and finds out whether the replica has crashed.
 func (g *Gateway) loseAttempt(x *exchange, c comfreyplacement.Candidate) {
@@ -336,20 +185,6 @@
 	g.config.TriggerGossip()
 }
 
-// loggedFeatures returns the first maxLoggedFeatures features.
-func loggedFeatures(l []comfreyquarantine.Fingerprint) string {
-	var s []string
-	for _, f := range l[:min(len(l), maxLoggedFeatures)] {
-		s = append(s, f.String())
-	}
-	return strings.Join(s, ",")
-}
-
-// loggedParts returns the first maxLoggedFeatures parts of a prompt.
-func loggedParts(l []string) string {
-	return strings.Join(l[:min(len(l), maxLoggedFeatures)], ",")
-}
-
 // CrashRecords returns the crash records to send to the other gateways now.
 func (g *Gateway) CrashRecords() []comfreyquarantine.CrashRecord {
 	g.mu.Lock()
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -142,7 +142,7 @@
 		reason, cause = e.reason, e.cause
 	}
 	switch {
-	case isHeldBack(ctx):
+	case isHeldBack(ctx) && x.sent > 0:
 		g.fail(x, http.StatusBadGateway, comfreyverdict.ReasonSuspectRequest, errHeldBack)
 	case isCallerGone(ctx):
 		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonCallerGone, x.logFields(g.config.Now()))
--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -55,6 +55,9 @@
 // Assess returns what the records tell about a request with some features. It
 // reports false if they tell nothing against it.
 func (t *Table) Assess(now time.Time, features []Fingerprint) (Assessment, bool) {
+	if len(t.records) == 0 {
+		return Assessment{}, false
+	}
 	var cause Fingerprint
 	var crashes []CrashRecord
 	for _, f := range features {
@@ -123,21 +126,16 @@
 	IsInFlight func(f Fingerprint) bool
 }
 
-// DecideTrial returns the decision on a request before upstreams that cannot be
-// reserved for a single suspect: DecisionAllow, DecisionWait while another request
-// with its suspect feature is in flight, or DecisionRefuse. If the request may not
-// run, it also returns the delay after which it may. The conditions are asked about
-// suspects only.
+// Decide returns the decision on a request before upstreams that cannot be reserved for
+// a single suspect: DecisionAllow, DecisionWait while another request with its suspect
+// feature is in flight, or DecisionRefuse. If the request may not run, it also returns
+// the delay after which it may.
 //
 // After one crash, a process runs one suspect at a time. After more, a likely cause
 // is held back for a time and a possible one is not; both then run at one process,
 // and at more of them as long as no run has ended.
-func (t *Table) DecideTrial(now time.Time, features []Fingerprint, c TrialConditions) (Decision, time.Duration) {
-	if len(t.records) == 0 {
-		return DecisionAllow, 0
-	}
-	a, ok := t.Assess(now, features)
-	if !ok || a.Probability <= possibleCause {
+func (a Assessment) Decide(now time.Time, c TrialConditions) (Decision, time.Duration) {
+	if a.Probability <= possibleCause {
 		return DecisionAllow, 0
 	}
 	from := a.HeldUntil
@@ -156,6 +154,16 @@
 	return DecisionAllow, 0
 }
 
+// DecideTrial returns the decision on a request with some features; see
+// Assessment.Decide.
+func (t *Table) DecideTrial(now time.Time, features []Fingerprint, c TrialConditions) (Decision, time.Duration) {
+	a, ok := t.Assess(now, features)
+	if !ok {
+		return DecisionAllow, 0
+	}
+	return a.Decide(now, c)
+}
+
 // IsTrialProcess reports whether a process is one of those that may run requests
 // with a suspect feature, a time after it was allowed. These are the first ones in
 // rendezvous order: one of all processes, and twice as many after each TrialInterval,
