Tell parts of prompts apart by service; a part that turns after sound runs

A success of a request at one service cleared the parts of its prompt at all services, though only the software of one may crash on them: in a scenario in which a part of sound prompts begins to crash engines, lookups that carried the same header cleared it, and 14 replicas crashed, 6 of them late. The feature of a part now holds the service.

--- a/comfreyforward/suspect.go
+++ b/comfreyforward/suspect.go
@@ -19,13 +19,14 @@
 
 // featuresOf returns the features of a request that may make it crash replicas: the
 // fingerprint that its copies share, which have the same customer, path and body, and
-// those of the parts of its prompt that others share.
+// those of the parts of its prompt that others share. Whether a part crashes a replica
+// depends on its service, whose software the others do not run.
 func featuresOf(x *exchange) []comfreyquarantine.Fingerprint {
 	l := []comfreyquarantine.Fingerprint{
 		comfreyquarantine.NewFingerprint(x.customer.Name, x.r.Method+" "+x.r.Host+x.r.RequestURI, x.body),
 	}
 	for _, p := range x.call.PromptParts {
-		l = append(l, comfreyquarantine.NewPartFingerprint(p))
+		l = append(l, comfreyquarantine.NewPartFingerprint(x.service.Name, p))
 	}
 	return l
 }
--- a/comfreyquarantine/fingerprint.go
+++ b/comfreyquarantine/fingerprint.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,23 +24,27 @@
 // body. Requests that differ in any of them have different fingerprints.
 func NewFingerprint(customer, service string, body []byte) Fingerprint {
 	h := sha256.New()
-	for _, s := range []string{customer, service} {
-		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(s))))
-		h.Write([]byte(s))
-	}
+	writeStrings(h, customer, service)
 	h.Write(body)
 	return Fingerprint(h.Sum(nil))
 }
 
-// NewPartFingerprint returns the fingerprint of a part of a prompt, which the requests
-// share that have the part, whatever else they hold.
-func NewPartFingerprint(part string) Fingerprint {
+// NewPartFingerprint returns the fingerprint of a part of a prompt at a service, which
+// the requests share that have the part, whatever else they hold.
+func NewPartFingerprint(service, part string) Fingerprint {
 	h := sha256.New()
-	h.Write([]byte("prompt part "))
-	h.Write([]byte(part))
+	writeStrings(h, "prompt part", service, part)
 	return Fingerprint(h.Sum(nil))
 }
 
+// writeStrings writes strings to a hash, each with its length.
+func writeStrings(h hash.Hash, l ...string) {
+	for _, s := range l {
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(s))))
+		h.Write([]byte(s))
+	}
+}
+
 // String returns f in hexadecimal digits.
 func (f Fingerprint) String() string {
 	return hex.EncodeToString(f[:])
