--- a/comfreyquarantine/trial_test.go
+++ b/comfreyquarantine/trial_test.go
@@ -200,3 +200,38 @@
 		t.Errorf("a after a trial of its own: expected the third hold, got hold %d for %v", a.Holds, a.HeldUntil.Sub(now))
 	}
 }
+
+// TestTwoCausesThatShareASoundPart replays two parts that crash upstreams, in requests
+// that share a third part with sound ones: each is found, and the sound requests run
+// again soon.
+func TestTwoCausesThatShareASoundPart(t *testing.T) {
+	table, o := NewTable(Config{}), NewObserver(0)
+	crashes, held := map[string]int{}, time.Duration(0)
+	for i := range 200 {
+		d := time.Duration(i) * 100 * time.Millisecond
+		now := testStart.Add(d)
+		kind := []string{"crash-a", "sound", "crash-b", "sound"}[i%4]
+		features := testFeatures(fmt.Sprint("own-", i), "first-"+kind, "shared", kind)
+		if decision, _ := table.DecideTrial(now, features, anyTrial); decision != DecisionAllow {
+			if kind == "sound" {
+				held = d
+			}
+			continue
+		}
+		if kind == "sound" {
+			o.RecordRun(now, features)
+			for _, f := range features {
+				table.ClearSuspectBefore(now, f)
+			}
+			continue
+		}
+		u := Upstream{fmt.Sprint("i-", i), 1}
+		o.Lose(now, o.Start(u, features))
+		r, _ := o.Crash(now, u)
+		table.Merge(now, []CrashRecord{r})
+		crashes[kind]++
+	}
+	if crashes["crash-a"] > 4 || crashes["crash-b"] > 4 || held > 3*time.Second {
+		t.Errorf("expected at most 4 crashes of each cause, and sound requests that run after 3 s, got %v, the last one refused after %v", crashes, held)
+	}
+}
