Count the possible causes once for each change of the records

Each request searched all crash records for each of its features, up to 64 parts in 256 records, and each contested trial searched them again for all suspects.

Assess and Decide replace DecideTrial, which only tests called; decisions are the same.

--- a/comfreyquarantine/gossip.go
+++ b/comfreyquarantine/gossip.go
@@ -64,7 +64,7 @@
 	if ok {
 		r = old.merge(r)
 	}
-	t.records[r.Crash] = r
+	t.records[r.Crash], t.causeCounts = r, nil
 	if !ok || r.confirmations() > old.confirmations() {
 		t.pushCounts[r.Crash] = 0
 	}
@@ -86,6 +86,7 @@
 func (t *Table) remove(c CrashID) {
 	delete(t.records, c)
 	delete(t.pushCounts, c)
+	t.causeCounts = nil
 }
 
 // evictionCandidate returns the record to evict first: a settled one, and among
--- a/comfreyquarantine/table.go
+++ b/comfreyquarantine/table.go
@@ -101,9 +101,12 @@
 // Table holds the crash records of one process and, in a sidecar, the requests
 // in flight at its upstream. A Table is not safe for concurrent use.
 type Table struct {
-	config        Config
-	records       map[CrashID]CrashRecord
-	pushCounts    map[CrashID]int
+	config     Config
+	records    map[CrashID]CrashRecord
+	pushCounts map[CrashID]int
+	// causeCounts is the result of possibleCauseCounts; nil after each change of the
+	// records.
+	causeCounts   map[Fingerprint]int
 	inFlight      map[ExecutionID]execution
 	lastExecution ExecutionID
 	crashCount    uint64
@@ -199,7 +202,7 @@
 func (t *Table) ClearSuspect(f Fingerprint) {
 	for c, r := range t.records {
 		if i, ok := r.find(f); ok && !r.Suspects[i].IsCleared {
-			t.records[c] = r.withCleared(f)
+			t.records[c], t.causeCounts = r.withCleared(f), nil
 		}
 	}
 }
@@ -211,7 +214,7 @@
 	var changed []CrashID
 	for c, r := range t.records {
 		if i, ok := r.find(f); ok && !r.Suspects[i].IsCleared && r.at(t.config.Retention).Before(at) {
-			t.records[c] = r.withCleared(f)
+			t.records[c], t.causeCounts = r.withCleared(f), nil
 			changed = append(changed, c)
 		}
 	}
--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -56,12 +56,13 @@
 // Assess returns what the records tell about a request with some features. It
 // reports false if they tell nothing against it.
 func (t *Table) Assess(now time.Time, features []Fingerprint) (Assessment, bool) {
-	if len(t.records) == 0 {
-		return Assessment{}, false
-	}
+	counts := t.possibleCauseCounts()
 	var cause Fingerprint
 	var crashes []CrashRecord
 	for _, f := range features {
+		if counts[f] <= len(crashes) {
+			continue
+		}
 		if l := t.explained(now, f); len(l) > len(crashes) {
 			cause, crashes = f, l
 		}
@@ -71,7 +72,7 @@
 	}
 	a := Assessment{Cause: cause, Crashes: len(crashes), LastCrash: crashes[len(crashes)-1].at(t.config.Retention)}
 	alike := explainingAll(crashes)
-	a.Holds, a.HeldUntil = t.hold(now, cause, crashes, alike)
+	a.Holds, a.HeldUntil = t.hold(cause, crashes, alike)
 	own := 0
 	for _, f := range alike {
 		if slices.Contains(features, f) {
@@ -93,6 +94,21 @@
 	return l
 }
 
+// possibleCauseCounts returns how many crashes each feature may have caused, so that
+// requests without a suspect feature cost no search of the records. It must not be
+// changed.
+func (t *Table) possibleCauseCounts() map[Fingerprint]int {
+	if t.causeCounts == nil {
+		t.causeCounts = map[Fingerprint]int{}
+		for _, r := range t.records {
+			for _, s := range r.possibleCauses() {
+				t.causeCounts[s.Fingerprint]++
+			}
+		}
+	}
+	return t.causeCounts
+}
+
 // explained returns the records of the crashes that a feature may have caused,
 // oldest first.
 func (t *Table) explained(now time.Time, f Fingerprint) []CrashRecord {
@@ -111,13 +127,13 @@
 // which does not lengthen it. A trial that ended in a crash which another suspect
 // explains as well shows little: the same hold follows it. The alike are the features
 // that explain all of the crashes.
-func (t *Table) hold(now time.Time, cause Fingerprint, crashes []CrashRecord, alike []Fingerprint) (holds int, until time.Time) {
+func (t *Table) hold(cause Fingerprint, crashes []CrashRecord, alike []Fingerprint) (holds int, until time.Time) {
 	for _, r := range crashes {
 		at := r.at(t.config.Retention)
 		if at.Before(until) {
 			continue
 		}
-		if holds < 2 || !t.isContested(now, r, alike) {
+		if holds < 2 || !t.isContested(r, alike) {
 			holds++
 		}
 		until = r.Expiry
@@ -130,9 +146,10 @@
 
 // isContested reports whether a crash has a possible cause beside some features that
 // was near other crashes too.
-func (t *Table) isContested(now time.Time, r CrashRecord, features []Fingerprint) bool {
+func (t *Table) isContested(r CrashRecord, features []Fingerprint) bool {
+	counts := t.possibleCauseCounts()
 	return slices.ContainsFunc(r.possibleCauses(), func(s Suspect) bool {
-		return !slices.Contains(features, s.Fingerprint) && len(t.explained(now, s.Fingerprint)) > 1
+		return !slices.Contains(features, s.Fingerprint) && counts[s.Fingerprint] > 1
 	})
 }
 
@@ -180,16 +197,6 @@
 	return DecisionAllow, 0
 }
 
-// DecideTrial returns the decision on a request with some features; see
-// Assessment.Decide.
-func (t *Table) DecideTrial(now time.Time, features []Fingerprint, c TrialConditions) (Decision, time.Duration) {
-	a, ok := t.Assess(now, features)
-	if !ok {
-		return DecisionAllow, 0
-	}
-	return a.Decide(now, c)
-}
-
 // IsTrialProcess reports whether a process is one of those that may run requests
 // with a suspect feature, a time after it was allowed. These are the first ones in
 // rendezvous order: one of all processes, and twice as many after each TrialInterval,
--- a/comfreyquarantine/trial_test.go
+++ b/comfreyquarantine/trial_test.go
@@ -6,6 +6,15 @@
 	"time"
 )
 
+// decideTrial returns the decision on a request with some features.
+func decideTrial(t *Table, now time.Time, features []Fingerprint, c TrialConditions) (Decision, time.Duration) {
+	a, ok := t.Assess(now, features)
+	if !ok {
+		return DecisionAllow, 0
+	}
+	return a.Decide(now, c)
+}
+
 // TestTrialsOfASuspect replays a request that crashes each of its upstreams and is
 // sent again every 100 ms: after the third crash it runs once within two minutes,
 // and a harmless request that was near two crashes is cleared by its next run.
@@ -15,7 +24,7 @@
 	var crashes []time.Duration
 	for d := time.Duration(0); d < 2*time.Minute; d += 100 * time.Millisecond {
 		now := testStart.Add(d)
-		decision, after := table.DecideTrial(now, f, anyTrial)
+		decision, after := decideTrial(table, now, f, anyTrial)
 		if decision != DecisionAllow {
 			if after <= 0 {
 				t.Fatalf("after %v: expected a delay with %v, got %v", d, decision, after)
@@ -38,19 +47,19 @@
 	for i := range 2 {
 		table.Merge(testStart, []CrashRecord{testCrash(fmt.Sprint("j-", i), testStart, "harmless")})
 	}
-	if d, _ := table.DecideTrial(testStart.Add(400*time.Millisecond), harmless, anyTrial); d != DecisionRefuse {
+	if d, _ := decideTrial(table, testStart.Add(400*time.Millisecond), harmless, anyTrial); d != DecisionRefuse {
 		t.Errorf("0.4 s after two crashes: expected %v, got %v", DecisionRefuse, d)
 	}
-	if d, _ := table.DecideTrial(testStart.Add(800*time.Millisecond), harmless, busy); d != DecisionWait {
+	if d, _ := decideTrial(table, testStart.Add(800*time.Millisecond), harmless, busy); d != DecisionWait {
 		t.Errorf("with a copy in flight: expected %v, got %v", DecisionWait, d)
 	}
-	if d, _ := table.DecideTrial(testStart.Add(800*time.Millisecond), harmless, anyTrial); d != DecisionAllow {
+	if d, _ := decideTrial(table, testStart.Add(800*time.Millisecond), harmless, anyTrial); d != DecisionAllow {
 		t.Errorf("0.8 s after two crashes: expected %v, got %v", DecisionAllow, d)
 	}
 	if !table.ClearSuspectBefore(testStart.Add(800*time.Millisecond), harmless[0]) {
 		t.Error("after a run: expected a suspect of two crashes to be cleared")
 	}
-	if d, _ := table.DecideTrial(testStart, harmless, busy); d != DecisionAllow {
+	if d, _ := decideTrial(table, testStart, harmless, busy); d != DecisionAllow {
 		t.Errorf("after a run: expected %v, got %v", DecisionAllow, d)
 	}
 	for _, r := range table.RepeatedSuspects(testStart.Add(time.Second)) {
@@ -74,7 +83,7 @@
 		after time.Duration
 		want  Decision
 	}{{100 * time.Millisecond, DecisionRefuse}, {450 * time.Millisecond, DecisionRefuse}, {900 * time.Millisecond, DecisionAllow}} {
-		if d, _ := table.DecideTrial(testStart.Add(c.after), testFeatures("popular"), anyTrial); d != c.want {
+		if d, _ := decideTrial(table, testStart.Add(c.after), testFeatures("popular"), anyTrial); d != c.want {
 			t.Errorf("%v after the first crash: expected %v, got %v", c.after, c.want, d)
 		}
 	}
@@ -90,7 +99,7 @@
 		table.Merge(now, o.WithRuns([]CrashRecord{testCrash(fmt.Sprint("i-", i), now, cause, "popular")}))
 	}
 	for name, want := range map[string]Decision{"a": DecisionRefuse, "b": DecisionRefuse, "popular": DecisionAllow} {
-		if d, _ := table.DecideTrial(now, testFeatures(name), anyTrial); d != want {
+		if d, _ := decideTrial(table, now, testFeatures(name), anyTrial); d != want {
 			t.Errorf("request %s: expected %v, got %v", name, want, d)
 		}
 	}
@@ -115,12 +124,12 @@
 		{testFeatures("a", "b"), anyTrial, DecisionRefuse},
 		{testFeatures("c"), elsewhere, DecisionAllow},
 	} {
-		if d, _ := table.DecideTrial(testStart, c.features, c.conditions); d != c.want {
+		if d, _ := decideTrial(table, testStart, c.features, c.conditions); d != c.want {
 			t.Errorf("request with %d features: expected %v, got %v", len(c.features), c.want, d)
 		}
 	}
 	table.ClearSuspectBefore(testStart.Add(time.Second), testFingerprint("b"))
-	if d, _ := table.DecideTrial(testStart, testFeatures("a"), anyTrial); d != DecisionRefuse {
+	if d, _ := decideTrial(table, testStart, testFeatures("a"), anyTrial); d != DecisionRefuse {
 		t.Errorf("the only feature left: expected %v, got %v", DecisionRefuse, d)
 	}
 }
@@ -162,16 +171,16 @@
 	}
 	table.ClearSuspectBefore(testStart.Add(5*time.Second), testFingerprint("first"))
 	now := testStart.Add(9 * time.Second)
-	if d, _ := table.DecideTrial(now, testFeatures("own", "first", "second", "crash"), anyTrial); d != DecisionRefuse {
+	if d, _ := decideTrial(table, now, testFeatures("own", "first", "second", "crash"), anyTrial); d != DecisionRefuse {
 		t.Errorf("request with the cause: expected %v, got %v", DecisionRefuse, d)
 	}
 	var overdue time.Duration
 	c := anyTrial
 	c.IsElected = func(_ Fingerprint, d time.Duration) bool { overdue = d; return true }
-	if d, _ := table.DecideTrial(now, testFeatures("own", "first", "second"), c); d != DecisionAllow || overdue != 5*time.Second {
+	if d, _ := decideTrial(table, now, testFeatures("own", "first", "second"), c); d != DecisionAllow || overdue != 5*time.Second {
 		t.Errorf("sound request: expected %v, with trials since the last crash 5 s before, got %v, %v", DecisionAllow, d, overdue)
 	}
-	if d, _ := table.DecideTrial(now, testFeatures("own", "first"), anyTrial); d != DecisionAllow {
+	if d, _ := decideTrial(table, now, testFeatures("own", "first"), anyTrial); d != DecisionAllow {
 		t.Errorf("request with a cleared part: expected %v, got %v", DecisionAllow, d)
 	}
 }
@@ -212,7 +221,7 @@
 		now := testStart.Add(d)
 		kind := []string{"crash-a", "sound", "crash-b", "sound"}[i%4]
 		features := testFeatures(fmt.Sprint("own-", i), "first-"+kind, "shared", kind)
-		if decision, _ := table.DecideTrial(now, features, anyTrial); decision != DecisionAllow {
+		if decision, _ := decideTrial(table, now, features, anyTrial); decision != DecisionAllow {
 			if kind == "sound" {
 				held = d
 			}
@@ -235,3 +244,21 @@
 		t.Errorf("expected at most 4 crashes of each cause, and sound requests that run after 3 s, got %v, the last one refused after %v", crashes, held)
 	}
 }
+
+func BenchmarkAssess(b *testing.B) {
+	table := NewTable(Config{})
+	for i := range 256 {
+		var names []string
+		for j := range 20 {
+			names = append(names, fmt.Sprint(i, "-", j))
+		}
+		table.Merge(testStart, []CrashRecord{testCrash(fmt.Sprint("i-", i), testStart, append(names, "popular")...)})
+	}
+	for name, f := range map[string][]Fingerprint{"Sound": testFeatures("a", "b", "c", "d"), "Suspect": testFeatures("a", "popular", "c", "d")} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				table.Assess(testStart, f)
+			}
+		})
+	}
+}
