Read and log the rate limits that replicas name

The log could not tell apart whether a limit was unknown to a gateway, or followed by each alone. Server-Limit is parsed, kept by start of the replica (the latest response counts, of any gateway), logged when it changes and counted. Nothing is decided by it yet.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -81,11 +81,36 @@
 	// Pause is how long the replica wants no calls of this gateway; zero if it did
 	// not ask for a pause.
 	Pause time.Duration
+	// RateLimit is what the response says of the rate of requests that the replica
+	// takes.
+	RateLimit RateLimit
 	// HasLoad reports whether the following counts are known.
 	HasLoad                 bool
 	Running, Waiting, Slots int
 }
 
+// RateLimitKind tells apart what a response can say of a rate limit.
+type RateLimitKind int
+
+// The kinds.
+const (
+	// RateLimitNone means that the replica has no limit.
+	RateLimitNone RateLimitKind = iota
+	// RateLimitNamed means that the replica takes a rate of requests.
+	RateLimitNamed
+	// RateLimitUnknown means that the response does not tell.
+	RateLimitUnknown
+)
+
+// RateLimit is the rate of requests that a replica takes from all gateways
+// together.
+type RateLimit struct {
+	Kind RateLimitKind
+	// PerSecond is the number of requests a second, zero or more; it is valid only
+	// for RateLimitNamed.
+	PerSecond float64
+}
+
 // Target is the replica that a call is sent to.
 type Target struct {
 	// Address is the replica's IP address and port.
--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -31,7 +31,11 @@
 // observeHeader applies what the header of a response says of its replica. A
 // response of another replica says nothing of this one.
 func (g *Gateway) observeHeader(replica string, h comfreycall.ResponseHeader) {
-	if h.IsOtherReplica || !h.IsLeaving && h.Pause <= 0 {
+	if h.IsOtherReplica {
+		return
+	}
+	g.observeRateLimit(replica, h.RateLimit)
+	if !h.IsLeaving && h.Pause <= 0 {
 		return
 	}
 	g.mu.Lock()
--- a/comfreyforward/metrics.go
+++ b/comfreyforward/metrics.go
@@ -20,7 +20,9 @@
 	// pauses counts responses that asked for a pause, and announcements replicas
 	// that said in a response that they leave.
 	pauses, announcements prometheus.Counter
-	gauges                []prometheus.Collector
+	// rateLimits counts changes of the rate limits of replicas.
+	rateLimits prometheus.Counter
+	gauges     []prometheus.Collector
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -39,6 +41,7 @@
 		}),
 		connections:   prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_connections_total", Help: "Connections opened to replicas and the store."}),
 		storeCalls:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_store_calls_total", Help: "Calls to the platform's store."}),
+		rateLimits:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_rate_limits_total", Help: "Changes of the rate limits that replicas name."}),
 		pauses:        prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_pauses_total", Help: "Responses of replicas that asked for a pause."}),
 		announcements: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_leaving_announced_total", Help: "Replicas that announced in a response that they leave."}),
 		gauges: []prometheus.Collector{
@@ -65,7 +68,7 @@
 // Collectors returns the collectors of the gateway's metrics.
 func (g *Gateway) Collectors() []prometheus.Collector {
 	m := g.metrics
-	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements}, m.gauges...)
+	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.rateLimits}, m.gauges...)
 }
 
 // CountConnection counts a connection that was opened to a replica or the
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -55,13 +55,14 @@
 	restored      map[string]Registration
 	restoredUntil time.Time
 	pauses        map[Start]*pause
+	limits        map[string]RateLimit
 	// hints holds until when replicas are avoided.
 	hints map[string]time.Time
 }
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
-	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: map[Start]*pause{}, hints: map[string]time.Time{}}
+	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: map[Start]*pause{}, limits: map[string]RateLimit{}, hints: map[string]time.Time{}}
 }
 
 func (c Config) withDefaults() Config {
@@ -219,6 +220,7 @@
 func (s *Set) Expire(now time.Time) []Change {
 	s.expirePauses(now)
 	s.expireHints(now)
+	s.expireLimits(now)
 	var c []Change
 	if len(s.restored) > 0 && !now.Before(s.restoredUntil) {
 		for _, l := range s.restored {
--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -59,6 +59,7 @@
 	ReasonTicketVoid         Reason = "ticket-void"
 	ReasonTwoChoices         Reason = "two-choices"
 	ReasonUnauthorized       Reason = "unauthorized"
+	ReasonUpstreamLimited    Reason = "upstream-limited"
 	ReasonUpstreamPaused     Reason = "upstream-paused"
 	ReasonUnsealedAnswer     Reason = "unsealed-answer"
 	ReasonUnknownGeneration  Reason = "unknown-generation"
