Divide a replica's rate limit among the gateways

Cause: Server-Limit was not followed at all. Class: a budget that belongs to a replica was each gateway's own affair; no gateway can keep it from what it knows alone.

Now each call to such a replica needs a permit (Set.MayCallWith), which one gateway of the fleet gives, the holder. Gateways name the holder that they ask; a holder permits only the part of the limit for which it is named, so that two holders share it. What is refused goes to others, and if all are full callers get 503 with a time at which a place is kept for them.

--- a/comfreycell/layout.go
+++ b/comfreycell/layout.go
@@ -58,6 +58,8 @@
 	// SilentFor is the time since the last sign of life. It is ignored for the
 	// gateway that computes the layout.
 	SilentFor time.Duration
+	// AliveFor is how long it has been running, as far as it is known.
+	AliveFor time.Duration
 }
 
 // ranked is a gateway with the hash of its address, by which gateways are ordered
@@ -217,6 +219,35 @@
 	return a
 }
 
+// SettledMembers returns the live gateways of the own cell that have been running for
+// a time, which may include this one.
+func (l Layout) SettledMembers(period time.Duration) []string {
+	var a []string
+	for _, g := range l.members[l.own] {
+		if g.SilentFor < liveTimeout && g.AliveFor >= period {
+			a = append(a, g.Address)
+		}
+	}
+	return a
+}
+
+// MembersHeardWithin returns the number of gateways of the own cell, including this
+// one, that have shown to be running within a time.
+func (l Layout) MembersHeardWithin(period time.Duration) int {
+	n := 0
+	for _, g := range l.members[l.own] {
+		if g.SilentFor < period {
+			n++
+		}
+	}
+	return n
+}
+
+// Contact returns a gateway of another cell; false if none is known.
+func (l Layout) Contact(id ID) (address string, ok bool) {
+	return l.relayAt(id, 0)
+}
+
 // FleetSize returns the number of gateways, including this one, as far as it is
 // known.
 func (l Layout) FleetSize() int {
--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -1,8 +1,8 @@
 package comfreyforward
 
 import (
+	"context"
 	"errors"
-	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreydecision"
@@ -13,19 +13,40 @@
 // target returns a replica as the target of a call. Every call to a replica goes
 // through it: whether the call may be sent, and what its response says of the
 // replica, is decided in comfreyreplica alone.
-func (g *Gateway) target(replica, address string, p comfreyreplica.Purpose) comfreycall.Target {
+func (g *Gateway) target(ctx context.Context, replica, address string, p comfreyreplica.Purpose) comfreycall.Target {
 	return comfreycall.Target{
 		Address: address,
-		Permit:  func() error { return g.mayCall(replica, p) },
+		Permit:  func() error { return g.permitCall(ctx, &call{replica: replica, purpose: p}) },
 		Observe: func(h comfreycall.ResponseHeader) { g.observeHeader(replica, h) },
 	}
 }
 
-// mayCall returns an error if a call may not be sent to a replica now.
-func (g *Gateway) mayCall(replica string, p comfreyreplica.Purpose) error {
+// call is a call to a replica that is about to be written.
+type call struct {
+	replica string
+	purpose comfreyreplica.Purpose
+	// permit is one that the call already has, and key that of its request if a
+	// permit may have been booked for it, which may be for another replica.
+	permit comfreyreplica.Permit
+	key    string
+}
+
+// permitCall returns an error if a call may not be sent to its replica now. It gets
+// a permit if one is needed.
+func (g *Gateway) permitCall(ctx context.Context, c *call) error {
+	err := g.mayCall(*c)
+	if !errors.Is(err, comfreyreplica.ErrLimited) {
+		return err
+	}
+	c.permit = g.requestPermitFor(ctx, *c)
+	return g.mayCall(*c)
+}
+
+// mayCall returns an error if a call may not be sent to its replica now.
+func (g *Gateway) mayCall(c call) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.replicas.MayCall(g.config.Now(), replica, p)
+	return g.replicas.MayCallWith(g.config.Now(), c.replica, c.purpose, c.permit)
 }
 
 // observeHeader applies what the header of a response says of its replica. A
@@ -68,26 +89,9 @@
 		return comfreyverdict.ReasonLeaving, true
 	case errors.Is(err, comfreyreplica.ErrPaused):
 		return comfreyverdict.ReasonUpstreamPaused, true
+	case errors.Is(err, comfreyreplica.ErrLimited):
+		return comfreyverdict.ReasonUpstreamLimited, true
 	default:
 		return "", false
 	}
 }
-
-// checkPaused returns an error if all replicas of a service have asked for a pause.
-// The caller may return when the first pause ends, at a random time, so that not
-// all of them come at that moment.
-func (g *Gateway) checkPaused(service string) *attemptError {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.config.Now()
-	end, ok := g.replicas.PauseEnd(now, service)
-	if !ok {
-		return nil
-	}
-	after := end.Sub(now)
-	after += time.Duration(g.config.Rand() * float64(after/4+pausedRetrySpread))
-	return &attemptError{reason: comfreyverdict.ReasonUpstreamPaused, isNotRun: true, retryAfter: after}
-}
-
-// pausedRetrySpread is the least time over which callers return after a pause.
-const pausedRetrySpread = 200 * time.Millisecond
--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -24,21 +24,24 @@
 const reportedLoadMaxAge = 500 * time.Millisecond
 
 // candidates returns the replicas of a service that accept new work and are not
-// excluded. Engines are those of this gateway's cell, and some for which another
+// excluded, or only the one for which there is a permit. Engines are those of this gateway's cell, and some for which another
 // cell reports free capacity; a new engine is used by a few gateways of its cell
 // only. The mutex must be held.
-func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
+func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool, permit comfreyreplica.Permit) []comfreyplacement.Candidate {
 	if !s.HasEngine {
-		return g.unaryCandidates(now, s, excluded)
+		return g.unaryCandidates(now, s, excluded, permit)
 	}
 	var l, remote []comfreyplacement.Candidate
 	layout := g.config.Layout()
 	others := layout.LiveMembers()
 	load, summarized := g.estimator.Loads(now), g.estimator.SummarizedLoads(now)
 	for _, r := range g.replicas.ByService(s.Name) {
-		if !g.replicas.CanPlace(now, r.ID) || excluded[r.ID] {
+		if !g.replicas.CanPlaceWith(now, r.ID, permit) || excluded[r.ID] {
 			continue
 		}
+		if r.ID == permit.Replica {
+			return []comfreyplacement.Candidate{g.candidate(now, s, r, load)} // Its holder is of any cell.
+		}
 		if !layout.IsHome(r.ID, r.DataCentre) {
 			if p, ok := summarized(r.ID); ok {
 				c := g.candidate(now, s, r, func(string) comfreyoccupancy.Load { return p })
@@ -57,12 +60,17 @@
 
 // unaryCandidates returns the replicas of a service without engines that accept
 // new work and are not excluded. The mutex must be held.
-func (g *Gateway) unaryCandidates(now time.Time, s comfreyroute.Service, excluded map[string]bool) []comfreyplacement.Candidate {
+func (g *Gateway) unaryCandidates(now time.Time, s comfreyroute.Service, excluded map[string]bool, permit comfreyreplica.Permit) []comfreyplacement.Candidate {
 	var l []comfreyplacement.Candidate
 	for _, r := range g.replicas.ByService(s.Name) {
-		if g.replicas.CanPlace(now, r.ID) && !excluded[r.ID] {
-			l = append(l, g.candidate(now, s, r, nil))
+		if !g.replicas.CanPlaceWith(now, r.ID, permit) || excluded[r.ID] {
+			continue
+		}
+		c := g.candidate(now, s, r, nil)
+		if r.ID == permit.Replica {
+			return []comfreyplacement.Candidate{c}
 		}
+		l = append(l, c)
 	}
 	return g.withoutHinted(now, l)
 }
--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -15,6 +16,7 @@
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
@@ -120,12 +122,17 @@
 	Layout func() comfreycell.Layout
 	// Address is the address at which the other gateways reach this one.
 	Address string
+	// RequestPermit asks the gateway at an address for a permit; see
+	// comfreygossip.Gossip. It fails by default.
+	RequestPermit func(ctx context.Context, address string, r comfreyratelimit.Request, hops int) (comfreyratelimit.Reply, error)
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 	// Rand returns a number in [0, 1); math/rand/v2 by default.
 	Rand func() float64
 }
 
+var errNoPeers = errors.New("comfreyforward: expected a way to reach other gateways, got none")
+
 func (c Config) withDefaults() Config {
 	if c.Now == nil {
 		c.Now = time.Now
@@ -134,9 +141,14 @@
 		c.Rand = rand.Float64
 	}
 	if c.Layout == nil {
-		alone := comfreycell.New(comfreycell.Gateway{Address: c.Address, DataCentre: c.DataCentre}, nil, nil)
+		alone := comfreycell.New(comfreycell.Gateway{Address: c.Address, DataCentre: c.DataCentre, AliveFor: comfreyratelimit.SettlingPeriod}, nil, nil)
 		c.Layout = func() comfreycell.Layout { return alone }
 	}
+	if c.RequestPermit == nil {
+		c.RequestPermit = func(context.Context, string, comfreyratelimit.Request, int) (comfreyratelimit.Reply, error) {
+			return comfreyratelimit.Reply{}, errNoPeers
+		}
+	}
 	if c.TriggerGossip == nil {
 		c.TriggerGossip = func() {}
 	}
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -13,6 +13,7 @@
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyrouter"
@@ -70,6 +71,7 @@
 	cancels map[comfreyquarantine.ExecutionID]context.CancelCauseFunc
 	// crashCheckedAt is when replicas were last dialed because a connection broke.
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
+	division        *comfreyratelimit.Division
 	capacityChanges changeNotifier
 	queues          map[string]*comfreyplacement.Queue
 	// storeCurrentAt is when the store cache was last known to be current, and
@@ -95,6 +97,7 @@
 		cancels:        map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
 		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
 		queues:         map[string]*comfreyplacement.Queue{},
+		division:       comfreyratelimit.NewDivision(c.Address),
 	}
 	g.metrics = newMetrics(g)
 	fleet := g.lengths.Distribution(comfreylength.Key{})
@@ -153,6 +156,7 @@
 			g.estimator.Expire(now)
 			g.health.Expire(now)
 			g.observer.Expire(now)
+			g.division.Expire(now)
 			maps.DeleteFunc(g.crashCheckedAt, func(_ comfreyquarantine.Upstream, at time.Time) bool { return now.Sub(at) > sweepInterval })
 			g.expireUnaryLoads()
 		}
@@ -217,7 +221,7 @@
 	now := g.config.Now()
 	var l []comfreyreplica.Replica
 	for _, r := range g.replicas.All() {
-		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && g.replicas.MayCall(now, r.ID, comfreyreplica.PurposeControl) == nil && layout.IsHome(r.ID, r.DataCentre) {
+		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && layout.IsHome(r.ID, r.DataCentre) && g.mayFetchReport(now, r.ID) {
 			l = append(l, r)
 		}
 	}
@@ -229,7 +233,7 @@
 func (g *Gateway) fetchReport(ctx context.Context, r comfreyreplica.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	p, err := g.config.Engines.FetchReport(ctx, g.target(r.ID, r.Address, comfreyreplica.PurposeControl))
+	p, err := g.config.Engines.FetchReport(ctx, g.target(ctx, r.ID, r.Address, comfreyreplica.PurposeControl))
 	now := g.config.Now()
 	if _, ok := permitReason(err); ok {
 		return
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -12,6 +12,7 @@
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -53,6 +54,10 @@
 	replica string
 	// tried holds the replicas that must not be chosen again.
 	tried map[string]bool
+	// permit is for the next call to a replica with a rate limit, and permitRequests
+	// counts how often permits were asked for.
+	permit         comfreyreplica.Permit
+	permitRequests int
 	// features are those that may make the request crash replicas, and execution is
 	// the current attempt.
 	features  []comfreyquarantine.Fingerprint
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -80,7 +80,7 @@
 func (g *Gateway) fetchLeaveTime(ctx context.Context, r comfreyreplica.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	p, err := g.config.Engines.FetchReport(ctx, g.target(r.ID, r.Address, comfreyreplica.PurposeControl))
+	p, err := g.config.Engines.FetchReport(ctx, g.target(ctx, r.ID, r.Address, comfreyreplica.PurposeControl))
 	f := map[string]any{"replica": r.ID, "state": r.State.String()}
 	if err != nil {
 		f["error"] = err.Error()
@@ -240,7 +240,7 @@
 		n.destination = nil
 		return *d, true
 	}
-	l := g.candidates(g.config.Now(), n.service, excluded)
+	l := g.withoutLimited(g.candidates(g.config.Now(), n.service, excluded, comfreyreplica.Permit{}))
 	for i := range l {
 		l[i].IsSameDataCentre = l[i].DataCentre == r.DataCentre
 	}
@@ -261,7 +261,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(limit, stopTimeout))
 	defer cancel()
-	c, err := g.config.Engines.CopyKVCache(ctx, g.target(r.ID, r.Address, comfreyreplica.PurposeControl), n.request, d.Address, isLast)
+	c, err := g.config.Engines.CopyKVCache(ctx, g.target(ctx, r.ID, r.Address, comfreyreplica.PurposeControl), n.request, d.Address, isLast)
 	f := map[string]any{"replica": r.ID, "to": d.ID, "last": isLast, "handle": c.Handle, "took-ms": g.config.Now().Sub(began).Milliseconds(), "ends-in-ms": r.EndsAt.Sub(began).Milliseconds()}
 	reason := comfreyverdict.ReasonAccepted
 	if err != nil {
@@ -324,7 +324,7 @@
 	g.config.Group.Go("drop", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		if err := g.config.Engines.ReleaseKVCopy(ctx, g.target(c.source, c.Source, comfreyreplica.PurposeControl), c.Handle); err != nil {
+		if err := g.config.Engines.ReleaseKVCopy(ctx, g.target(ctx, c.source, c.Source, comfreyreplica.PurposeControl), c.Handle); err != nil {
 			g.record("", comfreydecision.KindMove, comfreyverdict.ReasonCopyFailed, map[string]any{"handle": c.Handle, "source": c.Source, "error": err.Error()})
 		}
 		return nil
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -83,7 +83,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	leaving, announced := g.recentlyLeaving()
-	return comfreygossip.Placements{Generations: g.estimator.Generations(), Leaving: leaving, Announced: announced}
+	return comfreygossip.Placements{
+		Generations: g.estimator.Generations(), Leaving: leaving, Announced: announced,
+		RateLimits: g.replicas.RateLimits(), PermitHolders: g.division.Names(g.config.Now(), g.replicas.LimitedServices(), g.permitView),
+	}
 }
 
 // recentlyLeaving returns the replicas that became leaving within
@@ -115,7 +118,15 @@
 	for _, k := range s.Announced {
 		g.replicas.Hint(now, k)
 	}
+	limits := g.mergeRateLimits(s.RateLimits)
+	isNewName := g.division.SetNames(now, gateway, s.PermitHolders)
 	g.mu.Unlock()
+	for _, l := range limits {
+		g.recordRateLimit(l, gateway)
+	}
+	if len(limits) > 0 || isNewName {
+		g.config.TriggerGossip()
+	}
 	g.handleReplicaChanges(changes)
 	g.announceLeaving(changes)
 	g.capacityChanges.notify()
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -53,8 +53,13 @@
 	if p, ok := g.placeGeneration(ctx, x, n); ok {
 		return p, nil
 	}
-	if e := g.checkPaused(x.service.Name); e != nil {
+	switch isPermitted, e := g.checkClosed(ctx, x, true); {
+	case e != nil:
 		return placement{}, e
+	case isPermitted:
+		if p, ok := g.placeGeneration(ctx, x, n); ok {
+			return p, nil
+		}
 	}
 	entered := g.config.Now()
 	timeout := comfreyplacement.QueueTimeout(x.route.TargetLatency, entered.Sub(x.started), n.promptTokens)
@@ -112,7 +117,7 @@
 		if p, ok := g.placeGeneration(ctx, x, n); ok {
 			return p, nil
 		}
-		if e := g.checkPaused(x.service.Name); e != nil {
+		if _, e := g.checkClosed(ctx, x, true); e != nil {
 			return placement{}, e
 		}
 	}
@@ -143,7 +148,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	l := g.candidates(now, x.service, x.tried)
+	l := g.candidates(now, x.service, x.tried, x.permit)
 	demand := comfreyplacement.Demand{PromptTokens: n.promptTokens, ExpectedTokens: g.remainingTokens(n)}
 	demand.HeadroomTokens = g.queue(x.service.Name).HeadroomTokens(x.priority())
 	demand.MaxPendingPrefillTokens = comfreyplacement.MaxPendingPrefill(x.route.TargetLatency, now.Sub(x.started), n.promptTokens)
@@ -154,7 +159,8 @@
 	c := l[i]
 	x.tried[c.ID] = true
 	p := placement{Candidate: c}
-	if x.service.Engine.MaxReservationTime > 0 {
+	// A reservation would count against the rate limit.
+	if _, isLimited := g.replicas.RateLimit(c.ID); x.service.Engine.MaxReservationTime > 0 && !isLimited {
 		p.toReserve = comfreyplacement.ReservationTokens(c, demand)
 	}
 	if p.toReserve > 0 {
@@ -176,7 +182,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
 	defer cancel()
 	ttl := min(reservationTTL, x.service.Engine.MaxReservationTime)
-	id, err := g.config.Engines.Reserve(ctx, g.target(p.ID, p.Address, comfreyreplica.PurposeWork), p.toReserve, ttl)
+	id, err := g.config.Engines.Reserve(ctx, g.target(ctx, p.ID, p.Address, comfreyreplica.PurposeWork), p.toReserve, ttl)
 	now := g.config.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/comfreyforward/rebalance.go
+++ b/comfreyforward/rebalance.go
@@ -72,7 +72,7 @@
 // chooseRebalancingMoveAmong chooses among the generations of one service. The
 // mutex must be held.
 func (g *Gateway) chooseRebalancingMoveAmong(now time.Time, l []*generation) (*generation, comfreyreplica.Replica, bool) {
-	candidates := g.candidates(now, l[0].service, nil)
+	candidates := g.withoutLimited(g.candidates(now, l[0].service, nil, comfreyreplica.Permit{}))
 	index := map[string]int{}
 	for i, c := range candidates {
 		index[c.ID] = i
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -71,10 +71,13 @@
 	for {
 		c, ok := g.chooseUnary(x)
 		if !ok {
-			if last == nil || last.isNotRun {
-				if e := g.checkPaused(x.service.Name); e != nil {
-					last = e
-				}
+			isNotRun := last == nil || last.isNotRun
+			isPermitted, e := g.checkClosed(ctx, x, isNotRun)
+			if isPermitted {
+				continue
+			}
+			if isNotRun && e != nil {
+				last = e
 			}
 			g.respondFailure(ctx, x, last)
 			return
@@ -98,7 +101,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	l := g.candidates(now, x.service, x.tried)
+	l := g.candidates(now, x.service, x.tried, x.permit)
 	i := comfreyplacement.ChooseForUnary(l, g.config.Rand)
 	if i < 0 {
 		return comfreyplacement.Candidate{}, false
@@ -203,7 +206,15 @@
 		purpose = comfreyreplica.PurposeResume
 	}
 	q := g.attemptRequest(x, t)
-	q.Permit = func() error { return g.mayCall(c.ID, purpose) }
+	q.Permit = func() error {
+		k := &call{replica: c.ID, purpose: purpose, permit: x.permit, key: x.key()}
+		x.permit = comfreyreplica.Permit{}
+		err := g.permitCall(ctx, k)
+		if err != nil {
+			x.permit = k.permit // It may be for another replica.
+		}
+		return err
+	}
 	a, err := g.config.Pool.Do(ctx, c.Address, q)
 	if err != nil {
 		return nil, comfreycall.ResponseHeader{}, g.handleSendError(ctx, x, c, err)
@@ -243,6 +254,9 @@
 	if reason, ok := permitReason(err); ok {
 		g.endAttempt(x)
 		x.offered--
+		if reason == comfreyverdict.ReasonUpstreamLimited {
+			delete(x.tried, c.ID) // It may have room later.
+		}
 		return &attemptError{reason: reason, isNotRun: true, isUnsent: true, cause: err}
 	}
 	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -20,6 +20,7 @@
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
@@ -90,6 +91,10 @@
 	Leaving []comfreyreplica.Start
 	// Announced are those that have told the gateway in a response that they leave.
 	Announced []comfreyreplica.Start
+	// RateLimits are those that replicas have named to the gateway, and PermitHolders
+	// the gateway that it asks for permits, by service.
+	RateLimits    []comfreyreplica.RateLimit
+	PermitHolders map[string]string
 }
 
 // Config configures a Gossip. All fields except Seeds, Now and Dial are required.
@@ -133,6 +138,9 @@
 	// MergeCrashRecords adds those of another gateway.
 	CrashRecords, RepeatedSuspects func() []comfreyquarantine.CrashRecord
 	MergeCrashRecords              func(l []comfreyquarantine.CrashRecord)
+	// Permit answers another gateway's request for a permit, which was passed on a
+	// number of times.
+	Permit func(ctx context.Context, r comfreyratelimit.Request, hops int) comfreyratelimit.Reply
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 	// Dial opens the connections of exchanges; the default uses net.Dialer.
@@ -158,9 +166,11 @@
 	// added is when the gateway was added, lastMessage when it was last heard of,
 	// or added, and lastAlive when it was last known to be running; zero if it
 	// never was.
-	added           time.Time
-	lastMessage     time.Time
-	lastAlive       time.Time
+	added       time.Time
+	lastMessage time.Time
+	lastAlive   time.Time
+	// aliveSince is when its present start was first known to be running.
+	aliveSince      time.Time
 	incarnation     uint64
 	sequence        uint64
 	client          comfreyproto.Gateways
@@ -185,6 +195,7 @@
 // Gossip exchanges state with other gateways. It is safe for concurrent use.
 type Gossip struct {
 	config      Config
+	started     time.Time
 	incarnation uint64
 	changed     chan struct{}
 	// newer wakes the task that catches up with newer store caches.
@@ -215,6 +226,7 @@
 	}
 	g := &Gossip{
 		config:      c,
+		started:     c.Now(),
 		incarnation: uint64(c.Now().UnixNano()),
 		changed:     make(chan struct{}, 1),
 		newer:       make(chan struct{}, 1),
@@ -317,7 +329,9 @@
 	var others []comfreycell.Gateway
 	for a, k := range g.peers {
 		if !k.lastAlive.IsZero() {
-			others = append(others, comfreycell.Gateway{Address: a, DataCentre: k.dataCentre, SilentFor: now.Sub(k.lastAlive)})
+			others = append(others, comfreycell.Gateway{
+				Address: a, DataCentre: k.dataCentre, SilentFor: now.Sub(k.lastAlive), AliveFor: now.Sub(k.aliveSince),
+			})
 		}
 	}
 	sizes := map[string]int{}
@@ -326,7 +340,8 @@
 			sizes[c] = s.gateways
 		}
 	}
-	g.layout, g.layoutAt = comfreycell.New(comfreycell.Gateway{Address: g.config.Address, DataCentre: g.config.DataCentre}, others, sizes), now
+	self := comfreycell.Gateway{Address: g.config.Address, DataCentre: g.config.DataCentre, AliveFor: now.Sub(g.started)}
+	g.layout, g.layoutAt = comfreycell.New(self, others, sizes), now
 	return g.layout
 }
 
@@ -372,6 +387,9 @@
 // markAlive records a sign of life of a gateway. The mutex must be held.
 func (g *Gossip) markAlive(k *peer, dataCentre string) {
 	k.lastMessage = g.config.Now()
+	if k.lastAlive.IsZero() {
+		k.aliveSince = k.lastMessage
+	}
 	k.lastAlive = k.lastMessage
 	if dataCentre != "" {
 		k.dataCentre = dataCentre
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -20,6 +20,7 @@
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyrelay"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
@@ -111,8 +112,11 @@
 			}
 			return s
 		},
-		CrashRecords:      func() []comfreyquarantine.CrashRecord { return nil },
-		RepeatedSuspects:  func() []comfreyquarantine.CrashRecord { return nil },
+		CrashRecords:     func() []comfreyquarantine.CrashRecord { return nil },
+		RepeatedSuspects: func() []comfreyquarantine.CrashRecord { return nil },
+		Permit: func(context.Context, comfreyratelimit.Request, int) comfreyratelimit.Reply {
+			return comfreyratelimit.Reply{}
+		},
 		MergeCrashRecords: func([]comfreyquarantine.CrashRecord) {},
 		ApplyCellState: func(c comfreycell.ID, s comfreygossip.CellState) {
 			n.mu.Lock()
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -20,6 +20,8 @@
 	// maxGenerations is how many generations fit into one datagram of the usual
 	// size.
 	maxGenerations = 20
+	// maxRateLimits is how many rate limits are added to one datagram.
+	maxRateLimits = 10
 	// maxDatagram is the size in bytes of the largest datagram that is read.
 	maxDatagram = 8 << 10
 )
@@ -64,7 +66,7 @@
 	sequence := g.sequence
 	to := g.placementTargets()
 	g.mu.Unlock()
-	for _, d := range datagrams(s) {
+	for _, d := range datagrams(s, g.config.Now()) {
 		d.Address, d.DataCentre, d.Incarnation, d.Sequence = g.config.Address, g.config.DataCentre, g.incarnation, sequence
 		d.Complete, d.Era, d.ContactKnown, d.ContactAgeMillis = version.Revision, version.Era, known, uint64(max(age, 0).Milliseconds())
 		g.send(d, to...)
@@ -85,23 +87,32 @@
 }
 
 // datagrams splits placements into parts that fit into a datagram each.
-func datagrams(s Placements) []*comfreyproto.PlacementDatagram {
-	parts := max((len(s.Generations)+maxGenerations-1)/maxGenerations, 1)
+func datagrams(s Placements, now time.Time) []*comfreyproto.PlacementDatagram {
+	chunks := func(n, size int) int { return (n + size - 1) / size }
+	parts := max(chunks(len(s.Generations), maxGenerations), chunks(len(s.RateLimits), maxRateLimits), 1)
 	var l []*comfreyproto.PlacementDatagram
 	for p := range parts {
 		d := &comfreyproto.PlacementDatagram{Part: uint32(p), Parts: uint32(parts)}
-		d.Runs = encodeGenerations(s.Generations[p*maxGenerations : min((p+1)*maxGenerations, len(s.Generations))])
+		d.Runs = encodeGenerations(chunk(s.Generations, p, maxGenerations))
+		d.RateLimits = comfreyrpc.EncodeRateLimits(chunk(s.RateLimits, p, maxRateLimits), now)
 		if p == 0 {
 			d.Leaving, d.LeavingBorn = encodeLeaving(s.Leaving)
 			for _, k := range s.Announced {
 				d.Announced = append(d.Announced, &comfreyproto.ReplicaStart{Replica: k.ID, Born: k.StartMillis})
 			}
+			d.PermitHolders = s.PermitHolders
 		}
 		l = append(l, d)
 	}
 	return l
 }
 
+// chunk returns a part of l; the parts of a short list end before those of a longer
+// one.
+func chunk[T any](l []T, part, size int) []T {
+	return l[min(part*size, len(l)):min((part+1)*size, len(l))]
+}
+
 // encodeLeaving returns the ids and the starts of replicas.
 func encodeLeaving(l []comfreyreplica.Start) (ids []string, starts []int64) {
 	for _, k := range l {
@@ -226,6 +237,10 @@
 	for _, k := range d.Announced {
 		a.placements.Announced = append(a.placements.Announced, comfreyreplica.Start{ID: k.Replica, StartMillis: k.Born})
 	}
+	a.placements.RateLimits = append(a.placements.RateLimits, comfreyrpc.DecodeRateLimits(d.RateLimits, g.config.Now())...)
+	if d.PermitHolders != nil {
+		a.placements.PermitHolders = d.PermitHolders
+	}
 	if len(a.parts) < int(d.Parts) {
 		return
 	}
@@ -261,7 +276,7 @@
 	case d.Incarnation < k.incarnation && now.Sub(k.lastMessage) < clockResetDelay:
 		return false
 	default:
-		k.incarnation, k.sequence = d.Incarnation, 0
+		k.incarnation, k.sequence, k.aliveSince = d.Incarnation, 0, now
 	}
 	g.markAlive(k, d.DataCentre)
 	return true
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -12,6 +12,9 @@
 	// ErrPaused means that a replica has asked this process not to call it for a
 	// time.
 	ErrPaused = errors.New("comfreyreplica: expected a replica that may be called, got one that has asked for a pause")
+	// ErrLimited means that a replica takes a limited rate of requests, and that
+	// there is no permit for this one.
+	ErrLimited = errors.New("comfreyreplica: expected a permit for a call to a replica with a rate limit, got none")
 )
 
 const (
@@ -73,38 +76,67 @@
 	window, inFlight int
 }
 
-// MayCall returns nil if a call for a purpose may be sent to a replica now, or
-// else ErrLeaving or ErrPaused. It has to be asked immediately before each call,
-// and once for each, since it counts the resumed generations of a pause.
+// Permit allows one call to a replica that takes a limited rate of requests. The
+// zero value allows none. Values are immutable.
+type Permit struct {
+	Replica string
+	// Until is when the permit expires.
+	Until time.Time
+}
+
+// allows reports whether the permit is for a call to a replica now.
+func (p Permit) allows(now time.Time, id string) bool {
+	return p.Replica == id && now.Before(p.Until)
+}
+
+// MayCall is MayCallWith without a permit.
+func (s *Set) MayCall(now time.Time, id string, p Purpose) error {
+	return s.MayCallWith(now, id, p, Permit{})
+}
+
+// MayCallWith returns nil if a call for a purpose may be sent to a replica now, or
+// else ErrLeaving, ErrPaused or ErrLimited. It has to be asked immediately before
+// each call, and once for each, since it counts the resumed generations of a pause,
+// and a permit is for one call.
 //
 // It is built for this load: replicas are replaced every few seconds while the
-// store is unreachable, or refuse bursts that many processes send at once; and
-// what was decided some time before, such as a request that has waited for its
-// connection, must not reach them any more.
-func (s *Set) MayCall(now time.Time, id string, p Purpose) error {
+// store is unreachable, or refuse bursts that many processes send at once, or take
+// a few requests a second from all processes; and what was decided some time before,
+// such as a request that has waited for its connection, must not reach them any
+// more.
+func (s *Set) MayCallWith(now time.Time, id string, p Purpose, permit Permit) error {
 	r, ok := s.replicas[id]
 	if p == PurposeWork && (!ok || !r.IsAccepting()) {
 		return ErrLeaving
 	}
-	if len(s.pauses) == 0 {
-		return nil
+	a, isPaused := s.pauses[r.Start()]
+	isPaused = isPaused && now.Before(a.until)
+	if isPaused && (p != PurposeResume || a.resumes >= maxResumesInPause) {
+		return ErrPaused
 	}
-	a, ok := s.pauses[r.Start()]
-	if !ok || !now.Before(a.until) {
-		return nil
+	if _, isLimited := s.RateLimit(id); isLimited && !permit.allows(now, id) {
+		return ErrLimited
 	}
-	if p == PurposeResume && a.resumes < maxResumesInPause {
+	if isPaused {
 		a.resumes++
-		return nil
 	}
-	return ErrPaused
+	return nil
 }
 
 // CanPlace reports whether a replica can be chosen for new work: it may be called,
 // and if it opens after a pause, not too many requests of this process are in
-// flight there.
+// flight there. One with a rate limit can be chosen unless it is full.
 func (s *Set) CanPlace(now time.Time, id string) bool {
-	if s.MayCall(now, id, PurposeWork) != nil {
+	return s.CanPlaceWith(now, id, Permit{})
+}
+
+// CanPlaceWith is CanPlace for a request with a permit.
+func (s *Set) CanPlaceWith(now time.Time, id string, permit Permit) bool {
+	err := s.MayCallWith(now, id, PurposeWork, permit)
+	if errors.Is(err, ErrLimited) {
+		return !now.Before(s.limits[id].fullUntil)
+	}
+	if err != nil {
 		return false
 	}
 	if len(s.pauses) == 0 {
--- a/comfreyreplica/limit.go
+++ b/comfreyreplica/limit.go
@@ -1,6 +1,10 @@
 package comfreyreplica
 
-import "time"
+import (
+	"errors"
+	"slices"
+	"time"
+)
 
 const (
 	// minRateLimit is the least rate limit in requests a second. A replica that
@@ -27,6 +31,15 @@
 	PerSecond float64
 	// ObservedAt is when a process received the response that says so.
 	ObservedAt time.Time
+	// IsDirect means that it was this process.
+	IsDirect bool
+}
+
+// rateLimit is the limit of a replica and what this process knows of its use.
+type rateLimit struct {
+	RateLimit
+	// fullUntil is until when a permit is not expected to be had.
+	fullUntil time.Time
 }
 
 // IsEnded reports whether there is no limit any more.
@@ -37,16 +50,12 @@
 // NamedRateLimit returns the limit that a replica has named, in requests a second.
 // Values below 0.1 count as 0.1, and values from 1e6 on as no limit.
 func (s *Set) NamedRateLimit(now time.Time, id string, perSecond float64) RateLimit {
-	l := RateLimit{Start: s.startOf(id), PerSecond: max(perSecond, minRateLimit), ObservedAt: now}
-	if perSecond >= maxRateLimit {
-		l.PerSecond = 0
-	}
-	return l
+	return RateLimit{Start: s.startOf(id), PerSecond: max(perSecond, minRateLimit), ObservedAt: now, IsDirect: true}
 }
 
 // EndedRateLimit returns the limit of a replica that has responded without one.
 func (s *Set) EndedRateLimit(now time.Time, id string) RateLimit {
-	return RateLimit{Start: s.startOf(id), ObservedAt: now}
+	return RateLimit{Start: s.startOf(id), ObservedAt: now, IsDirect: true}
 }
 
 // startOf returns the start of a replica, as far as it is known.
@@ -58,6 +67,9 @@
 // replica's limit, and reports whether the limit has changed. The latest response
 // counts, of the latest start.
 func (s *Set) MergeRateLimit(l RateLimit) (changed bool) {
+	if l.PerSecond >= maxRateLimit {
+		l.PerSecond = 0
+	}
 	old, ok := s.limits[l.Start.ID]
 	switch {
 	case !ok:
@@ -73,33 +85,85 @@
 	case l.Start.StartMillis == 0:
 		l.Start = old.Start
 	}
-	s.limits[l.Start.ID] = l
+	k := rateLimit{RateLimit: l}
+	if !l.IsEnded() {
+		k.fullUntil = old.fullUntil
+	}
+	s.limits[l.Start.ID] = k
 	return !ok || old.PerSecond != l.PerSecond
 }
 
-// RateLimit returns the limit of a replica in requests a second. It reports false
-// if there is none.
-func (s *Set) RateLimit(id string) (perSecond float64, ok bool) {
-	l, ok := s.limits[id]
-	if !ok || l.IsEnded() {
-		return 0, false
+// RateLimit returns the limit of a replica. It reports false if there is none.
+func (s *Set) RateLimit(id string) (l RateLimit, ok bool) {
+	k, ok := s.limits[id]
+	if !ok || k.IsEnded() {
+		return RateLimit{}, false
 	}
-	if r, known := s.replicas[id]; known && !r.Start().isSame(l.Start) {
-		return 0, false
+	if r, known := s.replicas[id]; known && !r.Start().isSame(k.Start) {
+		return RateLimit{}, false
+	}
+	return k.RateLimit, true
+}
+
+// SetFull records that a replica with a rate limit is expected to have no room until
+// a time.
+func (s *Set) SetFull(id string, until time.Time) {
+	if k, ok := s.limits[id]; ok {
+		k.fullUntil = until
+		s.limits[id] = k
 	}
-	return l.PerSecond, true
 }
 
 // RateLimits returns the limits that other processes have to know, in no order:
-// those that hold, and those that ended a few seconds ago.
+// those that hold, and those that ended a few seconds ago, as far as this process
+// was told by the replica itself. A message that is passed on would look younger
+// than it is.
 func (s *Set) RateLimits() []RateLimit {
-	l := make([]RateLimit, 0, len(s.limits))
+	var l []RateLimit
 	for _, k := range s.limits {
-		l = append(l, k)
+		if k.IsDirect {
+			l = append(l, k.RateLimit)
+		}
 	}
 	return l
 }
 
+// LimitedServices returns the services whose replicas have rate limits, in no order.
+func (s *Set) LimitedServices() []string {
+	var l []string
+	for id := range s.limits {
+		if _, ok := s.RateLimit(id); !ok {
+			continue
+		}
+		if r, ok := s.replicas[id]; ok && !slices.Contains(l, r.Service) {
+			l = append(l, r.Service)
+		}
+	}
+	return l
+}
+
+// IsClosed reports whether each usable replica of a service that accepts new work is
+// paused or has a rate limit.
+func (s *Set) IsClosed(now time.Time, service string, isUsable func(r Replica) bool) bool {
+	for _, r := range s.replicas {
+		if r.Service == service && s.MayCall(now, r.ID, PurposeWork) == nil && isUsable(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// LimitedReplicas returns the replicas of a service that accept new work at a limited
+// rate and are not paused, sorted by id.
+func (s *Set) LimitedReplicas(now time.Time, service string) []Replica {
+	if len(s.limits) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(s.ByService(service), func(r Replica) bool {
+		return !errors.Is(s.MayCall(now, r.ID, PurposeWork), ErrLimited)
+	})
+}
+
 // expireLimits drops limits that have ended, of earlier starts, and of replicas
 // that are gone. A limit that was named before the start of its replica was known
 // belongs to the first start that is known.
--- a/comfreyreplica/limit_test.go
+++ b/comfreyreplica/limit_test.go
@@ -10,8 +10,8 @@
 // checkRateLimit checks a replica's limit; zero means none.
 func checkRateLimit(t *testing.T, s *comfreyreplica.Set, what, id string, want float64) {
 	t.Helper()
-	if got, ok := s.RateLimit(id); got != want || ok != (want > 0) {
-		t.Errorf("%s: expected a limit of %v, got %v, %v", what, want, got, ok)
+	if got, ok := s.RateLimit(id); got.PerSecond != want || ok != (want > 0) {
+		t.Errorf("%s: expected a limit of %v, got %v, %v", what, want, got.PerSecond, ok)
 	}
 }
 
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -55,14 +55,14 @@
 	restored      map[string]Registration
 	restoredUntil time.Time
 	pauses        map[Start]*pause
-	limits        map[string]RateLimit
+	limits        map[string]rateLimit
 	// hints holds until when replicas are avoided.
 	hints map[string]time.Time
 }
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
-	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: map[Start]*pause{}, limits: map[string]RateLimit{}, hints: map[string]time.Time{}}
+	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: map[Start]*pause{}, limits: map[string]rateLimit{}, hints: map[string]time.Time{}}
 }
 
 func (c Config) withDefaults() Config {
