--- a/comfreyreplica/access_test.go
+++ b/comfreyreplica/access_test.go
@@ -147,3 +147,27 @@
 	checkCall(t, s, "a later start", start, "a", comfreyreplica.PurposeWork, nil)
 	checkCall(t, s, "an unknown replica", start, "x", comfreyreplica.PurposeWork, comfreyreplica.ErrLeaving)
 }
+
+// TestPauseIsLostWhenStartBecomesKnown guards against a paused replica that is called
+// once the store names its start, or once it is listed again.
+func TestPauseIsLostWhenStartBecomesKnown(t *testing.T) {
+	s := comfreyreplica.NewSet(comfreyreplica.Config{})
+	register := func(startMillis int64) {
+		s.Update(start, comfreyreplica.Registration{ID: "a", Service: "app", Address: "a", StartMillis: startMillis})
+	}
+	later := start.Add(time.Second)
+	register(0)
+	s.Pause(start, "a", 3*time.Second, 0)
+	register(7)
+	checkCall(t, s, "start known", later, "a", comfreyreplica.PurposeWork, comfreyreplica.ErrPaused)
+	if _, ok := s.PauseEnd(later, "app"); !ok {
+		t.Error("start known: expected a service whose only replica is paused")
+	}
+	register(0)
+	checkCall(t, s, "start missing", later, "a", comfreyreplica.PurposeWork, comfreyreplica.ErrPaused)
+	s.Remove(later, "a")
+	register(7)
+	checkCall(t, s, "listed again", later, "a", comfreyreplica.PurposeWork, comfreyreplica.ErrPaused)
+	register(8)
+	checkCall(t, s, "later start", later, "a", comfreyreplica.PurposeWork, nil)
+}
