Keep a pause when the start of its replica becomes known

Cause: pauses were keyed by the exact start, so that one whose start was not known when it refused had another key afterwards. Class: what is known of a replica is tied to an identity that is learned in parts. Now one map for what is known of a start (startMap): an unknown start is the first known one; a later start begins clean.

--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -49,24 +49,11 @@
 	PurposeControl
 )
 
-// Start identifies one start of a replica.
-type Start struct {
-	ID string
-	// StartMillis is when the replica started, in Unix milliseconds; zero if
-	// unknown.
-	StartMillis int64
-}
-
 // Start returns the start that the replica is at.
 func (r Replica) Start() Start {
 	return Start{r.ID, r.StartMillis}
 }
 
-// isSame reports whether two starts of one replica can be the same.
-func (s Start) isSame(t Start) bool {
-	return s.ID == t.ID && (s.StartMillis == t.StartMillis || s.StartMillis == 0 || t.StartMillis == 0)
-}
-
 // pause is the time for which a replica wants no calls, and how it opens
 // afterwards.
 type pause struct {
@@ -109,7 +96,7 @@
 	if p == PurposeWork && (!ok || !r.IsAccepting()) {
 		return ErrLeaving
 	}
-	a, isPaused := s.pauses[r.Start()]
+	a, isPaused := s.pauses.get(s.startOf(id))
 	isPaused = isPaused && now.Before(a.until)
 	if isPaused && (p != PurposeResume || a.resumes >= maxResumesInPause) {
 		return ErrPaused
@@ -142,7 +129,7 @@
 	if len(s.pauses) == 0 {
 		return true
 	}
-	a, ok := s.pauses[s.replicas[id].Start()]
+	a, ok := s.pauses.get(s.startOf(id))
 	return !ok || a.inFlight < a.window
 }
 
@@ -158,10 +145,10 @@
 	}
 	d = min(d, MaxPause)
 	d += time.Duration(random * float64(min(d/4, maxPauseSpread)))
-	a := s.pauses[r.Start()]
-	if a == nil {
+	a, ok := s.pauses.get(r.Start())
+	if !ok {
 		a = &pause{}
-		s.pauses[r.Start()] = a
+		s.pauses.set(r.Start(), a)
 	}
 	if now.After(a.until) {
 		a.resumes = 0
@@ -178,15 +165,14 @@
 // response that is no failure doubles the number of requests that may be in
 // flight.
 func (s *Set) BeginWork(id string) {
-	if a, ok := s.pauses[s.replicas[id].Start()]; ok {
+	if a, ok := s.pauses.get(s.startOf(id)); ok {
 		a.inFlight++
 	}
 }
 
 // EndWork is the counterpart of BeginWork.
 func (s *Set) EndWork(now time.Time, id string, failed bool) {
-	k := s.replicas[id].Start()
-	a, ok := s.pauses[k]
+	a, ok := s.pauses.get(s.startOf(id))
 	if !ok {
 		return
 	}
@@ -195,7 +181,7 @@
 		return
 	}
 	if a.window *= 2; a.window > maxOpening {
-		delete(s.pauses, k)
+		delete(s.pauses, id)
 	}
 }
 
@@ -206,7 +192,7 @@
 		if r.Service != service || !r.IsAccepting() {
 			continue
 		}
-		a, isPaused := s.pauses[r.Start()]
+		a, isPaused := s.pauses.get(r.Start())
 		if !isPaused || !now.Before(a.until) {
 			return time.Time{}, false
 		}
@@ -219,9 +205,9 @@
 
 // expirePauses drops pauses that ended long ago.
 func (s *Set) expirePauses(now time.Time) {
-	for k, a := range s.pauses {
-		if now.Sub(a.until) > openingRetention {
-			delete(s.pauses, k)
+	for id, e := range s.pauses {
+		if now.Sub(e.value.until) > openingRetention {
+			delete(s.pauses, id)
 		}
 	}
 }
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -54,7 +54,7 @@
 	// are known to leave, until restoredUntil.
 	restored      map[string]Registration
 	restoredUntil time.Time
-	pauses        map[Start]*pause
+	pauses        startMap[*pause]
 	limits        map[string]rateLimit
 	// hints holds until when replicas are avoided.
 	hints map[string]time.Time
@@ -62,7 +62,7 @@
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
-	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: map[Start]*pause{}, limits: map[string]rateLimit{}, hints: map[string]time.Time{}}
+	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{}, limits: map[string]rateLimit{}, hints: map[string]time.Time{}}
 }
 
 func (c Config) withDefaults() Config {
@@ -97,6 +97,7 @@
 		r.State, r.EndsAt = StateLeaving, now.Add(s.config.DrainPeriod)
 	}
 	s.replicas[l.ID] = r
+	s.pauses.learn(r.Start())
 	if known && old.StartMillis == l.StartMillis && old.State == r.State && old.Address == l.Address && old.Service == l.Service {
 		r.Since = old.Since
 		s.replicas[l.ID] = r
