--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -137,18 +137,19 @@
 // which up to a quarter is added by a number in [0, 1), so that processes do not
 // return at one moment. A pause is never shortened: each refusal counts for its
 // own time. It ends with the replica's start. A time that is not positive has no
-// effect, and one above MaxPause counts as MaxPause. Pause returns the end.
+// effect, and one above MaxPause counts as MaxPause. The replica may be unlisted, for
+// example while it is listed again. Pause returns the end.
 func (s *Set) Pause(now time.Time, id string, d time.Duration, random float64) (until time.Time, ok bool) {
-	r, ok := s.replicas[id]
-	if !ok || d <= 0 {
+	if d <= 0 {
 		return time.Time{}, false
 	}
+	k := s.startOf(id)
 	d = min(d, MaxPause)
 	d += time.Duration(random * float64(min(d/4, maxPauseSpread)))
-	a, ok := s.pauses.get(r.Start())
+	a, ok := s.pauses.get(k)
 	if !ok {
 		a = &pause{}
-		s.pauses.set(r.Start(), a)
+		s.pauses.set(k, a)
 	}
 	if now.After(a.until) {
 		a.resumes = 0
