A replica whose start becomes known has not started anew

Class: an identity that is learned in parts. A registration without a start keeps the known one.

TestLeavingReplicaIsUsedAgainWhenStartBecomesKnown and TestReadyReplicaCountsAsRestartedWhenStartBecomesKnown failed before.

--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -49,11 +49,6 @@
 	PurposeControl
 )
 
-// Start returns the start that the replica is at.
-func (r Replica) Start() Start {
-	return Start{r.ID, r.StartMillis}
-}
-
 // pause is the time for which a replica wants no calls, and how it opens
 // afterwards.
 type pause struct {
--- a/comfreyreplica/replica.go
+++ b/comfreyreplica/replica.go
@@ -26,6 +26,11 @@
 	StartMillis int64
 }
 
+// start returns the start that a registration is of.
+func (l Registration) start() Start {
+	return Start{l.ID, l.StartMillis}
+}
+
 // State says whether a replica accepts new requests.
 type State int
 
@@ -71,6 +76,11 @@
 	IsAnnounced bool
 }
 
+// Start returns the start that the replica is at.
+func (r Replica) Start() Start {
+	return r.start()
+}
+
 // IsAccepting reports whether the replica accepts new requests.
 func (r Replica) IsAccepting() bool {
 	return r.State != StateLeaving
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -86,24 +86,30 @@
 func (s *Set) Update(now time.Time, l Registration) []Change {
 	delete(s.restored, l.ID)
 	old, known := s.replicas[l.ID]
-	if known && old.StartMillis == l.StartMillis && old.State == StateLeaving && !old.IsRemoved {
+	isSameStart := known && old.Start().isSame(l.start())
+	if isSameStart && l.StartMillis == 0 {
+		l.StartMillis = old.StartMillis
+	}
+	s.pauses.learn(l.start())
+	if isSameStart && old.State == StateLeaving && !old.IsRemoved {
+		old.StartMillis = l.StartMillis
+		s.replicas[l.ID] = old
 		return nil // A leaving replica does not become ready again.
 	}
 	r := Replica{Registration: l, Since: now, WarmAt: now.Add(l.WarmUpTime)}
-	if known && old.StartMillis == l.StartMillis && old.WarmAt.Before(r.WarmAt) {
+	if isSameStart && old.WarmAt.Before(r.WarmAt) {
 		r.WarmAt = old.WarmAt
 	}
 	if l.IsDraining {
 		r.State, r.EndsAt = StateLeaving, now.Add(s.config.DrainPeriod)
 	}
 	s.replicas[l.ID] = r
-	s.pauses.learn(r.Start())
-	if known && old.StartMillis == l.StartMillis && old.State == r.State && old.Address == l.Address && old.Service == l.Service {
+	if isSameStart && old.State == r.State && old.Address == l.Address && old.Service == l.Service {
 		r.Since = old.Since
 		s.replicas[l.ID] = r
 		return nil
 	}
-	return []Change{{Replica: r, IsNew: !known, IsRestarted: known && old.StartMillis != l.StartMillis}}
+	return []Change{{Replica: r, IsNew: !known, IsRestarted: known && !isSameStart}}
 }
 
 // UpdateRestored handles a registration from the older copy from which the
@@ -119,7 +125,7 @@
 		return s.Update(now, l)
 	case l.StartMillis > 0 && l.StartMillis < old.StartMillis:
 		return nil
-	case l.StartMillis == old.StartMillis && old.State == StateLeaving:
+	case old.Start().isSame(l.start()) && old.State == StateLeaving:
 		s.restored[l.ID] = l
 		return nil
 	default:
--- a/comfreyreplica/set_test.go
+++ b/comfreyreplica/set_test.go
@@ -166,3 +166,46 @@
 		t.Error("the replica is not used after the grace")
 	}
 }
+
+// TestLeavingReplicaIsUsedAgainWhenStartBecomesKnown guards against a replica that
+// announced that it leaves, and counts as restarted once the store names its start.
+func TestLeavingReplicaIsUsedAgainWhenStartBecomesKnown(t *testing.T) {
+	s := comfreyreplica.NewSet(comfreyreplica.Config{})
+	l := comfreyreplica.Registration{ID: "a", Service: "app", Address: "a"}
+	s.Update(start, l)
+	s.Announce(start, "a")
+	l.StartMillis = 7
+	if c := s.Update(start.Add(time.Second), l); len(c) > 0 {
+		t.Errorf("expected no change, got %+v", c)
+	}
+	if r, _ := s.Get("a"); r.IsAccepting() {
+		t.Errorf("expected a replica that leaves, got state %v", r.State)
+	}
+	s.UpdateRestored(start.Add(time.Second), l)
+	if r, _ := s.Get("a"); r.IsAccepting() {
+		t.Errorf("restored: expected a replica that leaves, got state %v", r.State)
+	}
+	l.StartMillis = 8
+	if c := s.Update(start.Add(2*time.Second), l); len(c) != 1 || !c[0].IsRestarted || !c[0].Replica.IsAccepting() {
+		t.Errorf("later start: expected a restarted replica that accepts work, got %+v", c)
+	}
+}
+
+// TestReadyReplicaCountsAsRestartedWhenStartBecomesKnown guards against a restart, by
+// which requests in flight are taken for lost, of a replica that runs on.
+func TestReadyReplicaCountsAsRestartedWhenStartBecomesKnown(t *testing.T) {
+	s := comfreyreplica.NewSet(comfreyreplica.Config{})
+	l := comfreyreplica.Registration{ID: "a", Service: "app", Address: "a"}
+	for _, startMillis := range []int64{0, 7, 0, 7} {
+		l.StartMillis = startMillis
+		for _, c := range s.Update(start, l) {
+			if c.IsRestarted {
+				t.Errorf("start %d: expected no restart", startMillis)
+			}
+		}
+	}
+	l.StartMillis = 8
+	if c := s.Update(start, l); len(c) != 1 || !c[0].IsRestarted {
+		t.Errorf("expected a restart, got %+v", c)
+	}
+}
