--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -116,7 +116,8 @@
 func (s *Set) CanPlaceWith(now time.Time, id string, permit Permit) bool {
 	err := s.MayCallWith(now, id, PurposeWork, permit)
 	if errors.Is(err, ErrLimited) {
-		return !now.Before(s.limits[id].fullUntil)
+		l, _ := s.limits.get(s.startOf(id))
+		return !now.Before(l.fullUntil)
 	}
 	if err != nil {
 		return false
--- a/comfreyreplica/limit.go
+++ b/comfreyreplica/limit.go
@@ -58,11 +58,6 @@
 	return RateLimit{Start: s.startOf(id), ObservedAt: now, IsDirect: true}
 }
 
-// startOf returns the start of a replica, as far as it is known.
-func (s *Set) startOf(id string) Start {
-	return Start{id, s.replicas[id].StartMillis}
-}
-
 // MergeRateLimit records what a response to this or another process says of a
 // replica's limit, and reports whether the limit has changed. The latest response
 // counts, of the latest start.
@@ -70,47 +65,33 @@
 	if l.PerSecond >= maxRateLimit {
 		l.PerSecond = 0
 	}
-	old, ok := s.limits[l.Start.ID]
-	switch {
-	case !ok:
-		if l.IsEnded() {
-			return false
-		}
-	case !old.Start.isSame(l.Start):
-		if l.Start.StartMillis < old.Start.StartMillis {
-			return false
-		}
-	case l.ObservedAt.Before(old.ObservedAt):
+	old, ok := s.limits.get(l.Start)
+	if ok && l.ObservedAt.Before(old.ObservedAt) || !ok && l.IsEnded() {
 		return false
-	case l.Start.StartMillis == 0:
-		l.Start = old.Start
 	}
 	k := rateLimit{RateLimit: l}
 	if !l.IsEnded() {
 		k.fullUntil = old.fullUntil
 	}
-	s.limits[l.Start.ID] = k
-	return !ok || old.PerSecond != l.PerSecond
+	return s.limits.set(l.Start, k) && (!ok || old.PerSecond != l.PerSecond)
 }
 
 // RateLimit returns the limit of a replica. It reports false if there is none.
 func (s *Set) RateLimit(id string) (l RateLimit, ok bool) {
-	k, ok := s.limits[id]
+	k, ok := s.limits.get(s.startOf(id))
 	if !ok || k.IsEnded() {
 		return RateLimit{}, false
 	}
-	if r, known := s.replicas[id]; known && !r.Start().isSame(k.Start) {
-		return RateLimit{}, false
-	}
+	k.Start = s.limits[id].start
 	return k.RateLimit, true
 }
 
 // SetFull records that a replica with a rate limit is expected to have no room until
 // a time.
 func (s *Set) SetFull(id string, until time.Time) {
-	if k, ok := s.limits[id]; ok {
+	if k, ok := s.limits.get(s.startOf(id)); ok {
 		k.fullUntil = until
-		s.limits[id] = k
+		s.limits.set(s.startOf(id), k)
 	}
 }
 
@@ -120,9 +101,10 @@
 // than it is.
 func (s *Set) RateLimits() []RateLimit {
 	var l []RateLimit
-	for _, k := range s.limits {
-		if k.IsDirect {
-			l = append(l, k.RateLimit)
+	for _, e := range s.limits {
+		if k := e.value.RateLimit; k.IsDirect {
+			k.Start = e.start
+			l = append(l, k)
 		}
 	}
 	return l
@@ -164,19 +146,14 @@
 	})
 }
 
-// expireLimits drops limits that have ended, of earlier starts, and of replicas
-// that are gone. A limit that was named before the start of its replica was known
-// belongs to the first start that is known.
+// expireLimits drops limits that ended some time ago, and those of replicas that are
+// gone.
 func (s *Set) expireLimits(now time.Time) {
-	for id, l := range s.limits {
-		r, known := s.replicas[id]
-		age := now.Sub(l.ObservedAt)
-		switch {
-		case l.IsEnded() && age > endedLimitRetention, !known && age > unlistedLimitRetention, known && !r.Start().isSame(l.Start):
+	for id, e := range s.limits {
+		_, known := s.replicas[id]
+		age := now.Sub(e.value.ObservedAt)
+		if e.value.IsEnded() && age > endedLimitRetention || !known && age > unlistedLimitRetention {
 			delete(s.limits, id)
-		case known && l.Start.StartMillis == 0 && r.StartMillis != 0:
-			l.Start = r.Start()
-			s.limits[id] = l
 		}
 	}
 }
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -55,14 +55,14 @@
 	restored      map[string]Registration
 	restoredUntil time.Time
 	pauses        startMap[*pause]
-	limits        map[string]rateLimit
+	limits        startMap[rateLimit]
 	// hints holds until when replicas are avoided.
 	hints map[string]time.Time
 }
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
-	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{}, limits: map[string]rateLimit{}, hints: map[string]time.Time{}}
+	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{}, limits: startMap[rateLimit]{}, hints: map[string]time.Time{}}
 }
 
 func (c Config) withDefaults() Config {
@@ -91,6 +91,7 @@
 		l.StartMillis = old.StartMillis
 	}
 	s.pauses.learn(l.start())
+	s.limits.learn(l.start())
 	if isSameStart && old.State == StateLeaving && !old.IsRemoved {
 		old.StartMillis = l.StartMillis
 		s.replicas[l.ID] = old
