What a found cause explains makes no other feature suspect

Cause: a feature of one crash ran one at a time at each gateway as long as no run had cleared it, although a request that alone explains three crashes had been found as the cause of that one too. Now the latter explains it. A second cause beside the first is found by its next crash, as before.

TestBystanderOfOneCrashOfAFoundCauseRuns failed before (wait instead of allow).

--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -16,6 +16,9 @@
 	// process only.
 	likelyCause   = 1.0 / 2
 	possibleCause = 1.0 / 3
+	// foundCrashes is the number of crashes by which a cause is found. A request that
+	// was near one of them only, beside the cause, is not suspect.
+	foundCrashes = 3
 	// maxHolds is the number of holds after which a request does not run before the
 	// records of its crashes expire.
 	maxHolds = 5
@@ -67,7 +70,7 @@
 			cause, crashes = f, l
 		}
 	}
-	if len(crashes) == 0 {
+	if len(crashes) == 0 || len(crashes) == 1 && t.isExplainedByOther(now, crashes[0], features) {
 		return Assessment{}, false
 	}
 	a := Assessment{Cause: cause, Crashes: len(crashes), LastCrash: crashes[len(crashes)-1].at(t.config.Retention)}
@@ -83,6 +86,19 @@
 	return a, true
 }
 
+// isExplainedByOther reports whether a crash has a possible cause beside some features
+// that was found by other crashes: at least foundCrashes, which it alone explains.
+func (t *Table) isExplainedByOther(now time.Time, r CrashRecord, features []Fingerprint) bool {
+	counts := t.possibleCauseCounts()
+	return slices.ContainsFunc(r.possibleCauses(), func(s Suspect) bool {
+		if slices.Contains(features, s.Fingerprint) || counts[s.Fingerprint] < foundCrashes {
+			return false
+		}
+		l := t.explained(now, s.Fingerprint)
+		return len(l) >= foundCrashes && len(explainingAll(l)) == 1
+	})
+}
+
 // explainingAll returns the features that may have caused each of some crashes.
 func explainingAll(crashes []CrashRecord) []Fingerprint {
 	var l []Fingerprint
--- a/comfreyquarantine/trial_test.go
+++ b/comfreyquarantine/trial_test.go
@@ -262,3 +262,39 @@
 		})
 	}
 }
+
+// TestBystanderOfOneCrashOfAFoundCauseRuns guards against sound requests that are
+// refused when two of them meet at a gateway, because one was near a crash that the
+// found cause of other crashes explains. Beside a cause that is not found yet they
+// run one at a time.
+func TestBystanderOfOneCrashOfAFoundCauseRuns(t *testing.T) {
+	busy := anyTrial
+	busy.IsInFlight = func(Fingerprint) bool { return true }
+	table := NewTable(Config{})
+	for i, bystander := range []string{"x", "y", "sound"} {
+		at := testStart.Add(time.Duration(i) * time.Second)
+		table.Merge(at, []CrashRecord{testCrash(fmt.Sprint("i-", i), at, "cause", bystander)})
+		want := DecisionWait
+		if bystander == "sound" {
+			want = DecisionAllow
+		}
+		if d, _ := decideTrial(table, at, testFeatures(bystander), busy); d != want {
+			t.Errorf("request near crash %d of the cause: expected %v, got %v", i+1, want, d)
+		}
+	}
+	// A second cause is found by its next crash.
+	at := testStart.Add(4 * time.Second)
+	table.Merge(at, []CrashRecord{testCrash("i-3", at, "sound", "z")})
+	if d, _ := decideTrial(table, at, testFeatures("sound"), anyTrial); d != DecisionRefuse {
+		t.Errorf("near a crash without the cause: expected %v, got %v", DecisionRefuse, d)
+	}
+	// Of two features that were near the same crashes, neither is found.
+	table = NewTable(Config{})
+	for i, bystander := range []string{"x", "y", "sound"} {
+		table.Merge(testStart, []CrashRecord{testCrash(fmt.Sprint("i-", i), testStart, "a", "b", bystander)})
+	}
+	table.ClearSuspectBefore(testStart, testFeatures("x")[0])
+	if a, ok := table.Assess(testStart, testFeatures("sound")); !ok || a.Crashes != 1 {
+		t.Errorf("near one crash of two possible causes: expected an assessment of one crash, got %+v, %v", a, ok)
+	}
+}
