Trials of a part that two causes share are left to requests without them

Now only a suspect with a crash that the cause does not explain makes a trial void, and for 4 s trials are left to requests without a further suspect.

--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -25,6 +25,9 @@
 	// TrialInterval is the time after which twice as many processes may run a suspect
 	// whose hold has ended, and after which a caller should try another one.
 	TrialInterval = 2 * time.Second
+	// mixedTrialDelay is how long the trial of a cause is left to requests without other
+	// features that were near several of its crashes.
+	mixedTrialDelay = 2 * TrialInterval
 	// maxRepeatedRecords bounds the records that RepeatedSuspects returns.
 	maxRepeatedRecords = 64
 )
@@ -46,6 +49,9 @@
 	// Probability is the probability that the cause of these crashes is a feature of
 	// the request. It counts all features alike that explain each of them.
 	Probability float64
+	// IsMixed means that the request has a further feature that was near several of
+	// the crashes, but not all, so that its run would tell little of the cause.
+	IsMixed bool
 	// LastCrash is when the latest of the crashes was recorded, and HeldUntil when the
 	// latest hold ends.
 	LastCrash, HeldUntil time.Time
@@ -75,7 +81,7 @@
 	}
 	a := Assessment{Cause: cause, Crashes: len(crashes), LastCrash: crashes[len(crashes)-1].at(t.config.Retention)}
 	alike := explainingAll(crashes)
-	a.Holds, a.HeldUntil = t.hold(cause, crashes, alike)
+	a.Holds, a.HeldUntil = t.hold(now, cause, crashes, alike)
 	own := 0
 	for _, f := range alike {
 		if slices.Contains(features, f) {
@@ -83,6 +89,7 @@
 		}
 	}
 	a.Probability = float64(own) / float64(len(alike))
+	a.IsMixed = slices.ContainsFunc(features, func(f Fingerprint) bool { return counts[f] > 1 && !slices.Contains(alike, f) })
 	return a, true
 }
 
@@ -143,13 +150,13 @@
 // which does not lengthen it. A trial that ended in a crash which another suspect
 // explains as well shows little: the same hold follows it. The alike are the features
 // that explain all of the crashes.
-func (t *Table) hold(cause Fingerprint, crashes []CrashRecord, alike []Fingerprint) (holds int, until time.Time) {
+func (t *Table) hold(now time.Time, cause Fingerprint, crashes []CrashRecord, alike []Fingerprint) (holds int, until time.Time) {
 	for _, r := range crashes {
 		at := r.at(t.config.Retention)
 		if at.Before(until) {
 			continue
 		}
-		if holds < 2 || !t.isContested(r, alike) {
+		if holds < 2 || !t.isContested(now, r, alike) {
 			holds++
 		}
 		until = r.Expiry
@@ -161,11 +168,14 @@
 }
 
 // isContested reports whether a crash has a possible cause beside some features that
-// was near other crashes too.
-func (t *Table) isContested(r CrashRecord, features []Fingerprint) bool {
+// was near other crashes too, which these do not explain.
+func (t *Table) isContested(now time.Time, r CrashRecord, features []Fingerprint) bool {
 	counts := t.possibleCauseCounts()
 	return slices.ContainsFunc(r.possibleCauses(), func(s Suspect) bool {
-		return !slices.Contains(features, s.Fingerprint) && counts[s.Fingerprint] > 1
+		return !slices.Contains(features, s.Fingerprint) && counts[s.Fingerprint] > 1 &&
+			slices.ContainsFunc(t.explained(now, s.Fingerprint), func(o CrashRecord) bool {
+				return !slices.ContainsFunc(features, o.isPossibleCause)
+			})
 	})
 }
 
@@ -204,7 +214,11 @@
 	if now.Before(from) {
 		return DecisionRefuse, from.Sub(now)
 	}
-	if a.Holds > 1 && !c.IsElected(a.Cause, now.Sub(from)) {
+	overdue := now.Sub(from)
+	if a.Holds > 1 && a.IsMixed && overdue < mixedTrialDelay {
+		return DecisionRefuse, mixedTrialDelay - overdue
+	}
+	if a.Holds > 1 && !c.IsElected(a.Cause, overdue) {
 		return DecisionRefuse, TrialInterval
 	}
 	if c.IsInFlight(a.Cause) {
--- a/comfreyquarantine/trial_test.go
+++ b/comfreyquarantine/trial_test.go
@@ -245,6 +245,51 @@
 	}
 }
 
+// TestTrialsOfASharedPartAreLeftToOtherRequests guards against trials of a sound part
+// that end in crashes of two causes which share it, one after the other, because
+// requests with the causes are more frequent than sound ones. A part that is in no
+// other request is tried by these, later.
+func TestTrialsOfASharedPartAreLeftToOtherRequests(t *testing.T) {
+	for _, sound := range []bool{true, false} {
+		table, o := NewTable(Config{}), NewObserver(0)
+		var crashes []time.Time
+		late, served := 0, 0
+		for i := range 300 {
+			now := testStart.Add(time.Duration(i) * 100 * time.Millisecond)
+			kind := []string{"crash-a", "crash-b"}[i%2]
+			if sound && i%10 == 9 {
+				kind = "sound"
+			}
+			features := testFeatures(fmt.Sprint("own-", i), "shared", kind)
+			if decision, after := decideTrial(table, now, features, anyTrial); decision != DecisionAllow {
+				if after <= 0 {
+					t.Fatalf("after %v: expected a delay with %v, got %v", now.Sub(testStart), decision, after)
+				}
+				continue
+			}
+			if kind == "sound" {
+				served++
+				o.RecordRun(now, features)
+				for _, f := range features {
+					table.ClearSuspectBefore(now, f)
+				}
+				continue
+			}
+			u := Upstream{fmt.Sprint("i-", i), 1}
+			o.Lose(now, o.Start(u, features))
+			r, _ := o.Crash(now, u)
+			table.Merge(now, []CrashRecord{r})
+			crashes = append(crashes, now)
+			if len(crashes) > 5 && now.Sub(crashes[4]) > 3*time.Second {
+				late++
+			}
+		}
+		if late > 3 || sound && served < 20 {
+			t.Errorf("sound requests %v: expected at most 3 crashes later than 3 s after the fifth, and 20 of 30 sound requests served, got %d of %d and %d", sound, late, len(crashes), served)
+		}
+	}
+}
+
 func BenchmarkAssess(b *testing.B) {
 	table := NewTable(Config{})
 	for i := range 256 {
