--- a/comfreyforward/rate_limit.go
+++ b/comfreyforward/rate_limit.go
@@ -65,6 +65,23 @@
 	return slices.DeleteFunc(limits, func(l comfreyreplica.RateLimit) bool { return !g.replicas.MergeRateLimit(l) })
 }
 
+// KnownRateLimits returns the limits that this gateway knows, for one that starts.
+func (g *Gateway) KnownRateLimits() []comfreyreplica.RateLimit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replicas.KnownRateLimits()
+}
+
+// MergeRateLimits merges limits that another gateway knows.
+func (g *Gateway) MergeRateLimits(limits []comfreyreplica.RateLimit) {
+	g.mu.Lock()
+	limits = g.mergeRateLimits(limits)
+	g.mu.Unlock()
+	for _, l := range limits {
+		g.recordRateLimit(l, "exchange")
+	}
+}
+
 // recordRateLimit logs a changed limit and the gateway that has sent it; empty if
 // the replica itself has.
 func (g *Gateway) recordRateLimit(l comfreyreplica.RateLimit, gateway string) {
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -193,6 +193,9 @@
 	if len(r.Crashes) > 0 {
 		g.config.MergeCrashRecords(comfreyrpc.DecodeCrashRecords(r.Crashes, g.config.Now()))
 	}
+	if len(r.RateLimits) > 0 {
+		g.config.MergeRateLimits(comfreyrpc.DecodeRateLimits(r.RateLimits, g.config.Now()))
+	}
 	version := comfreystorecache.Version{Era: r.Era, Revision: r.Complete}
 	if r.Withheld {
 		g.requestIfNewer(address, version)
@@ -254,6 +257,9 @@
 		Gateways: l, DataCentre: g.config.DataCentre, DataCentres: dataCentres, Sizes: sizes,
 		Crashes: comfreyrpc.EncodeCrashRecords(g.config.RepeatedSuspects(), g.config.Now()),
 	}
+	if r.Complete == 0 {
+		p.RateLimits = comfreyrpc.EncodeRateLimits(g.config.KnownRateLimits(), g.config.Now())
+	}
 	if own := g.config.StoreVersion(); g.mustWithholdListing(r, own) {
 		p.Complete, p.Era, p.Withheld = own.Revision, own.Era, true
 		return p, nil
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -138,6 +138,10 @@
 	// MergeCrashRecords adds those of another gateway.
 	CrashRecords, RepeatedSuspects func() []comfreyquarantine.CrashRecord
 	MergeCrashRecords              func(l []comfreyquarantine.CrashRecord)
+	// KnownRateLimits returns the rate limits of replicas for a gateway that starts,
+	// and MergeRateLimits adds those of another gateway.
+	KnownRateLimits func() []comfreyreplica.RateLimit
+	MergeRateLimits func(l []comfreyreplica.RateLimit)
 	// Permit answers another gateway's request for a permit, which was passed on a
 	// number of times.
 	Permit func(ctx context.Context, r comfreyratelimit.Request, hops int) comfreyratelimit.Reply
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -39,6 +39,8 @@
 	generations []comfreyoccupancy.Generation
 	placements  map[string]comfreygossip.Placements
 	cells       map[comfreycell.ID]comfreygossip.CellState
+	// rateLimits are those that the node knows, and received those of exchanges.
+	rateLimits, received []comfreyreplica.RateLimit
 	// storeCurrentAt is when another gateway last sent a store age.
 	storeCurrentAt time.Time
 }
@@ -90,7 +92,9 @@
 		},
 		Placements: func() comfreygossip.Placements {
 			return locked(n, func() comfreygossip.Placements {
-				return comfreygossip.Placements{Generations: slices.Clone(n.generations), Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}, Announced: []comfreyreplica.Start{{ID: "new", StartMillis: 8}}}
+				return comfreygossip.Placements{
+					RateLimits: n.rateLimits, PermitHolders: map[string]string{"app": n.address},
+					Generations: slices.Clone(n.generations), Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}, Announced: []comfreyreplica.Start{{ID: "new", StartMillis: 8}}}
 			})
 		},
 		ApplyPlacements: func(g string, s comfreygossip.Placements) {
@@ -114,8 +118,16 @@
 		},
 		CrashRecords:     func() []comfreyquarantine.CrashRecord { return nil },
 		RepeatedSuspects: func() []comfreyquarantine.CrashRecord { return nil },
-		Permit: func(context.Context, comfreyratelimit.Request, int) comfreyratelimit.Reply {
-			return comfreyratelimit.Reply{}
+		Permit: func(_ context.Context, r comfreyratelimit.Request, hops int) comfreyratelimit.Reply {
+			return comfreyratelimit.Reply{Replica: r.Offers[0].Start.ID, Wait: time.Duration(hops) * time.Second, IsBooked: r.Key == "key"}
+		},
+		KnownRateLimits: func() []comfreyreplica.RateLimit {
+			return locked(n, func() []comfreyreplica.RateLimit { return n.rateLimits })
+		},
+		MergeRateLimits: func(l []comfreyreplica.RateLimit) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.received = append(n.received, l...)
 		},
 		MergeCrashRecords: func([]comfreyquarantine.CrashRecord) {},
 		ApplyCellState: func(c comfreycell.ID, s comfreygossip.CellState) {
@@ -156,6 +168,38 @@
 	}
 }
 
+// testRateLimits returns the limits of some replicas.
+func testRateLimits(n int) []comfreyreplica.RateLimit {
+	var l []comfreyreplica.RateLimit
+	for i := range n {
+		l = append(l, comfreyreplica.RateLimit{Start: comfreyreplica.Start{ID: fmt.Sprint("i-", i), StartMillis: 7}, PerSecond: float64(i), ObservedAt: time.Now()})
+	}
+	return l
+}
+
+// TestRateLimitsAndPermitsReachOtherGateways checks that limits and named holders are
+// part of the placements, that a gateway which starts gets the limits with its first
+// exchange, and that permits are requested from any known gateway.
+func TestRateLimitsAndPermitsReachOtherGateways(t *testing.T) {
+	a := startNode(t, 61)
+	locked(a, func() bool { a.rateLimits = testRateLimits(25); return true })
+	b := startNode(t, 62, a.address)
+	await(t, "the limits of the other gateway", func() bool {
+		return locked(b, func() bool {
+			s := b.placements[a.address]
+			return len(s.RateLimits) == 25 && s.PermitHolders["app"] == a.address && len(b.received) == 25
+		})
+	})
+	r := comfreyratelimit.Request{Service: "app", Key: "key", Offers: []comfreyratelimit.Offer{{Start: comfreyreplica.Start{ID: "i-1"}, PerSecond: 3}}}
+	p, err := b.gossip.RequestPermit(t.Context(), a.address, r, 2)
+	if want := (comfreyratelimit.Reply{Replica: "i-1", Wait: 2 * time.Second, IsBooked: true}); err != nil || p != want {
+		t.Errorf("expected reply %+v, got %+v, %v", want, p, err)
+	}
+	if _, err := b.gossip.RequestPermit(t.Context(), "127.0.7.63:1", r, 0); err == nil {
+		t.Error("permit of an unknown gateway: expected an error")
+	}
+}
+
 // TestPlacementsAndStoreChangesReachAllPeers checks that two gateways with a
 // common seed exchange placements, in several datagrams, and store changes.
 func TestPlacementsAndStoreChangesReachAllPeers(t *testing.T) {
--- a/comfreygossip/transfer_test.go
+++ b/comfreygossip/transfer_test.go
@@ -20,6 +20,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -40,6 +41,7 @@
 	return New(Config{
 		Address: "127.0.7.240:1", Logger: logger, StoreVersion: c.Version, StoreChangesSince: c.Since, Placements: func() Placements { return Placements{} },
 		RepeatedSuspects: func() []comfreyquarantine.CrashRecord { return nil },
+		KnownRateLimits:  func() []comfreyreplica.RateLimit { return nil },
 		DirectStoreAge:   func() (time.Duration, bool) { return 0, false },
 	})
 }
--- a/comfreyreplica/limit.go
+++ b/comfreyreplica/limit.go
@@ -110,6 +110,18 @@
 	return l
 }
 
+// KnownRateLimits returns all limits that hold, in no order, also those that other
+// processes were told. They are for a process that knows none and sends none on.
+func (s *Set) KnownRateLimits() []RateLimit {
+	var l []RateLimit
+	for id := range s.limits {
+		if k, ok := s.RateLimit(id); ok {
+			l = append(l, k)
+		}
+	}
+	return l
+}
+
 // LimitedServices returns the services whose replicas have rate limits, in no order.
 func (s *Set) LimitedServices() []string {
 	var l []string
