--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -90,13 +90,7 @@
 			}
 			n.cache.Merge(m.After, m.Changes)
 		},
-		Placements: func() comfreygossip.Placements {
-			return locked(n, func() comfreygossip.Placements {
-				return comfreygossip.Placements{
-					RateLimits: n.rateLimits, PermitHolders: map[string]string{"app": n.address},
-					Generations: slices.Clone(n.generations), Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}, Announced: []comfreyreplica.Start{{ID: "new", StartMillis: 8}}}
-			})
-		},
+		Placements: n.ownPlacements,
 		ApplyPlacements: func(g string, s comfreygossip.Placements) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -153,6 +147,16 @@
 	return n
 }
 
+// ownPlacements returns what the node sends to others.
+func (n *node) ownPlacements() comfreygossip.Placements {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return comfreygossip.Placements{
+		RateLimits: n.rateLimits, PermitHolders: map[string]string{"app": n.address}, Generations: slices.Clone(n.generations),
+		Leaving: []comfreyreplica.Start{{ID: "old", StartMillis: 7}}, Announced: []comfreyreplica.Start{{ID: "new", StartMillis: 8}},
+	}
+}
+
 func locked[T any](n *node, f func() T) T {
 	n.mu.Lock()
 	defer n.mu.Unlock()
