An agent that gets a message before it runs is not without configuration for 30 s

The sidecar that was not ready had no configuration.

Cause: its listener was open before its agent ran. A digest of a peer made the node decide on a call, which the agent dropped, since it had no group yet; the node took it for open and made no other for 30 s. Class: a decision that is recorded as carried out, and is not. Events before Run are now ignored; the next digest comes with the next message.

--- a/comfreyplatform/agent.go
+++ b/comfreyplatform/agent.go
@@ -156,10 +156,14 @@
 	return max(a.node.NextTick().Sub(a.config.Now()), minTick)
 }
 
-// step passes an event to the node and executes the resulting actions.
+// step passes an event to the node and executes the resulting actions. Events before
+// and after Run are ignored.
 func (a *Agent) step(event func(n *comfreyconfig.Node, now time.Time) []comfreyconfig.Action) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.group == nil {
+		return // The node would take calls for open that are not made.
+	}
 	actions := event(a.node, a.config.Now())
 	a.publish()
 	for _, x := range actions {
@@ -186,9 +190,6 @@
 		return
 	default:
 	}
-	if a.group == nil {
-		return
-	}
 	a.group.Go("config-call", func(ctx context.Context) error {
 		a.call(ctx, x)
 		return nil
--- a/comfreyplatform/agent_test.go
+++ b/comfreyplatform/agent_test.go
@@ -233,3 +233,24 @@
 		t.Errorf("got calls %+v", x)
 	}
 }
+
+// TestDigestBeforeRunLeavesAgentWithoutRevision guards against an agent that takes a
+// call for open which it has not made, because a peer's message came before it ran, and
+// gets the revision only when it gives up that call, after 30 s.
+func TestDigestBeforeRunLeavesAgentWithoutRevision(t *testing.T) {
+	f := newFleet(t)
+	f.platform.Publish(folder("a"))
+	a := comfreyplatform.NewAgent(comfreyplatform.AgentConfig{
+		Node:   comfreyconfig.NodeConfig{Self: comfreyconfig.Peer{Address: "a", DataCentre: "ruwi"}, Timing: fastTiming, Seed: 1},
+		Client: comfreyplatform.New(comfreyplatform.Config{URL: f.url}),
+	})
+	first := f.start("b", 2)
+	f.waitForRevision(1, first)
+	a.ObserveDigest(comfreyconfig.Peer{Address: "b", DataCentre: "ruwi"}, first.Digest())
+	began := time.Now()
+	f.group.Go("a", a.Run)
+	f.waitForRevision(1, a)
+	if took := time.Since(began); took > 15*time.Second {
+		t.Errorf("expected the revision within a second, got it after %v", took)
+	}
+}
