--- a/comfreyratelimit/division.go
+++ b/comfreyratelimit/division.go
@@ -92,11 +92,16 @@
 	}
 }
 
-// members returns the number of gateways that have a part in the rates.
-func (d *Division) members(now time.Time, v View) int {
+// observeMembers records the number of members, of which the largest counts for
+// SplitTimeout if half of them or more fall silent.
+func (d *Division) observeMembers(now time.Time, v View) {
 	if v.Members >= d.mostMembers || now.Sub(d.mostMembersAt) > SplitTimeout {
 		d.mostMembers, d.mostMembersAt = max(v.Members, 1), now
 	}
+}
+
+// members returns the number of gateways that have a part in the rates.
+func (d *Division) members(v View) int {
 	if 2*v.Members <= d.mostMembers {
 		return d.mostMembers
 	}
@@ -126,7 +131,7 @@
 	names := map[string]string{}
 	for s := range services {
 		if v := view(s); v.Contact == "" {
-			d.members(now, v)
+			d.observeMembers(now, v)
 			if h := d.Holder(now, s, v); h != "" {
 				names[s] = h
 			}
@@ -167,7 +172,8 @@
 			n++
 		}
 	}
-	return min(float64(n)/float64(max(d.members(now, v), 1)), 1)
+	d.observeMembers(now, v)
+	return min(float64(n)/float64(max(d.members(v), 1)), 1)
 }
 
 // Expire drops what is out of date. The caller calls it about once a second.
--- a/comfreyreplica/limit.go
+++ b/comfreyreplica/limit.go
@@ -62,8 +62,11 @@
 // replica's limit, and reports whether the limit has changed. The latest response
 // counts, of the latest start.
 func (s *Set) MergeRateLimit(l RateLimit) (changed bool) {
-	if l.PerSecond >= maxRateLimit {
+	switch {
+	case l.PerSecond >= maxRateLimit:
 		l.PerSecond = 0
+	case l.PerSecond > 0:
+		l.PerSecond = max(l.PerSecond, minRateLimit)
 	}
 	old, ok := s.limits.get(l.Start)
 	if ok && l.ObservedAt.Before(old.ObservedAt) || !ok && l.IsEnded() {
--- a/comfreyrpc/rate_limit.go
+++ b/comfreyrpc/rate_limit.go
@@ -59,7 +59,7 @@
 func DecodePermitRequest(m *comfreyproto.PermitRequest) (r comfreyratelimit.Request, hops int) {
 	r = comfreyratelimit.Request{Service: m.Service, Key: string(m.Key), MaxWait: Duration(m.MaxWaitMillis), IsUrgent: m.Urgent}
 	for _, o := range m.Replicas[:min(len(m.Replicas), maxOffers)] {
-		if isValidRateLimit(o) {
+		if isValidRateLimit(o) && o.PerSecond > 0 {
 			k := comfreyreplica.Start{ID: o.Replica, StartMillis: o.Born}
 			r.Offers = append(r.Offers, comfreyratelimit.Offer{Start: k, PerSecond: o.PerSecond, Age: Duration(o.AgeMillis)})
 		}
--- a/comfreyrpc/rate_limit_test.go
+++ b/comfreyrpc/rate_limit_test.go
@@ -33,7 +33,7 @@
 		Offers: []comfreyratelimit.Offer{{Start: comfreyreplica.Start{ID: "a", StartMillis: 7}, PerSecond: 3.4, Age: time.Second}},
 	}
 	m := comfreyrpc.EncodePermitRequest(r, 2)
-	m.Replicas = append(m.Replicas, malformedRateLimits...)
+	m.Replicas = append(append(m.Replicas, malformedRateLimits...), &comfreyproto.ReplicaRateLimit{Replica: "ended"})
 	if got, hops := comfreyrpc.DecodePermitRequest(m); !reflect.DeepEqual(got, r) || hops != 2 {
 		t.Errorf("expected request %+v, passed on twice, got %+v, %d", r, got, hops)
 	}
