--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -24,9 +24,10 @@
 const reportedLoadMaxAge = 500 * time.Millisecond
 
 // candidates returns the replicas of a service that accept new work and are not
-// excluded, or only the one for which there is a permit. Engines are those of this gateway's cell, and some for which another
-// cell reports free capacity; a new engine is used by a few gateways of its cell
-// only. The mutex must be held.
+// excluded, or only the one for which there is a permit, of any cell. Engines are
+// otherwise those of this gateway's cell, and some for which another cell reports
+// free capacity; a new engine is used by a few gateways of its cell only. The mutex
+// must be held.
 func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool, permit comfreyreplica.Permit) []comfreyplacement.Candidate {
 	if !s.HasEngine {
 		return g.unaryCandidates(now, s, excluded, permit)
@@ -40,7 +41,7 @@
 			continue
 		}
 		if r.ID == permit.Replica {
-			return []comfreyplacement.Candidate{g.candidate(now, s, r, load)} // Its holder is of any cell.
+			return []comfreyplacement.Candidate{g.candidate(now, s, r, load)}
 		}
 		if !layout.IsHome(r.ID, r.DataCentre) {
 			if p, ok := summarized(r.ID); ok {
