Test that trials are left to requests without a further suspect

The rule had runs among processes, and no test of its own. With the rule switched off it fails (the request with a further suspect is allowed after 0.9 s).

--- a/comfreyquarantine/trial_test.go
+++ b/comfreyquarantine/trial_test.go
@@ -245,6 +245,28 @@
 	}
 }
 
+// TestTrialOfASharedPartIsLeftToRequestsWithoutACause checks that a request with a
+// further suspect waits for a second after a hold, in which others may try the cause.
+func TestTrialOfASharedPartIsLeftToRequestsWithoutACause(t *testing.T) {
+	table := NewTable(Config{})
+	for i, cause := range []string{"a", "a", "b"} {
+		table.Merge(testStart, []CrashRecord{testCrash(fmt.Sprint("i-", i), testStart, "shared", cause)})
+	}
+	for _, c := range []struct {
+		after    time.Duration
+		features []Fingerprint
+		want     Decision
+	}{
+		{900 * time.Millisecond, testFeatures("shared", "a"), DecisionRefuse},
+		{900 * time.Millisecond, testFeatures("shared", "sound"), DecisionAllow},
+		{2 * time.Second, testFeatures("shared", "a"), DecisionAllow},
+	} {
+		if d, after := decideTrial(table, testStart.Add(c.after), c.features, anyTrial); d != c.want || d == DecisionRefuse && after > time.Second {
+			t.Errorf("%v after the crashes: expected %v, got %v for %v", c.after, c.want, d, after)
+		}
+	}
+}
+
 // TestTrialsOfASharedPartAreLeftToOtherRequests guards against trials of a sound part
 // that end in crashes of two causes which share it, one after the other, because
 // requests with the causes are more frequent than sound ones.
