An engine whose reservation names a limit can be offered for a permit

A stream waited in the queue and was refused with admission-full (0.38 s) when the response to its reservation was the first to name a limit: the engine counted as tried, so that no permit was requested. A sent attempt has always cleared that mark (handleSendError); the reservation did not.

TestReservationThatNamesARateLimitBarsItsEngine failed before.

--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -201,6 +201,9 @@
 	switch {
 	case isNotPermitted:
 		g.estimator.Finish(now, n.request)
+		if reason == comfreyverdict.ReasonUpstreamLimited {
+			delete(x.tried, p.ID) // It can be offered for a permit.
+		}
 	case errors.Is(err, comfreycall.ErrNoCapacity):
 		reason = comfreyverdict.ReasonAdmissionFull
 		g.estimator.Refused(now, p.ID, n.request)
