--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -85,7 +85,7 @@
 	leaving, announced := g.recentlyLeaving()
 	return comfreygossip.Placements{
 		Generations: g.estimator.Generations(), Leaving: leaving, Announced: announced,
-		RateLimits: g.replicas.RateLimits(), PermitHolders: g.division.Names(g.config.Now(), g.replicas.LimitedServices(), g.permitView),
+		RateLimits: g.replicas.RateLimits(), PermitHolders: g.division.HolderNames(g.config.Now(), g.replicas.LimitedServices(), g.permitView),
 	}
 }
 
@@ -119,7 +119,7 @@
 		g.replicas.Hint(now, k)
 	}
 	limits := g.mergeRateLimits(s.RateLimits)
-	isNewName := g.division.SetNames(now, gateway, s.PermitHolders)
+	isNewName := g.division.SetHolderNames(now, gateway, s.PermitHolders)
 	g.mu.Unlock()
 	for _, l := range limits {
 		g.recordRateLimit(l, gateway)
--- a/comfreyforward/permit.go
+++ b/comfreyforward/permit.go
@@ -24,9 +24,6 @@
 	// maxFullPeriod is how long a replica is at most taken to be full without asking
 	// again, since its limit may rise or end.
 	maxFullPeriod = 500 * time.Millisecond
-	// returnShare is the part of the time it has left for which a caller waits before
-	// it sends its request again.
-	returnShare = 1.0 / 3
 	// returnMargin is added to the time of a return, so that it is not early.
 	returnMargin = 20 * time.Millisecond
 	// pausedRetrySpread is the least time over which callers return after a pause.
@@ -104,13 +101,13 @@
 		return comfreyreplica.Permit{} // The limit has just ended.
 	}
 	r := comfreyratelimit.Request{Service: k.Service, Offers: []comfreyratelimit.Offer{newOffer(now, l)}, Key: c.key, IsUrgent: c.purpose == comfreyreplica.PurposeResume}
-	p, _ := g.applyPermit(r, g.requestPermit(ctx, r, 0))
+	p, _ := g.applyReply(r, g.requestPermit(ctx, r, 0))
 	return p
 }
 
-// applyPermit returns the permit in a reply. If there is none, the replicas are taken
-// to be full for a time.
-func (g *Gateway) applyPermit(r comfreyratelimit.Request, p comfreyratelimit.Reply) (comfreyreplica.Permit, bool) {
+// applyReply returns the permit in a reply, or else records that the replicas are full
+// for a time.
+func (g *Gateway) applyReply(r comfreyratelimit.Request, p comfreyratelimit.Reply) (comfreyreplica.Permit, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
@@ -145,11 +142,11 @@
 	}
 	x.permitRequests++
 	if isNotRun {
-		r.MaxWait = time.Duration(returnShare * float64(x.deadline.Sub(g.config.Now())))
+		r.MaxWait = comfreyratelimit.MaxReturnWait(x.deadline.Sub(g.config.Now()))
 	}
 	p := g.requestPermit(ctx, r, 0)
 	var ok bool
-	if x.permit, ok = g.applyPermit(r, p); ok {
+	if x.permit, ok = g.applyReply(r, p); ok {
 		return true, nil
 	}
 	f := x.logFields(g.config.Now())
--- a/comfreyforward/rate_limit.go
+++ b/comfreyforward/rate_limit.go
@@ -8,13 +8,11 @@
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
-// reportRateShare is the part of a rate limit that load reports may use.
-const reportRateShare = 0.1
-
 // observeRateLimit applies what a response of a replica says of its rate limit.
 func (g *Gateway) observeRateLimit(replica string, h comfreycall.RateLimit) {
 	g.mu.Lock()
@@ -75,16 +73,15 @@
 	})
 }
 
-// mayFetchReport reports whether the load report of an engine may be fetched. All
-// gateways of a cell together use a small part of a rate limit for reports. The
+// mayFetchReport reports whether the load report of an engine may be fetched now. The
 // mutex must be held.
 func (g *Gateway) mayFetchReport(now time.Time, replica string) bool {
 	l, isLimited := g.replicas.RateLimit(replica)
 	if !isLimited {
 		return g.replicas.MayCall(now, replica, comfreyreplica.PurposeControl) == nil
 	}
-	interval := comfreyoccupancy.ReportInterval(g.cellSize(), 0)
-	return g.config.Rand() < reportRateShare*l.PerSecond*interval.Seconds()/float64(g.cellSize())
+	n := g.cellSize()
+	return g.config.Rand() < comfreyratelimit.ReportProbability(l.PerSecond, comfreyoccupancy.ReportInterval(n, 0), n)
 }
 
 // withoutLimited leaves out the candidates with rate limits, unless there are no
--- a/comfreyratelimit/division.go
+++ b/comfreyratelimit/division.go
@@ -108,10 +108,10 @@
 	return v.Members
 }
 
-// Names returns the holders that this gateway asks, to be sent to the others, of the
+// HolderNames returns the holders that this gateway asks, to be sent to the others, of the
 // services whose replicas it knows to be limited and of those for which another
 // gateway names itself. It names itself only if it knows of limits or is asked.
-func (d *Division) Names(now time.Time, limited []string, view func(service string) View) map[string]string {
+func (d *Division) HolderNames(now time.Time, limited []string, view func(service string) View) map[string]string {
 	services := map[string]bool{}
 	for _, s := range limited {
 		services[s] = true
@@ -140,9 +140,9 @@
 	return names
 }
 
-// SetNames records the holders that another gateway asks, and reports whether it
+// SetHolderNames records the holders that another gateway asks, and reports whether it
 // names one for a service that was not named before.
-func (d *Division) SetNames(now time.Time, gateway string, holders map[string]string) (isNew bool) {
+func (d *Division) SetHolderNames(now time.Time, gateway string, holders map[string]string) (isNew bool) {
 	old := d.named[gateway].holders
 	if len(holders) == 0 {
 		delete(d.named, gateway)
--- a/comfreyratelimit/division_test.go
+++ b/comfreyratelimit/division_test.go
@@ -78,7 +78,7 @@
 		if g.isDown {
 			continue
 		}
-		names := g.division.Names(f.now, []string{"app"}, func(string) comfreyratelimit.View { return f.view(i) })
+		names := g.division.HolderNames(f.now, []string{"app"}, func(string) comfreyratelimit.View { return f.view(i) })
 		for k, o := range f.gateways {
 			if k == i || o.isDown || !f.hears(i, k) || f.random.IntN(20) == 0 {
 				continue
@@ -87,7 +87,7 @@
 				o.firstHeardAt[i] = f.now
 			}
 			o.heardAt[i] = f.now
-			o.division.SetNames(f.now, g.address, names)
+			o.division.SetHolderNames(f.now, g.address, names)
 		}
 		g.division.Expire(f.now)
 	}
