Whether a report of a limited engine is fetched is decided when it is due

Cause: the draw was part of the list of engines; an empty list is made again after a second, an engine's report is due every four. Now the draw follows the wait.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -190,6 +191,9 @@
 			if !comfreygroup.Sleep(ctx, pause) {
 				return nil
 			}
+			if !g.mayFetchReport(r.ID) {
+				continue
+			}
 			g.config.Group.Go("report", func(ctx context.Context) error {
 				g.fetchReport(ctx, r)
 				return nil
@@ -221,7 +225,7 @@
 	now := g.config.Now()
 	var l []comfreyreplica.Replica
 	for _, r := range g.replicas.All() {
-		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && layout.IsHome(r.ID, r.DataCentre) && g.mayFetchReport(now, r.ID) {
+		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && layout.IsHome(r.ID, r.DataCentre) && !errors.Is(g.replicas.MayCall(now, r.ID, comfreyreplica.PurposeControl), comfreyreplica.ErrPaused) {
 			l = append(l, r)
 		}
 	}
--- a/comfreyforward/rate_limit.go
+++ b/comfreyforward/rate_limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreydecision"
@@ -73,15 +72,14 @@
 	})
 }
 
-// mayFetchReport reports whether the load report of an engine may be fetched now. The
-// mutex must be held.
-func (g *Gateway) mayFetchReport(now time.Time, replica string) bool {
+// mayFetchReport reports whether a load report that is due may be fetched, for which
+// engines with a rate limit leave little room.
+func (g *Gateway) mayFetchReport(replica string) bool {
+	g.mu.Lock()
 	l, isLimited := g.replicas.RateLimit(replica)
-	if !isLimited {
-		return g.replicas.MayCall(now, replica, comfreyreplica.PurposeControl) == nil
-	}
+	g.mu.Unlock()
 	n := g.cellSize()
-	return g.config.Rand() < comfreyratelimit.ReportProbability(l.PerSecond, comfreyoccupancy.ReportInterval(n, 0), n)
+	return !isLimited || g.config.Rand() < comfreyratelimit.ReportProbability(l.PerSecond, comfreyoccupancy.ReportInterval(n, 0), n)
 }
 
 // withoutLimited leaves out the candidates with rate limits, unless there are no
