Trials of a part that only ever come with another suspect grow rarer

Cause: a trial that crashed beside another suspect repeated the same hold for ever, so that a part which no request has alone was tried every 1.5 s. Change: from the second such trial on, the hold doubles, up to the next one.

--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -22,6 +22,8 @@
 	// maxHolds is the number of holds after which a request does not run before the
 	// records of its crashes expire.
 	maxHolds = 5
+	// maxHoldDoublings bounds how often a hold is doubled.
+	maxHoldDoublings = 16
 	// TrialInterval is the time after which twice as many processes may run a suspect
 	// whose hold has ended, and after which a caller should try another one.
 	TrialInterval = 2 * time.Second
@@ -148,25 +150,42 @@
 // hold returns how many holds the crashes of a cause have begun, and when the last one
 // ends. Requests that were in flight when a hold began may crash upstreams during it,
 // which does not lengthen it. A trial that ended in a crash which another suspect
-// explains as well shows little: the same hold follows it. The alike are the features
-// that explain all of the crashes.
+// explains as well shows little: the same hold follows it, and one twice as long after
+// each further trial of that kind, since no request without another suspect comes.
+// The alike are the features that explain all of the crashes.
+//
+// It is built for this load: every request with one part also has one of two others.
+// Each trial of that part then crashes an upstream.
 func (t *Table) hold(cause Fingerprint, crashes []CrashRecord, alike []Fingerprint) (holds int, until time.Time) {
+	contested := 0
 	for _, r := range crashes {
 		at := r.at(t.config.Retention)
 		if at.Before(until) {
 			continue
 		}
 		if holds < 2 || !t.isContested(r, alike) {
-			holds++
+			holds, contested = holds+1, 0
+		} else {
+			contested++
 		}
 		until = r.Expiry
 		if holds < maxHolds {
-			until = at.Add(spread(cause, holdDurations[holds]))
+			until = at.Add(spread(cause, contestedHold(holds, contested)))
 		}
 	}
 	return holds, until
 }
 
+// contestedHold returns the duration of a hold after some trials that showed little. It
+// is at most that of the next hold.
+func contestedHold(hold, contested int) time.Duration {
+	d := holdDurations[hold]
+	if hold+1 < len(holdDurations) {
+		d = min(d<<min(max(contested-1, 0), maxHoldDoublings), holdDurations[hold+1])
+	}
+	return d
+}
+
 // isContested reports whether a crash has a possible cause beside some features that
 // was near other crashes too.
 func (t *Table) isContested(r CrashRecord, features []Fingerprint) bool {
