Evacuated data centres, cold replicas and homes are heard

Cause: nothing read op/evacuate/ZONE, coldPerS, X-Cold-Ms or homes; a load header with a fourth figure was dropped whole; a registration that says cold again was ignored. Change: comfreyreplica.Set decides for every call whether its data centre is evacuated: no new work at once, no call at all from half of the bound on; generations are moved away meanwhile. A cold replica takes permits at the configured rate from all gateways together (comfreyratelimit). Homes bind placement, retries, moves and permits. What no replica may serve is refused at once. The pace in the load header is read and bounded.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -84,6 +84,13 @@
 	// RateLimit is what the response says of the rate of requests that the replica
 	// takes.
 	RateLimit RateLimit
+	// WarmUp is how long the replica stays cold; it is valid only if HasWarmUp is
+	// true.
+	WarmUp    time.Duration
+	HasWarmUp bool
+	// Pace is how long work takes at the replica at this moment, relative to usual;
+	// zero if unknown.
+	Pace float64
 	// HasLoad reports whether the following counts are known.
 	HasLoad                 bool
 	Running, Waiting, Slots int
--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -56,6 +56,11 @@
 		return
 	}
 	g.observeRateLimit(replica, h.RateLimit)
+	if h.HasWarmUp {
+		g.mu.Lock()
+		g.replicas.ObserveWarmUp(g.config.Now(), replica, h.WarmUp)
+		g.mu.Unlock()
+	}
 	if !h.IsLeaving && h.Pause <= 0 {
 		return
 	}
@@ -87,6 +92,8 @@
 	switch {
 	case errors.Is(err, comfreyreplica.ErrLeaving):
 		return comfreyverdict.ReasonLeaving, true
+	case errors.Is(err, comfreyreplica.ErrEvacuated):
+		return comfreyverdict.ReasonEvacuated, true
 	case errors.Is(err, comfreyreplica.ErrPaused):
 		return comfreyverdict.ReasonUpstreamPaused, true
 	case errors.Is(err, comfreyreplica.ErrLimited):
--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -23,21 +23,42 @@
 // reportedLoadMaxAge is how long the load in a response is used.
 const reportedLoadMaxAge = 500 * time.Millisecond
 
-// candidates returns the replicas of a service that accept new work and are not
-// excluded, or only the one for which there is a permit, of any cell. Engines are
-// otherwise those of this gateway's cell, and some for which another cell reports
+// search tells which replicas can be chosen for a request or a generation.
+type search struct {
+	service comfreyroute.Service
+	homes   comfreyroute.Homes
+	// excluded holds replicas that must not be chosen.
+	excluded map[string]bool
+	// permit is for a replica with a rate limit.
+	permit comfreyreplica.Permit
+}
+
+// search returns what the request needs of a replica.
+func (x *exchange) search() search {
+	return search{service: x.service, homes: x.homes, excluded: x.tried, permit: x.permit}
+}
+
+// isHome reports whether a request with some homes may be served by a replica.
+func (g *Gateway) isHome(h comfreyroute.Homes, r comfreyreplica.Replica) bool {
+	return h.Allow(g.config.Region(r.DataCentre))
+}
+
+// candidates returns the replicas of a service that accept new work, are in a home and
+// are not excluded, or only the one for which there is a permit, of any cell. Engines
+// are otherwise those of this gateway's cell, and some for which another cell reports
 // free capacity; a new engine is used by a few gateways of its cell only. The mutex
 // must be held.
-func (g *Gateway) candidates(now time.Time, s comfreyroute.Service, excluded map[string]bool, permit comfreyreplica.Permit) []comfreyplacement.Candidate {
+func (g *Gateway) candidates(now time.Time, q search) []comfreyplacement.Candidate {
+	s, permit := q.service, q.permit
 	if !s.HasEngine {
-		return g.unaryCandidates(now, s, excluded, permit)
+		return g.unaryCandidates(now, q)
 	}
 	var l, remote []comfreyplacement.Candidate
 	layout := g.config.Layout()
 	others := layout.LiveMembers()
 	load, summarized := g.estimator.Loads(now), g.estimator.SummarizedLoads(now)
 	for _, r := range g.replicas.ByService(s.Name) {
-		if !g.replicas.CanPlaceWith(now, r.ID, permit) || excluded[r.ID] {
+		if !g.replicas.CanPlaceWith(now, r.ID, permit) || q.excluded[r.ID] || !g.isHome(q.homes, r) {
 			continue
 		}
 		if r.ID == permit.Replica {
@@ -59,16 +80,16 @@
 	return g.withoutHinted(now, append(l, comfreyplacement.SampleRemote(remote, g.config.Rand)...))
 }
 
-// unaryCandidates returns the replicas of a service without engines that accept
-// new work and are not excluded. The mutex must be held.
-func (g *Gateway) unaryCandidates(now time.Time, s comfreyroute.Service, excluded map[string]bool, permit comfreyreplica.Permit) []comfreyplacement.Candidate {
+// unaryCandidates returns the replicas of a service without engines that can be
+// chosen. The mutex must be held.
+func (g *Gateway) unaryCandidates(now time.Time, q search) []comfreyplacement.Candidate {
 	var l []comfreyplacement.Candidate
-	for _, r := range g.replicas.ByService(s.Name) {
-		if !g.replicas.CanPlaceWith(now, r.ID, permit) || excluded[r.ID] {
+	for _, r := range g.replicas.ByService(q.service.Name) {
+		if !g.replicas.CanPlaceWith(now, r.ID, q.permit) || q.excluded[r.ID] || !g.isHome(q.homes, r) {
 			continue
 		}
-		c := g.candidate(now, s, r, nil)
-		if r.ID == permit.Replica {
+		c := g.candidate(now, q.service, r, nil)
+		if r.ID == q.permit.Replica {
 			return []comfreyplacement.Candidate{c}
 		}
 		l = append(l, c)
--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -69,6 +69,10 @@
 	// IsConfigurationKey and IsRegistrationKey report what kind of value a key
 	// holds.
 	IsConfigurationKey, IsRegistrationKey func(key string) bool
+	// EvacuatedDataCentre returns the data centre that the operator wants to be empty
+	// as long as a key exists. It reports false for any other key, and for all by
+	// default.
+	EvacuatedDataCentre func(key string) (string, bool)
 	// ReplicaIDFromKey returns the id of the replica to which a registration
 	// key belongs.
 	ReplicaIDFromKey func(key string) string
@@ -101,9 +105,12 @@
 	Recorder   *comfreydecision.Recorder
 	Group      *comfreygroup.Group
 	Retry      RetryLimit
-	// DrainPeriod is how long a leaving replica continues to serve; see
-	// comfreyreplica.Config.
-	DrainPeriod time.Duration
+	// Replicas are the periods of replicas that leave, and of data centres that are
+	// evacuated.
+	Replicas comfreyreplica.Config
+	// Region returns the region of a data centre, or an empty string if it is not
+	// known, which it is not by default.
+	Region func(dataCentre string) string
 	// TriggerGossip is called when a gossip message should soon be sent to the
 	// other gateways: after the placement of a generation, the leaving of a
 	// replica or a change in the store. It does nothing by default and must not
@@ -140,6 +147,12 @@
 	if c.Rand == nil {
 		c.Rand = rand.Float64
 	}
+	if c.Store.EvacuatedDataCentre == nil {
+		c.Store.EvacuatedDataCentre = func(string) (string, bool) { return "", false }
+	}
+	if c.Region == nil {
+		c.Region = func(string) string { return "" }
+	}
 	if c.Layout == nil {
 		alone := comfreycell.New(comfreycell.Gateway{Address: c.Address, DataCentre: c.DataCentre, AliveFor: comfreyratelimit.SettlingPeriod}, nil, nil)
 		c.Layout = func() comfreycell.Layout { return alone }
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -87,7 +87,7 @@
 	g := &Gateway{
 		config:         c.withDefaults(),
 		storeCache:     comfreystorecache.New(),
-		replicas:       comfreyreplica.NewSet(comfreyreplica.Config{DrainPeriod: c.DrainPeriod}),
+		replicas:       comfreyreplica.NewSet(c.Replicas),
 		health:         comfreyreplica.NewHealth(),
 		lengths:        comfreylength.New(comfreylength.Config{}),
 		retryBudgets:   map[string]*comfreyrouter.RetryBudget{},
@@ -114,11 +114,11 @@
 	g.config.Group.Go("relieve", g.rebalance)
 }
 
-// Configure applies a changed retry limit and drain period.
-func (g *Gateway) Configure(r RetryLimit, drain time.Duration) {
+// Configure applies a changed retry limit, and changed periods of replicas.
+func (g *Gateway) Configure(r RetryLimit, c comfreyreplica.Config) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.replicas.Configure(comfreyreplica.Config{DrainPeriod: drain})
+	g.replicas.Configure(c)
 	if g.config.Retry != r {
 		g.config.Retry = r
 		clear(g.retryBudgets)
@@ -225,7 +225,7 @@
 	now := g.config.Now()
 	var l []comfreyreplica.Replica
 	for _, r := range g.replicas.All() {
-		if s, ok := t.Service(r.Service); ok && s.HasEngine && r.IsAccepting() && layout.IsHome(r.ID, r.DataCentre) && !errors.Is(g.replicas.MayCall(now, r.ID, comfreyreplica.PurposeControl), comfreyreplica.ErrPaused) {
+		if s, ok := t.Service(r.Service); ok && s.HasEngine && g.replicas.Accepts(r) && layout.IsHome(r.ID, r.DataCentre) && !errors.Is(g.replicas.MayCall(now, r.ID, comfreyreplica.PurposeControl), comfreyreplica.ErrPaused) {
 			l = append(l, r)
 		}
 	}
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -27,6 +27,7 @@
 type generation struct {
 	request      string
 	service      comfreyroute.Service
+	homes        comfreyroute.Homes
 	promptTokens int
 	maxTokens    int
 	class        string
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -42,7 +42,9 @@
 	route    comfreyroute.Route
 	service  comfreyroute.Service
 	customer comfreyroute.Customer
-	started  time.Time
+	// homes are the regions in which the request may be served.
+	homes   comfreyroute.Homes
+	started time.Time
 	// deadline is when the caller must have a response.
 	deadline time.Time
 	// sent counts the attempts that may have run: they may have reached a
@@ -116,6 +118,7 @@
 	} else if c, known := x.table.Customer(x.call.Key); known {
 		x.customer = c
 	}
+	x.homes = route.Homes.With(x.customer.Homes)
 	name, ok := route.Select(g.config.Rand())
 	if !ok {
 		g.refuse(x, comfreyverdict.ReasonNoUpstream, time.Second)
--- a/comfreyforward/metrics.go
+++ b/comfreyforward/metrics.go
@@ -22,7 +22,11 @@
 	pauses, announcements prometheus.Counter
 	// rateLimits counts changes of the rate limits of replicas.
 	rateLimits prometheus.Counter
-	gauges     []prometheus.Collector
+	// evacuations counts changes of evacuations by state, and leftBehind generations
+	// that could not be moved away in time.
+	evacuations *prometheus.CounterVec
+	leftBehind  prometheus.Counter
+	gauges      []prometheus.Collector
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -39,14 +43,20 @@
 		longestPause: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "comfrey_forward_longest_pause_seconds", Help: "Longest time between two events of a stream.", Buckets: latencyBuckets,
 		}),
-		connections:   prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_connections_total", Help: "Connections opened to replicas and the store."}),
-		storeCalls:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_store_calls_total", Help: "Calls to the platform's store."}),
-		rateLimits:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_rate_limits_total", Help: "Changes of the rate limits that replicas name."}),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_connections_total", Help: "Connections opened to replicas and the store."}),
+		storeCalls:  prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_store_calls_total", Help: "Calls to the platform's store."}),
+		rateLimits:  prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_rate_limits_total", Help: "Changes of the rate limits that replicas name."}),
+		evacuations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfrey_forward_evacuations_total", Help: "Changes of evacuations of data centres, by state.",
+		}, []string{"state"}),
+		leftBehind:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_left_behind_total", Help: "Generations that could not be moved out of an evacuated data centre."}),
 		pauses:        prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_pauses_total", Help: "Responses of replicas that asked for a pause."}),
 		announcements: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_leaving_announced_total", Help: "Replicas that announced in a response that they leave."}),
 		gauges: []prometheus.Collector{
 			gauge("comfrey_forward_streams", "Open streams.", func() float64 { return float64(g.streamCount()) }),
 			gauge("comfrey_forward_replicas", "Replicas that accept new work.", func() float64 { return float64(g.ReplicaCount()) }),
+			gauge("comfrey_forward_evacuated_data_centres", "Data centres to which nothing is sent.", func() float64 { return float64(g.evacuatedCount()) }),
+			gauge("comfrey_forward_cold_replicas", "Replicas that are cold.", func() float64 { return float64(g.coldCount()) }),
 			gauge("comfrey_forward_configuration_version", "Version of the active configuration, zero if there is none.", func() float64 {
 				if t := g.table.Load(); t != nil {
 					return float64(t.Version())
@@ -68,7 +78,7 @@
 // Collectors returns the collectors of the gateway's metrics.
 func (g *Gateway) Collectors() []prometheus.Collector {
 	m := g.metrics
-	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.rateLimits}, m.gauges...)
+	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.rateLimits, m.evacuations, m.leftBehind}, m.gauges...)
 }
 
 // CountConnection counts a connection that was opened to a replica or the
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -65,13 +65,15 @@
 	return true
 }
 
-// moveRemaining moves the remaining generations of a replica if it is leaving
-// and still serves.
+// moveRemaining moves the remaining generations of a replica if it has to be emptied
+// and they can still be moved.
 func (g *Gateway) moveRemaining(replica string) {
 	g.mu.Lock()
-	r, ok := g.replicas.Get(replica)
+	r, _ := g.replicas.Get(replica)
+	until, mustMove := g.replicas.MoveAwayUntil(r)
 	g.mu.Unlock()
-	if ok && r.State == comfreyreplica.StateLeaving && g.config.Now().Before(r.EndsAt) {
+	if mustMove && g.config.Now().Before(until) {
+		r.EndsAt = until
 		g.moveAway(r)
 	}
 }
@@ -151,8 +153,10 @@
 func (g *Gateway) completeMove(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation, hasWaiting bool) {
 	defer g.finishMove(n)
 	g.mu.Lock()
-	if k, ok := g.replicas.Get(r.ID); ok && k.State == comfreyreplica.StateLeaving {
-		r = k // Its end may be known more exactly by now.
+	if k, ok := g.replicas.Get(r.ID); ok {
+		if until, mustMove := g.replicas.MoveAwayUntil(k); mustMove {
+			r, r.EndsAt = k, until // Its end may be known more exactly by now.
+		}
 	}
 	refresh := comfreyplacement.Refresh{MissingTokens: n.generatedTokens() - first.generatedTokens, TimeLeft: r.EndsAt.Sub(g.config.Now()), HasWaiting: hasWaiting}
 	g.mu.Unlock()
@@ -240,7 +244,7 @@
 		n.destination = nil
 		return *d, true
 	}
-	l := g.withoutLimited(g.candidates(g.config.Now(), n.service, excluded, comfreyreplica.Permit{}))
+	l := g.withoutLimited(g.candidates(g.config.Now(), search{service: n.service, homes: n.homes, excluded: excluded}))
 	for i := range l {
 		l[i].IsSameDataCentre = l[i].DataCentre == r.DataCentre
 	}
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -193,7 +193,7 @@
 	var l []comfreyplacement.Candidate
 	for _, r := range g.replicas.All() {
 		s, ok := t.Service(r.Service)
-		if ok && s.HasEngine && r.IsAccepting() && now.Sub(r.Since) >= comfreyplacement.NewReplicaPeriod && layout.IsHome(r.ID, r.DataCentre) {
+		if ok && s.HasEngine && g.replicas.Accepts(r) && now.Sub(r.Since) >= comfreyplacement.NewReplicaPeriod && layout.IsHome(r.ID, r.DataCentre) {
 			l = append(l, g.candidate(now, s, r, load))
 		}
 	}
--- a/comfreyforward/permit.go
+++ b/comfreyforward/permit.go
@@ -47,8 +47,10 @@
 	g.mu.Lock()
 	now := g.config.Now()
 	for i, o := range r.Offers {
-		g.replicas.MergeRateLimit(comfreyreplica.RateLimit{Start: o.Start, PerSecond: o.PerSecond, ObservedAt: now.Add(-o.Age)})
-		if l, ok := g.replicas.RateLimit(o.Start.ID); ok {
+		if !o.IsWarmUp {
+			g.replicas.MergeRateLimit(comfreyreplica.RateLimit{Start: o.Start, PerSecond: o.PerSecond, ObservedAt: now.Add(-o.Age)})
+		}
+		if l, ok := g.replicas.CurrentLimit(now, o.Start.ID); ok && (!o.IsWarmUp || l.PerSecond < o.PerSecond) {
 			r.Offers[i] = newOffer(now, l)
 		}
 	}
@@ -57,7 +59,7 @@
 }
 
 func newOffer(now time.Time, l comfreyreplica.RateLimit) comfreyratelimit.Offer {
-	return comfreyratelimit.Offer{Start: l.Start, PerSecond: l.PerSecond, Age: now.Sub(l.ObservedAt)}
+	return comfreyratelimit.Offer{Start: l.Start, PerSecond: l.PerSecond, Age: now.Sub(l.ObservedAt), IsWarmUp: l.IsWarmUp}
 }
 
 // requestPermit requests a permit from the holder, which may be this gateway. A
@@ -94,7 +96,7 @@
 func (g *Gateway) requestPermitFor(ctx context.Context, c call) comfreyreplica.Permit {
 	g.mu.Lock()
 	now := g.config.Now()
-	l, ok := g.replicas.RateLimit(c.replica)
+	l, ok := g.replicas.CurrentLimit(now, c.replica)
 	k, _ := g.replicas.Get(c.replica)
 	g.mu.Unlock()
 	if !ok {
@@ -163,13 +165,15 @@
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	layout := g.config.Layout()
-	isUsable := func(k comfreyreplica.Replica) bool { return !x.service.HasEngine || layout.IsHome(k.ID, k.DataCentre) }
+	isUsable := func(k comfreyreplica.Replica) bool {
+		return g.isHome(x.homes, k) && (!x.service.HasEngine || layout.IsHome(k.ID, k.DataCentre))
+	}
 	if !g.replicas.IsClosed(now, x.service.Name, isUsable) {
 		return r, 0, false
 	}
 	r = comfreyratelimit.Request{Service: x.service.Name, Key: x.key()}
 	for _, k := range g.replicas.LimitedReplicas(now, x.service.Name) {
-		if l, ok := g.replicas.RateLimit(k.ID); ok && !x.tried[k.ID] {
+		if l, ok := g.replicas.CurrentLimit(now, k.ID); ok && !x.tried[k.ID] && g.isHome(x.homes, k) {
 			r.Offers = append(r.Offers, newOffer(now, l))
 		}
 	}
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -53,6 +53,9 @@
 	if p, ok := g.placeGeneration(ctx, x, n); ok {
 		return p, nil
 	}
+	if e := g.checkServable(x); e != nil {
+		return placement{}, e
+	}
 	switch isPermitted, e := g.checkClosed(ctx, x, true); {
 	case e != nil:
 		return placement{}, e
@@ -117,6 +120,9 @@
 		if p, ok := g.placeGeneration(ctx, x, n); ok {
 			return p, nil
 		}
+		if e := g.checkServable(x); e != nil {
+			return placement{}, e
+		}
 		if _, e := g.checkClosed(ctx, x, true); e != nil {
 			return placement{}, e
 		}
@@ -148,7 +154,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	l := g.candidates(now, x.service, x.tried, x.permit)
+	l := g.candidates(now, x.search())
 	demand := comfreyplacement.Demand{PromptTokens: n.promptTokens, ExpectedTokens: g.remainingTokens(n)}
 	demand.HeadroomTokens = g.queue(x.service.Name).HeadroomTokens(x.priority())
 	demand.MaxPendingPrefillTokens = comfreyplacement.MaxPendingPrefill(x.route.TargetLatency, now.Sub(x.started), n.promptTokens)
@@ -160,7 +166,7 @@
 	x.tried[c.ID] = true
 	p := placement{Candidate: c}
 	// A reservation would count against the rate limit.
-	if _, isLimited := g.replicas.RateLimit(c.ID); x.service.Engine.MaxReservationTime > 0 && !isLimited {
+	if _, isLimited := g.replicas.CurrentLimit(now, c.ID); x.service.Engine.MaxReservationTime > 0 && !isLimited {
 		p.toReserve = comfreyplacement.ReservationTokens(c, demand)
 	}
 	if p.toReserve > 0 {
--- a/comfreyforward/rate_limit.go
+++ b/comfreyforward/rate_limit.go
@@ -86,7 +86,7 @@
 // others. The mutex must be held.
 func (g *Gateway) withoutLimited(l []comfreyplacement.Candidate) []comfreyplacement.Candidate {
 	others := slices.DeleteFunc(slices.Clone(l), func(c comfreyplacement.Candidate) bool {
-		_, isLimited := g.replicas.RateLimit(c.ID)
+		_, isLimited := g.replicas.CurrentLimit(g.config.Now(), c.ID)
 		return isLimited
 	})
 	if len(others) == 0 {
--- a/comfreyforward/rebalance.go
+++ b/comfreyforward/rebalance.go
@@ -55,13 +55,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	byService := map[string][]*generation{}
+	// Generations with the same homes have the same candidates.
+	type group struct{ service, homes string }
+	byGroup := map[group][]*generation{}
 	for n := range g.generations {
 		if n.events > 0 && !n.isMoving && n.moves < maxRebalanceMoves && n.service.Engine.CanMove {
-			byService[n.service.Name] = append(byService[n.service.Name], n)
+			k := group{n.service.Name, n.homes.String()}
+			byGroup[k] = append(byGroup[k], n)
 		}
 	}
-	for _, l := range byService {
+	for _, l := range byGroup {
 		if n, r, ok := g.chooseRebalancingMoveAmong(now, l); ok {
 			return n, r, true
 		}
@@ -69,10 +72,10 @@
 	return nil, comfreyreplica.Replica{}, false
 }
 
-// chooseRebalancingMoveAmong chooses among the generations of one service. The
-// mutex must be held.
+// chooseRebalancingMoveAmong chooses among generations of one service with the same
+// homes. The mutex must be held.
 func (g *Gateway) chooseRebalancingMoveAmong(now time.Time, l []*generation) (*generation, comfreyreplica.Replica, bool) {
-	candidates := g.withoutLimited(g.candidates(now, l[0].service, nil, comfreyreplica.Permit{}))
+	candidates := g.withoutLimited(g.candidates(now, search{service: l[0].service, homes: l[0].homes}))
 	index := map[string]int{}
 	for i, c := range candidates {
 		index[c.ID] = i
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -192,7 +192,14 @@
 			"from-era": old.Era, "from-revision": old.Revision, "changes": len(items),
 		})
 	}
+	var toEmpty []string
 	for _, x := range items {
+		if d, ok := g.config.Store.EvacuatedDataCentre(x.Key); ok {
+			if g.applyEvacuation(now, source, d, x, isRestored) {
+				toEmpty = append(toEmpty, d)
+			}
+			continue
+		}
 		switch {
 		case g.config.Store.IsConfigurationKey(x.Key):
 			g.applyConfiguration(source, x)
@@ -202,6 +209,9 @@
 	}
 	g.mu.Unlock()
 	g.handleReplicaChanges(changes)
+	for _, d := range toEmpty {
+		g.emptyDataCentre(d)
+	}
 }
 
 // applyConfiguration activates a configuration from a source if it is newer than
@@ -228,6 +238,7 @@
 		f["from-version"], f["more-routes"], f["more-keys"] = old.Version(), n.Routes-o.Routes, n.Keys-o.Keys
 	}
 	g.table.Store(t)
+	g.applyWarmUps(t)
 	g.record("", comfreydecision.KindRevision, comfreyverdict.ReasonConfigTaken, f)
 }
 
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -72,6 +72,10 @@
 		c, ok := g.chooseUnary(x)
 		if !ok {
 			isNotRun := last == nil || last.isNotRun
+			if e := g.checkServable(x); e != nil && isNotRun {
+				g.respondFailure(ctx, x, e)
+				return
+			}
 			isPermitted, e := g.checkClosed(ctx, x, isNotRun)
 			if isPermitted {
 				continue
@@ -101,7 +105,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	l := g.candidates(now, x.service, x.tried, x.permit)
+	l := g.candidates(now, x.search())
 	i := comfreyplacement.ChooseForUnary(l, g.config.Rand)
 	if i < 0 {
 		return comfreyplacement.Candidate{}, false
--- a/comfreyratelimit/allocator.go
+++ b/comfreyratelimit/allocator.go
@@ -28,6 +28,9 @@
 	// requests a second, and Age the time since a gateway was told so.
 	PerSecond float64
 	Age       time.Duration
+	// IsWarmUp means that the configuration limits the replica because it is cold,
+	// not the replica itself.
+	IsWarmUp bool
 }
 
 // Request asks for a permit.
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -77,7 +77,7 @@
 }
 
 // MayCallWith returns nil if a call for a purpose may be sent to a replica now, or
-// else ErrLeaving, ErrPaused or ErrLimited. It has to be asked immediately before
+// else ErrLeaving, ErrEvacuated, ErrPaused or ErrLimited. It has to be asked immediately before
 // each call, and once for each, since it counts the resumed generations of a pause,
 // and a permit is for one call.
 //
@@ -91,12 +91,15 @@
 	if p == PurposeWork && (!ok || !r.IsAccepting()) {
 		return ErrLeaving
 	}
+	if err := s.checkEvacuation(now, r, p); err != nil {
+		return err
+	}
 	a, isPaused := s.pauses.get(s.startOf(id))
 	isPaused = isPaused && now.Before(a.until)
 	if isPaused && (p != PurposeResume || a.resumes >= maxResumesInPause) {
 		return ErrPaused
 	}
-	if _, isLimited := s.RateLimit(id); isLimited && !permit.allows(now, id) {
+	if s.needsPermit(now, id, p) && !permit.allows(now, id) {
 		return ErrLimited
 	}
 	if isPaused {
@@ -116,8 +119,8 @@
 func (s *Set) CanPlaceWith(now time.Time, id string, permit Permit) bool {
 	err := s.MayCallWith(now, id, PurposeWork, permit)
 	if errors.Is(err, ErrLimited) {
-		l, _ := s.limits.get(s.startOf(id))
-		return !now.Before(l.fullUntil)
+		until, _ := s.full.get(s.startOf(id))
+		return !now.Before(until)
 	}
 	if err != nil {
 		return false
@@ -186,7 +189,7 @@
 // those that accept work are paused.
 func (s *Set) PauseEnd(now time.Time, service string) (end time.Time, ok bool) {
 	for _, r := range s.replicas {
-		if r.Service != service || !r.IsAccepting() {
+		if r.Service != service || !s.Accepts(r) {
 			continue
 		}
 		a, isPaused := s.pauses.get(r.Start())
--- a/comfreyreplica/limit.go
+++ b/comfreyreplica/limit.go
@@ -33,13 +33,8 @@
 	ObservedAt time.Time
 	// IsDirect means that it was this process.
 	IsDirect bool
-}
-
-// rateLimit is the limit of a replica and what this process knows of its use.
-type rateLimit struct {
-	RateLimit
-	// fullUntil is until when a permit is not expected to be had.
-	fullUntil time.Time
+	// IsWarmUp means that the replica is cold and the configuration limits cold ones.
+	IsWarmUp bool
 }
 
 // IsEnded reports whether there is no limit any more.
@@ -72,30 +67,49 @@
 	if ok && l.ObservedAt.Before(old.ObservedAt) || !ok && l.IsEnded() {
 		return false
 	}
-	k := rateLimit{RateLimit: l}
-	if !l.IsEnded() {
-		k.fullUntil = old.fullUntil
+	if l.IsEnded() {
+		delete(s.full, l.Start.ID)
 	}
-	return s.limits.set(l.Start, k) && (!ok || old.PerSecond != l.PerSecond)
+	return s.limits.set(l.Start, l) && (!ok || old.PerSecond != l.PerSecond)
 }
 
-// RateLimit returns the limit of a replica. It reports false if there is none.
+// CurrentLimit returns the lower of the limit that a replica has named and the one
+// that it has while it is cold. It reports false if there is none.
+func (s *Set) CurrentLimit(now time.Time, id string) (l RateLimit, ok bool) {
+	l, ok = s.RateLimit(id)
+	if c, isCold := s.coldLimit(now, id); isCold && (!ok || c.PerSecond < l.PerSecond) {
+		return c, true
+	}
+	return l, ok
+}
+
+// needsPermit reports whether a call to a replica needs a permit. A named limit
+// counts every call. That of a cold replica counts new work only: a generation that
+// resumes there has no other place, and few do, since copies are sent to cold
+// replicas only if there are no others.
+func (s *Set) needsPermit(now time.Time, id string, p Purpose) bool {
+	if _, isNamed := s.RateLimit(id); isNamed {
+		return true
+	}
+	_, isCold := s.coldLimit(now, id)
+	return isCold && p == PurposeWork
+}
+
+// RateLimit returns the limit that a replica has named. It reports false if there is
+// none.
 func (s *Set) RateLimit(id string) (l RateLimit, ok bool) {
 	k, ok := s.limits.get(s.startOf(id))
 	if !ok || k.IsEnded() {
 		return RateLimit{}, false
 	}
 	k.Start = s.limits[id].start
-	return k.RateLimit, true
+	return k, true
 }
 
 // SetFull records that a replica with a rate limit is expected to have no room until
 // a time.
 func (s *Set) SetFull(id string, until time.Time) {
-	if k, ok := s.limits.get(s.startOf(id)); ok {
-		k.fullUntil = until
-		s.limits.set(s.startOf(id), k)
-	}
+	s.full.set(s.startOf(id), until)
 }
 
 // RateLimits returns the limits that other processes have to know, in no order:
@@ -105,7 +119,7 @@
 func (s *Set) RateLimits() []RateLimit {
 	var l []RateLimit
 	for _, e := range s.limits {
-		if k := e.value.RateLimit; k.IsDirect {
+		if k := e.value; k.IsDirect {
 			k.Start = e.start
 			l = append(l, k)
 		}
@@ -125,9 +139,15 @@
 	return l
 }
 
-// LimitedServices returns the services whose replicas have rate limits, in no order.
+// LimitedServices returns the services whose replicas have rate limits, or have them
+// while they are cold, in no order.
 func (s *Set) LimitedServices() []string {
 	var l []string
+	for n, w := range s.warmUps {
+		if w.PerSecond > 0 {
+			l = append(l, n)
+		}
+	}
 	for id := range s.limits {
 		if _, ok := s.RateLimit(id); !ok {
 			continue
@@ -153,7 +173,7 @@
 // LimitedReplicas returns the replicas of a service that accept new work at a limited
 // rate and are not paused, sorted by id.
 func (s *Set) LimitedReplicas(now time.Time, service string) []Replica {
-	if len(s.limits) == 0 {
+	if len(s.limits) == 0 && s.warmUps[service].PerSecond <= 0 {
 		return nil
 	}
 	return slices.DeleteFunc(s.ByService(service), func(r Replica) bool {
@@ -164,6 +184,11 @@
 // expireLimits drops limits that ended some time ago, and those of replicas that are
 // gone.
 func (s *Set) expireLimits(now time.Time) {
+	for id, e := range s.full {
+		if !now.Before(e.value) {
+			delete(s.full, id)
+		}
+	}
 	for id, e := range s.limits {
 		_, known := s.replicas[id]
 		age := now.Sub(e.value.ObservedAt)
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -32,6 +32,9 @@
 	// registration may still be renewed; 1.8 s by default, slightly below the
 	// platform's 2 s.
 	OutageGrace time.Duration
+	// EvacuationPeriod is how long requests may still reach a data centre after the
+	// store has accepted its evacuation; 5 s by default.
+	EvacuationPeriod time.Duration
 }
 
 // Change is a change of one replica in a Set.
@@ -55,14 +58,23 @@
 	restored      map[string]Registration
 	restoredUntil time.Time
 	pauses        startMap[*pause]
-	limits        startMap[rateLimit]
+	limits        startMap[RateLimit]
+	// full holds until when a permit for a replica is not expected to be had.
+	full startMap[time.Time]
 	// hints holds until when replicas are avoided.
 	hints map[string]time.Time
+	// evacuations holds the evacuated data centres by name, and warmUps what is
+	// configured of cold replicas, by service.
+	evacuations map[string]evacuation
+	warmUps     map[string]WarmUp
 }
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
-	return &Set{config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{}, limits: startMap[rateLimit]{}, hints: map[string]time.Time{}}
+	return &Set{
+		config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{},
+		limits: startMap[RateLimit]{}, full: startMap[time.Time]{}, hints: map[string]time.Time{}, evacuations: map[string]evacuation{},
+	}
 }
 
 func (c Config) withDefaults() Config {
@@ -72,6 +84,9 @@
 	if c.OutageGrace <= 0 {
 		c.OutageGrace = defaultOutageGrace
 	}
+	if c.EvacuationPeriod <= 0 {
+		c.EvacuationPeriod = defaultEvacuationPeriod
+	}
 	return c
 }
 
@@ -92,14 +107,15 @@
 	}
 	s.pauses.learn(l.start())
 	s.limits.learn(l.start())
+	s.full.learn(l.start())
 	if isSameStart && old.State == StateLeaving && !old.IsRemoved {
 		old.StartMillis = l.StartMillis
 		s.replicas[l.ID] = old
 		return nil // A leaving replica does not become ready again.
 	}
 	r := Replica{Registration: l, Since: now, WarmAt: now.Add(l.WarmUpTime)}
-	if isSameStart && old.WarmAt.Before(r.WarmAt) {
-		r.WarmAt = old.WarmAt
+	if isSameStart && now.Before(old.WarmAt) && old.WarmAt.Before(r.WarmAt) {
+		r.WarmAt = old.WarmAt // The registration is as old as the last time the replica wrote it.
 	}
 	if l.IsDraining {
 		r.State, r.EndsAt = StateLeaving, now.Add(s.config.DrainPeriod)
@@ -229,6 +245,7 @@
 	s.expirePauses(now)
 	s.expireHints(now)
 	s.expireLimits(now)
+	s.expireEvacuations(now)
 	var c []Change
 	if len(s.restored) > 0 && !now.Before(s.restoredUntil) {
 		for _, l := range s.restored {
--- a/comfreyroute/route.go
+++ b/comfreyroute/route.go
@@ -61,6 +61,11 @@
 	TrafficSplit []WeightedService
 	// IsPublic means that requests need no key.
 	IsPublic bool
+	// Homes are the regions in which requests may be served.
+	Homes Homes
+	// TargetPause is the longest pause between two events of a stream for which a
+	// response is on time; zero means no bound.
+	TargetPause time.Duration
 }
 
 // Select returns the service that receives a request. The draw is a random
--- a/comfreyroute/service.go
+++ b/comfreyroute/service.go
@@ -40,6 +40,11 @@
 	// HasEngine means that the replicas are model engines.
 	HasEngine bool
 	Engine    Engine
+	// WarmUpTime is how long a replica is cold after its start, and WarmUpPerSecond
+	// the rate of requests that a cold one takes from all gateways together; zero
+	// means no bound.
+	WarmUpTime      time.Duration
+	WarmUpPerSecond float64
 }
 
 // Customer is the owner of a key.
@@ -48,6 +53,8 @@
 	// HasPriority means that Priority replaces the priority of the route.
 	HasPriority bool
 	Priority    int
+	// Homes are the regions in which the customer's requests may be served.
+	Homes Homes
 }
 
 // Limits bound the size of a request, and the time that a caller takes to send
--- a/comfreyroute/table.go
+++ b/comfreyroute/table.go
@@ -56,6 +56,11 @@
 	return Size{Routes: len(t.config.Routes), Services: len(t.config.Services), Keys: len(t.config.Keys)}
 }
 
+// Services returns the services. The slice must not be changed.
+func (t *Table) Services() []Service {
+	return t.config.Services
+}
+
 // Limits returns the limits on requests.
 func (t *Table) Limits() Limits {
 	return t.config.Limits
--- a/comfreyrpc/rate_limit.go
+++ b/comfreyrpc/rate_limit.go
@@ -49,7 +49,9 @@
 func EncodePermitRequest(r comfreyratelimit.Request, hops int) *comfreyproto.PermitRequest {
 	m := &comfreyproto.PermitRequest{Service: r.Service, Key: []byte(r.Key), MaxWaitMillis: Millis(r.MaxWait), Urgent: r.IsUrgent, Hops: uint32(hops)}
 	for _, o := range r.Offers {
-		m.Replicas = append(m.Replicas, encodeRateLimit(o.Start, o.PerSecond, o.Age))
+		k := encodeRateLimit(o.Start, o.PerSecond, o.Age)
+		k.WarmUp = o.IsWarmUp
+		m.Replicas = append(m.Replicas, k)
 	}
 	return m
 }
@@ -61,7 +63,7 @@
 	for _, o := range m.Replicas[:min(len(m.Replicas), maxOffers)] {
 		if isValidRateLimit(o) && o.PerSecond > 0 {
 			k := comfreyreplica.Start{ID: o.Replica, StartMillis: o.Born}
-			r.Offers = append(r.Offers, comfreyratelimit.Offer{Start: k, PerSecond: o.PerSecond, Age: Duration(o.AgeMillis)})
+			r.Offers = append(r.Offers, comfreyratelimit.Offer{Start: k, PerSecond: o.PerSecond, Age: Duration(o.AgeMillis), IsWarmUp: o.WarmUp})
 		}
 	}
 	return r, int(m.Hops)
