--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -56,6 +56,7 @@
 		return
 	}
 	g.observeRateLimit(replica, h.RateLimit)
+	g.observePace(replica, h.Pace)
 	if h.HasWarmUp {
 		g.mu.Lock()
 		g.replicas.ObserveWarmUp(g.config.Now(), replica, h.WarmUp)
--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -119,6 +119,9 @@
 		IsCold:           now.Before(r.WarmAt),
 		FailureRate:      g.health.FailureRate(now, r.ID),
 	}
+	if t, ok := g.paces[s.Name]; ok {
+		c.Pace = t.Pace(now, r.ID)
+	}
 	if s.HasEngine {
 		c.Load = load(r.ID)
 		if c.Load.CapacityTokens == 0 {
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -12,6 +12,7 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreylength"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreypace"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyratelimit"
@@ -65,9 +66,11 @@
 	lengths      *comfreylength.Model
 	retryBudgets map[string]*comfreyrouter.RetryBudget
 	unaryLoads   map[string]*unaryLoad
-	generations  map[*generation]struct{}
-	quarantine   *comfreyquarantine.Table
-	observer     *comfreyquarantine.Observer
+	// paces are those of the services whose replicas state them.
+	paces       map[string]*comfreypace.Tracker
+	generations map[*generation]struct{}
+	quarantine  *comfreyquarantine.Table
+	observer    *comfreyquarantine.Observer
 	// cancels end the requests of the attempts in flight.
 	cancels map[comfreyquarantine.ExecutionID]context.CancelCauseFunc
 	// crashCheckedAt is when replicas were last dialed because a connection broke.
@@ -92,6 +95,7 @@
 		lengths:        comfreylength.New(comfreylength.Config{}),
 		retryBudgets:   map[string]*comfreyrouter.RetryBudget{},
 		unaryLoads:     map[string]*unaryLoad{},
+		paces:          map[string]*comfreypace.Tracker{},
 		generations:    map[*generation]struct{}{},
 		quarantine:     newQuarantine(c),
 		observer:       comfreyquarantine.NewObserver(0),
@@ -158,6 +162,9 @@
 			g.health.Expire(now)
 			g.observer.Expire(now)
 			g.division.Expire(now)
+			for _, t := range g.paces {
+				t.Expire(now)
+			}
 			maps.DeleteFunc(g.crashCheckedAt, func(_ comfreyquarantine.Upstream, at time.Time) bool { return now.Sub(at) > sweepInterval })
 			g.expireUnaryLoads()
 		}
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -85,6 +85,7 @@
 	leaving, announced := g.recentlyLeaving()
 	return comfreygossip.Placements{
 		Generations: g.estimator.Generations(), Leaving: leaving, Announced: announced,
+		Paces:      g.latestPaces(),
 		RateLimits: g.replicas.RateLimits(), PermitHolders: g.division.HolderNames(g.config.Now(), g.replicas.LimitedServices(), g.permitView),
 	}
 }
@@ -118,6 +119,7 @@
 	for _, k := range s.Announced {
 		g.replicas.Hint(now, k)
 	}
+	g.mergePaces(s.Paces)
 	limits := g.mergeRateLimits(s.RateLimits)
 	isNewName := g.division.SetHolderNames(now, gateway, s.PermitHolders)
 	g.mu.Unlock()
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -158,6 +158,7 @@
 	demand := comfreyplacement.Demand{PromptTokens: n.promptTokens, ExpectedTokens: g.remainingTokens(n)}
 	demand.HeadroomTokens = g.queue(x.service.Name).HeadroomTokens(x.priority())
 	demand.MaxPendingPrefillTokens = comfreyplacement.MaxPendingPrefill(x.route.TargetLatency, now.Sub(x.started), n.promptTokens)
+	demand.TargetPause, demand.TokensPerEvent = x.route.TargetPause, x.service.Engine.TokensPerEvent
 	i := comfreyplacement.ChooseForGeneration(l, demand, g.config.Rand)
 	if i < 0 {
 		return placement{}, false
@@ -178,6 +179,9 @@
 	f := x.logFields(now)
 	f["replica"], f["running"], f["used-tokens"], f["report-age-ms"] = c.ID, c.Load.Running, c.Load.UsedTokens, c.Load.Age.Milliseconds()
 	f["prompt-tokens"], f["expected-tokens"], f["unread-tokens"], f["candidates"] = n.promptTokens, int(demand.ExpectedTokens), c.Load.PendingPrefillTokens, len(l)
+	if c.Pace.Usual > 0 {
+		f["pace"], f["pace-now"], f["decoding"] = c.Pace.Usual, c.Pace.Now, c.Load.Decoding
+	}
 	g.record(n.request, comfreydecision.KindRoute, comfreyverdict.ReasonLeastLoaded, f)
 	return p, true
 }
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -18,6 +18,7 @@
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreypace"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyratelimit"
@@ -95,6 +96,8 @@
 	// the gateway that it asks for permits, by service.
 	RateLimits    []comfreyreplica.RateLimit
 	PermitHolders map[string]string
+	// Paces are those that replicas have lately stated to the gateway.
+	Paces []comfreypace.Sample
 }
 
 // Config configures a Gossip. All fields except Seeds, Now and Dial are required.
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -22,6 +22,8 @@
 	maxGenerations = 20
 	// maxRateLimits is how many rate limits are added to one datagram.
 	maxRateLimits = 10
+	// maxPaces is how many paces are added to one datagram.
+	maxPaces = 16
 	// maxDatagram is the size in bytes of the largest datagram that is read.
 	maxDatagram = 8 << 10
 )
@@ -89,12 +91,13 @@
 // datagrams splits placements into parts that fit into a datagram each.
 func datagrams(s Placements, now time.Time) []*comfreyproto.PlacementDatagram {
 	chunks := func(n, size int) int { return (n + size - 1) / size }
-	parts := max(chunks(len(s.Generations), maxGenerations), chunks(len(s.RateLimits), maxRateLimits), 1)
+	parts := max(chunks(len(s.Generations), maxGenerations), chunks(len(s.RateLimits), maxRateLimits), chunks(len(s.Paces), maxPaces), 1)
 	var l []*comfreyproto.PlacementDatagram
 	for p := range parts {
 		d := &comfreyproto.PlacementDatagram{Part: uint32(p), Parts: uint32(parts)}
 		d.Runs = encodeGenerations(chunk(s.Generations, p, maxGenerations))
 		d.RateLimits = comfreyrpc.EncodeRateLimits(chunk(s.RateLimits, p, maxRateLimits), now)
+		d.Paces = comfreyrpc.EncodePaces(chunk(s.Paces, p, maxPaces), now)
 		if p == 0 {
 			d.Leaving, d.LeavingBorn = encodeLeaving(s.Leaving)
 			for _, k := range s.Announced {
@@ -238,6 +241,7 @@
 		a.placements.Announced = append(a.placements.Announced, comfreyreplica.Start{ID: k.Replica, StartMillis: k.Born})
 	}
 	a.placements.RateLimits = append(a.placements.RateLimits, comfreyrpc.DecodeRateLimits(d.RateLimits, g.config.Now())...)
+	a.placements.Paces = append(a.placements.Paces, comfreyrpc.DecodePaces(d.Paces, g.config.Now())...)
 	if d.PermitHolders != nil {
 		a.placements.PermitHolders = d.PermitHolders
 	}
--- a/comfreyoccupancy/estimator.go
+++ b/comfreyoccupancy/estimator.go
@@ -65,6 +65,8 @@
 type Load struct {
 	// Running and Waiting are numbers of generations.
 	Running, Waiting int
+	// Decoding is how many of the running generations have had their first event.
+	Decoding int
 	// UsedTokens is the KV cache in use.
 	UsedTokens int
 	// RemainingTokens is the sum of the output tokens that the running
@@ -352,9 +354,12 @@
 	l.Running++
 	l.UsedTokens += g.Tokens()
 	l.RemainingTokens += g.RemainingTokens
-	if g.IsCopying {
+	switch {
+	case g.IsCopying:
 		l.CopyTokens += g.Tokens()
-	} else if !g.IsDecoding {
+	case g.IsDecoding:
+		l.Decoding++
+	default:
 		l.PendingPrefillTokens += g.PromptTokens
 	}
 }
@@ -379,6 +384,7 @@
 			continue // It has probably finished since.
 		}
 		l.Running++
+		l.Decoding++
 		l.UsedTokens += u.Tokens + int(growth)
 		l.RemainingTokens += max(rest-growth, 0)
 	}
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -8,7 +8,10 @@
 package comfreyplacement
 
 import (
+	"time"
+
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
+	"comfreyridge.example/comfreyridge/comfreypace"
 )
 
 const (
@@ -60,6 +63,9 @@
 	// unknown.
 	Slots int
 	Load  comfreyoccupancy.Load
+	// Pace is how fast the replica works; the zero value is that of a replica whose
+	// service states no paces.
+	Pace comfreypace.Pace
 }
 
 // Demand is the capacity and time that a generation needs at a replica.
@@ -77,6 +83,11 @@
 	// CopyTokensPerSecond is how many tokens a second a link between two
 	// replicas transfers; zero if unknown.
 	CopyTokensPerSecond float64
+	// TargetPause is the longest pause between two events for which the generations
+	// of the service are on time; zero means no bound. TokensPerEvent is the number of
+	// tokens in an event.
+	TargetPause    time.Duration
+	TokensPerEvent int
 }
 
 // ChooseForGeneration returns the index of the best candidate for a generation,
@@ -84,7 +95,7 @@
 // that gateways with the same view do not all choose the same replica.
 func ChooseForGeneration(candidates []Candidate, d Demand, random func() float64) int {
 	return cheapest(candidates, random, func(c Candidate) (float64, bool) {
-		return generationCost(c), fits(c, d)
+		return generationCost(c) + promptCost(c, d), fits(c, d)
 	})
 }
 
@@ -94,7 +105,7 @@
 	return cheapest(candidates, random, func(c Candidate) (float64, bool) {
 		cost := replicaCost(c)
 		if c.Slots > 0 {
-			cost += float64(c.Load.Running+c.Load.Waiting) / float64(c.Slots)
+			cost += float64(c.Load.Running+c.Load.Waiting+1) / float64(c.Slots) * c.pace().Now
 		}
 		return cost, true
 	})
@@ -130,7 +141,7 @@
 	if c.Slots > 0 && c.Load.Running+c.Load.Waiting >= c.Slots {
 		return false
 	}
-	if d.MaxPendingPrefillTokens > 0 && c.Load.PendingPrefillTokens > d.MaxPendingPrefillTokens {
+	if d.MaxPendingPrefillTokens > 0 && float64(c.Load.PendingPrefillTokens)*c.pace().Now > float64(d.MaxPendingPrefillTokens) {
 		return false
 	}
 	if c.Load.IsRefusing {
@@ -175,5 +186,5 @@
 
 // generationCost returns the cost of executing a generation at a replica.
 func generationCost(c Candidate) float64 {
-	return replicaCost(c) + utilization(c) + perGenerationCost*float64(c.Load.Running+c.Load.Waiting) + float64(c.Load.PendingPrefillTokens)/pendingPrefillTokensPerCost
+	return replicaCost(c) + utilization(c) + perGenerationCost*float64(c.Load.Running+c.Load.Waiting) + float64(c.Load.PendingPrefillTokens)*c.pace().Now/pendingPrefillTokensPerCost
 }
