Moved generations leave some slow replicas empty for prompts

Cause: moves spread drafts over all slow replicas, so that each prompt that fits on no fast one made some of them late. Change: a move is charged with what the generation stands to lose at its destination, least where others keep prompts away (comfreyplacement.Pauses).

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -28,6 +28,7 @@
 	request      string
 	service      comfreyroute.Service
 	homes        comfreyroute.Homes
+	pauses       comfreyplacement.Pauses
 	promptTokens int
 	maxTokens    int
 	class        string
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -248,7 +248,7 @@
 	for i := range l {
 		l[i].IsSameDataCentre = l[i].DataCentre == r.DataCentre
 	}
-	i := comfreyplacement.ChooseMoveDestination(l, comfreyplacement.Demand{PromptTokens: n.kvTokens(), CopyTokensPerSecond: n.service.Engine.CopyTokensPerSecond()}, g.config.Rand)
+	i := comfreyplacement.ChooseMoveDestination(l, comfreyplacement.Demand{PromptTokens: n.kvTokens(), Pauses: n.pauses, CopyTokensPerSecond: n.service.Engine.CopyTokensPerSecond()}, g.config.Rand)
 	if i < 0 {
 		return comfreyplacement.Candidate{}, false
 	}
--- a/comfreyforward/pace.go
+++ b/comfreyforward/pace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreypace"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
 )
 
 const (
@@ -62,3 +63,8 @@
 	})
 	return l[:min(len(l), maxGossipedPaces)]
 }
+
+// pausesOf returns the target of the pauses in the stream of a request.
+func pausesOf(x *exchange) comfreyplacement.Pauses {
+	return comfreyplacement.Pauses{Target: x.route.TargetPause, TokensPerEvent: x.service.Engine.TokensPerEvent}
+}
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -158,7 +158,7 @@
 	demand := comfreyplacement.Demand{PromptTokens: n.promptTokens, ExpectedTokens: g.remainingTokens(n)}
 	demand.HeadroomTokens = g.queue(x.service.Name).HeadroomTokens(x.priority())
 	demand.MaxPendingPrefillTokens = comfreyplacement.MaxPendingPrefill(x.route.TargetLatency, now.Sub(x.started), n.promptTokens)
-	demand.TargetPause, demand.TokensPerEvent = x.route.TargetPause, x.service.Engine.TokensPerEvent
+	demand.Pauses = n.pauses
 	i := comfreyplacement.ChooseForGeneration(l, demand, g.config.Rand)
 	if i < 0 {
 		return placement{}, false
--- a/comfreyforward/rebalance.go
+++ b/comfreyforward/rebalance.go
@@ -84,7 +84,7 @@
 	var owners []*generation
 	for _, n := range l {
 		if i, ok := index[n.replica.ID]; ok {
-			movables = append(movables, comfreyplacement.Movable{From: i, Tokens: n.kvTokens(), RemainingTokens: g.remainingTokens(n)})
+			movables = append(movables, comfreyplacement.Movable{From: i, Tokens: n.kvTokens(), RemainingTokens: g.remainingTokens(n), Pauses: n.pauses})
 			owners = append(owners, n)
 		}
 	}
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -35,7 +35,7 @@
 // forwardStream forwards a request whose response is a stream of events.
 func (g *Gateway) forwardStream(ctx context.Context, x *exchange) {
 	n := &generation{
-		request: x.call.ID, service: x.service, homes: x.homes, class: x.route.Name,
+		request: x.call.ID, service: x.service, homes: x.homes, pauses: pausesOf(x), class: x.route.Name,
 		promptTokens: x.call.PromptTokens, maxTokens: x.call.MaxTokens,
 	}
 	g.retryBudget(x.service.Name).RecordRequest(x.started)
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -8,8 +8,6 @@
 package comfreyplacement
 
 import (
-	"time"
-
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreypace"
 )
@@ -83,11 +81,8 @@
 	// CopyTokensPerSecond is how many tokens a second a link between two
 	// replicas transfers; zero if unknown.
 	CopyTokensPerSecond float64
-	// TargetPause is the longest pause between two events for which the generations
-	// of the service are on time; zero means no bound. TokensPerEvent is the number of
-	// tokens in an event.
-	TargetPause    time.Duration
-	TokensPerEvent int
+	// Pauses are those of the generations of the service.
+	Pauses Pauses
 }
 
 // ChooseForGeneration returns the index of the best candidate for a generation,
--- a/comfreyplacement/destination.go
+++ b/comfreyplacement/destination.go
@@ -24,7 +24,7 @@
 func ChooseMoveDestination(candidates []Candidate, d Demand, random func() float64) int {
 	return cheapest(candidates, random, func(c Candidate) (float64, bool) {
 		fits := c.Load.CapacityTokens <= 0 || c.Load.UsedTokens+d.PromptTokens <= c.Load.CapacityTokens
-		return generationCost(c) + float64(copyTime(c, d))/float64(copyTimePerCost), fits
+		return generationCost(c) + exposure(c, d.Pauses) + float64(copyTime(c, d))/float64(copyTimePerCost), fits
 	})
 }
 
--- a/comfreyplacement/rebalance.go
+++ b/comfreyplacement/rebalance.go
@@ -26,6 +26,7 @@
 	RemainingTokens float64
 	// IsDecoding is true from the first event on.
 	IsDecoding bool
+	Pauses     Pauses
 }
 
 // ChooseRebalancingMove chooses a generation to move from a full replica to an
@@ -45,6 +46,7 @@
 			// The move lowers the utilization of the source and raises that of
 			// the destination.
 			gain := utilization(candidates[r.From]) - utilization(c) - 2*float64(r.Tokens)/float64(c.Load.CapacityTokens)
+			gain -= exposure(c, r.Pauses)
 			if c.DataCentre != candidates[r.From].DataCentre {
 				gain -= otherDataCentreMoveCost
 			}
