Test of rate limits in exchanges looks at the first exchange

It added up the limits of all exchanges and wanted 25; a second exchange before the placements have arrived makes 50, for ever. Change: only the limits of the first exchange are kept, which must be all 25; the check is as strict as before.

--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -39,7 +39,7 @@
 	generations []comfreyoccupancy.Generation
 	placements  map[string]comfreygossip.Placements
 	cells       map[comfreycell.ID]comfreygossip.CellState
-	// rateLimits are those that the node knows, and received those of exchanges.
+	// rateLimits are those that the node knows, and received those of its first exchange.
 	rateLimits, received []comfreyreplica.RateLimit
 	// storeCurrentAt is when another gateway last sent a store age.
 	storeCurrentAt time.Time
@@ -121,7 +121,9 @@
 		MergeRateLimits: func(l []comfreyreplica.RateLimit) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.received = append(n.received, l...)
+			if n.received == nil {
+				n.received = l
+			}
 		},
 		MergeCrashRecords: func([]comfreyquarantine.CrashRecord) {},
 		ApplyCellState: func(c comfreycell.ID, s comfreygossip.CellState) {
