--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -17,6 +17,7 @@
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
+	"comfreyridge.example/comfreyridge/comfreyreturn"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyrouter"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
@@ -78,6 +79,11 @@
 	division        *comfreyratelimit.Division
 	capacityChanges changeNotifier
 	queues          map[string]*comfreyplacement.Queue
+	// peerQueues are the queues of other gateways, and returns the refused requests
+	// of all. departures holds how many replicas of each service leave at once.
+	peerQueues map[string]peerQueue
+	returns    *comfreyreturn.Ledger
+	departures map[string]*comfreyplacement.Departures
 	// storeCurrentAt is when the store cache was last known to be current, and
 	// storeReachedAt when the store last responded to this gateway itself.
 	storeCurrentAt time.Time
@@ -102,6 +108,9 @@
 		cancels:        map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
 		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
 		queues:         map[string]*comfreyplacement.Queue{},
+		peerQueues:     map[string]peerQueue{},
+		returns:        comfreyreturn.NewLedger(),
+		departures:     map[string]*comfreyplacement.Departures{},
 		division:       comfreyratelimit.NewDivision(c.Address),
 	}
 	g.metrics = newMetrics(g)
@@ -162,6 +171,8 @@
 			g.health.Expire(now)
 			g.observer.Expire(now)
 			g.division.Expire(now)
+			g.returns.Expire(now)
+			maps.DeleteFunc(g.peerQueues, func(_ string, q peerQueue) bool { return now.Sub(q.at) > peerQueueTimeout })
 			for _, t := range g.paces {
 				t.Expire(now)
 			}
@@ -275,6 +286,7 @@
 // handleReplicaChanges records changed states of replicas, and moves the
 // generations away from those that are leaving.
 func (g *Gateway) handleReplicaChanges(changes []comfreyreplica.Change) {
+	g.observeDepartures(changes)
 	for _, c := range changes {
 		r := c.Replica
 		reason := comfreyverdict.ReasonAccepted
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -60,6 +60,12 @@
 	// counts how often permits were asked for.
 	permit         comfreyreplica.Permit
 	permitRequests int
+	// isReturn means that the request was refused before, and that its caller has
+	// returned. queuedAt is when it entered the queue, and queueTimeout how long it may
+	// be there.
+	isReturn     bool
+	queuedAt     time.Time
+	queueTimeout time.Duration
 	// features are those that may make the request crash replicas, and execution is
 	// the current attempt.
 	features  []comfreyquarantine.Fingerprint
--- a/comfreyforward/metrics.go
+++ b/comfreyforward/metrics.go
@@ -26,7 +26,10 @@
 	// that could not be moved away in time.
 	evacuations *prometheus.CounterVec
 	leftBehind  prometheus.Counter
-	gauges      []prometheus.Collector
+	// returns counts callers who have returned after a refusal, by what became of
+	// their request.
+	returns *prometheus.CounterVec
+	gauges  []prometheus.Collector
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -49,6 +52,9 @@
 		evacuations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfrey_forward_evacuations_total", Help: "Changes of evacuations of data centres, by state.",
 		}, []string{"state"}),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfrey_forward_returns_total", Help: "Callers who have returned after a refusal, by outcome.",
+		}, []string{"outcome"}),
 		leftBehind:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_left_behind_total", Help: "Generations that could not be moved out of an evacuated data centre."}),
 		pauses:        prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_pauses_total", Help: "Responses of replicas that asked for a pause."}),
 		announcements: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_leaving_announced_total", Help: "Replicas that announced in a response that they leave."}),
@@ -78,7 +84,7 @@
 // Collectors returns the collectors of the gateway's metrics.
 func (g *Gateway) Collectors() []prometheus.Collector {
 	m := g.metrics
-	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.rateLimits, m.evacuations, m.leftBehind}, m.gauges...)
+	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.rateLimits, m.evacuations, m.leftBehind, m.returns}, m.gauges...)
 }
 
 // CountConnection counts a connection that was opened to a replica or the
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -85,7 +85,8 @@
 	leaving, announced := g.recentlyLeaving()
 	return comfreygossip.Placements{
 		Generations: g.estimator.Generations(), Leaving: leaving, Announced: announced,
-		Paces:      g.latestPaces(),
+		Paces:   g.latestPaces(),
+		Waiting: g.ownWaiting(), Refused: g.returns.Recent(g.config.Now()),
 		RateLimits: g.replicas.RateLimits(), PermitHolders: g.division.HolderNames(g.config.Now(), g.replicas.LimitedServices(), g.permitView),
 	}
 }
@@ -120,6 +121,12 @@
 		g.replicas.Hint(now, k)
 	}
 	g.mergePaces(s.Paces)
+	g.returns.Merge(s.Refused)
+	if len(s.Waiting) > 0 {
+		g.peerQueues[gateway] = peerQueue{s.Waiting, now}
+	} else {
+		delete(g.peerQueues, gateway)
+	}
 	limits := g.mergeRateLimits(s.RateLimits)
 	isNewName := g.division.SetHolderNames(now, gateway, s.PermitHolders)
 	g.mu.Unlock()
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -65,7 +65,8 @@
 		}
 	}
 	entered := g.config.Now()
-	timeout := comfreyplacement.QueueTimeout(x.route.TargetLatency, entered.Sub(x.started), n.promptTokens)
+	timeout := x.patience().QueueTimeout(entered.Sub(x.started), x.deadline.Sub(entered), n.promptTokens)
+	x.queuedAt, x.queueTimeout = entered, timeout
 	if !g.enqueue(x, n, timeout) {
 		return placement{}, &attemptError{reason: comfreyverdict.ReasonAdmissionFull, isNotRun: true}
 	}
@@ -85,7 +86,10 @@
 	if q.ExpectedWait() > timeout {
 		return false
 	}
-	q.Add(comfreyplacement.Waiter{ID: n.request, Priority: x.priority(), PromptTokens: n.promptTokens})
+	q.Add(comfreyplacement.Waiter{ID: n.request, Priority: x.priority(), PromptTokens: n.promptTokens, Service: x.service.Name, Target: x.route.TargetLatency})
+	if x.patience().TracksReturns() {
+		g.config.TriggerGossip()
+	}
 	return true
 }
 
@@ -159,6 +163,7 @@
 	demand.HeadroomTokens = g.queue(x.service.Name).HeadroomTokens(x.priority())
 	demand.MaxPendingPrefillTokens = comfreyplacement.MaxPendingPrefill(x.route.TargetLatency, now.Sub(x.started), n.promptTokens)
 	demand.Pauses = n.pauses
+	g.leaveRoom(now, x, &demand)
 	i := comfreyplacement.ChooseForGeneration(l, demand, g.config.Rand)
 	if i < 0 {
 		return placement{}, false
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -39,6 +39,7 @@
 		promptTokens: x.call.PromptTokens, maxTokens: x.call.MaxTokens,
 	}
 	g.retryBudget(x.service.Name).RecordRequest(x.started)
+	g.recognizeReturn(x)
 	g.addGeneration(n)
 	isComplete := false
 	defer func() { g.removeGeneration(n, isComplete) }()
@@ -47,6 +48,7 @@
 		g.respondStreamFailure(ctx, x, e)
 		return
 	}
+	g.observeReturn(x, "placed")
 	isComplete = g.relayStream(ctx, x, n, a)
 }
 
@@ -55,10 +57,7 @@
 // queue.
 func (g *Gateway) respondStreamFailure(ctx context.Context, x *exchange, e *attemptError) {
 	if x.sent == 0 && ctx.Err() == nil && e.retryAfter == 0 {
-		g.mu.Lock()
-		after := g.queue(x.service.Name).RetryAfter()
-		g.mu.Unlock()
-		g.refuse(x, e.reason, after)
+		g.refuseFull(x, e.reason)
 		return
 	}
 	g.respondFailure(ctx, x, e)
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -19,10 +19,12 @@
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreypace"
+	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
+	"comfreyridge.example/comfreyridge/comfreyreturn"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 )
 
@@ -98,6 +100,10 @@
 	PermitHolders map[string]string
 	// Paces are those that replicas have lately stated to the gateway.
 	Paces []comfreypace.Sample
+	// Waiting are the requests in the gateway's queues to which others yield, and
+	// Refused those whose callers it has lately told to return.
+	Waiting []comfreyplacement.Waiter
+	Refused []comfreyreturn.Refusal
 }
 
 // Config configures a Gossip. All fields except Seeds, Now and Dial are required.
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -104,6 +104,8 @@
 				d.Announced = append(d.Announced, &comfreyproto.ReplicaStart{Replica: k.ID, Born: k.StartMillis})
 			}
 			d.PermitHolders = s.PermitHolders
+			d.Waiting = comfreyrpc.EncodeWaiting(s.Waiting)
+			d.Refused = comfreyrpc.EncodeRefused(s.Refused, now)
 		}
 		l = append(l, d)
 	}
@@ -242,6 +244,8 @@
 	}
 	a.placements.RateLimits = append(a.placements.RateLimits, comfreyrpc.DecodeRateLimits(d.RateLimits, g.config.Now())...)
 	a.placements.Paces = append(a.placements.Paces, comfreyrpc.DecodePaces(d.Paces, g.config.Now())...)
+	a.placements.Waiting = append(a.placements.Waiting, comfreyrpc.DecodeWaiting(d.Waiting)...)
+	a.placements.Refused = append(a.placements.Refused, comfreyrpc.DecodeRefused(d.Refused, g.config.Now())...)
 	if d.PermitHolders != nil {
 		a.placements.PermitHolders = d.PermitHolders
 	}
--- a/comfreyplacement/choose.go
+++ b/comfreyplacement/choose.go
@@ -74,6 +74,9 @@
 	// HeadroomTokens is memory that must also stay free, for more urgent
 	// requests.
 	HeadroomTokens int
+	// MoveShare is the part of the memory that must also stay free, for generations
+	// that move.
+	MoveShare float64
 	// MaxPendingPrefillTokens bounds the prompts that a replica has yet to
 	// prefill before this one, so that the first event is on time; zero means
 	// no bound.
@@ -145,7 +148,7 @@
 	if c.Load.CapacityTokens <= 0 {
 		return true
 	}
-	need := float64(d.PromptTokens+d.HeadroomTokens) + expectedGrowthShare*d.ExpectedTokens
+	need := float64(d.PromptTokens+d.HeadroomTokens) + expectedGrowthShare*d.ExpectedTokens + d.MoveShare*float64(c.Load.CapacityTokens)
 	return committedTokens(c)+need <= float64(c.Load.CapacityTokens)
 }
 
--- a/comfreyplacement/queue.go
+++ b/comfreyplacement/queue.go
@@ -34,6 +34,9 @@
 	// Priority ranks the request; zero is the most urgent.
 	Priority     int
 	PromptTokens int
+	// Service and Target are the service and the target latency of the request.
+	Service string
+	Target  time.Duration
 }
 
 // Add adds a request to the queue.
@@ -72,6 +75,24 @@
 	return headroom
 }
 
+// Waiting returns the requests in the queue. The slice must not be changed.
+func (q *Queue) Waiting() []Waiter {
+	return q.waiting
+}
+
+// RoomForOthers returns the memory that a request of some priority leaves free for those
+// that wait, at this gateway or another one, to which its patience makes it yield. More
+// urgent and equally urgent ones count.
+func (p Patience) RoomForOthers(waiting []Waiter, priority int) int {
+	room := 0
+	for _, w := range waiting {
+		if w.Priority <= priority && p.Yields(w.Target) {
+			room = max(room, w.PromptTokens)
+		}
+	}
+	return room
+}
+
 // ExpectedWait returns how long one more request is expected to wait. It is
 // zero for an empty queue, which gives no basis for an estimate.
 func (q *Queue) ExpectedWait() time.Duration {
--- a/comfreyroute/table.go
+++ b/comfreyroute/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Config holds the content of a Table.
@@ -23,14 +24,22 @@
 	config   Config
 	hosts    map[string][]Route
 	services map[string]Service
+	targets  map[string]Targets
+}
+
+// Targets are the shortest and the longest target latency of the streaming routes of a
+// service; zero if it has none.
+type Targets struct {
+	Shortest, Longest time.Duration
 }
 
 // NewTable returns the table of a configuration, which must not change later.
 func NewTable(c Config) *Table {
-	t := &Table{config: c, hosts: map[string][]Route{}, services: map[string]Service{}}
+	t := &Table{config: c, hosts: map[string][]Route{}, services: map[string]Service{}, targets: map[string]Targets{}}
 	for _, r := range c.Routes {
 		h := normalizeHost(r.Host)
 		t.hosts[h] = append(t.hosts[h], r)
+		t.addTarget(r)
 	}
 	for _, r := range t.hosts {
 		slices.SortStableFunc(r, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -41,6 +50,26 @@
 	return t
 }
 
+// addTarget adds the target latency of a route to those of its services.
+func (t *Table) addTarget(r Route) {
+	if r.Kind != KindStreaming || r.TargetLatency <= 0 {
+		return
+	}
+	for _, s := range r.TrafficSplit {
+		k, ok := t.targets[s.Service]
+		if !ok || r.TargetLatency < k.Shortest {
+			k.Shortest = r.TargetLatency
+		}
+		k.Longest = max(k.Longest, r.TargetLatency)
+		t.targets[s.Service] = k
+	}
+}
+
+// Targets returns the target latencies of the streaming routes of a service.
+func (t *Table) Targets(service string) Targets {
+	return t.targets[service]
+}
+
 // Version returns the number of the configuration.
 func (t *Table) Version() uint64 {
 	return t.config.Version
--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -45,6 +45,7 @@
 	ReasonRandom             Reason = "random"
 	ReasonReplayWindowPassed Reason = "replay-window-passed"
 	ReasonRetryBudget        Reason = "retry-budget"
+	ReasonReturned           Reason = "returned"
 	ReasonSequenceGap        Reason = "sequence-gap"
 	ReasonSlowReader         Reason = "slow-reader"
 	ReasonSpill              Reason = "spill"
