--- a/comfreyforward/patience.go
+++ b/comfreyforward/patience.go
@@ -1,12 +1,15 @@
 package comfreyforward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyreturn"
+	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -17,6 +20,9 @@
 	// maxGossipedWaiting bounds the waiting requests of one message. Others leave room
 	// for the largest.
 	maxGossipedWaiting = 6
+	// homelessPeriod is how long others leave room for a generation that has to move and
+	// found none. It looks for room again after copyRetryDelay.
+	homelessPeriod = 300 * time.Millisecond
 	// placementRatePeriod is the time over which placements are counted.
 	placementRatePeriod = 500 * time.Millisecond
 )
@@ -61,7 +67,7 @@
 func (g *Gateway) refuseFull(x *exchange, reason comfreyverdict.Reason) {
 	g.mu.Lock()
 	now := g.config.Now()
-	after := g.queue(x.service.Name).RetryAfter()
+	after := g.queue(x).RetryAfter()
 	if x.patience().TracksReturns() {
 		after = g.returns.RetryAfter(now, x.service.Name, after, g.placementRate(now, x.service.Name), x.deadline.Sub(now))
 		g.returns.Refuse(now, x.service.Name, x.returnKey(), after)
@@ -90,21 +96,27 @@
 	if !p.IsPatient() {
 		return
 	}
-	waiting := g.queue(x.service.Name).Waiting()
+	waiting := g.homeless(now)
+	for k, q := range g.queues {
+		if k.service == x.service.Name {
+			waiting = append(waiting, q.Waiting()...)
+		}
+	}
 	for _, q := range g.peerQueues {
 		if now.Sub(q.at) < peerQueueTimeout {
 			for _, w := range q.waiting {
 				if w.Service == x.service.Name {
-					waiting = append(waiting[:len(waiting):len(waiting)], w)
+					waiting = append(waiting, w)
 				}
 			}
 		}
 	}
-	d.HeadroomTokens = max(d.HeadroomTokens, p.RoomForOthers(waiting, x.priority()))
+	waiting = slices.DeleteFunc(waiting, func(w comfreyplacement.Waiter) bool { return w.Service != x.service.Name })
 	queued := time.Duration(0)
 	if !x.queuedAt.IsZero() {
 		queued = now.Sub(x.queuedAt)
 	}
+	d.HeadroomTokens = max(d.HeadroomTokens, p.RoomForOthers(waiting, x.priority(), queued, x.queueTimeout))
 	if k := g.departures[x.service.Name]; k != nil && p.LeavesRoomForMoves(queued, x.queueTimeout) {
 		d.MoveShare = k.Share(now)
 	}
@@ -117,12 +129,14 @@
 	if t == nil {
 		return nil
 	}
-	var l []comfreyplacement.Waiter
+	l := g.homeless(g.config.Now())
+	l = slices.DeleteFunc(l, func(w comfreyplacement.Waiter) bool { return !isPatient(t.Targets(w.Service)) })
+	l = l[:min(len(l), maxGossipedWaiting/2)]
 	for s, q := range g.queues {
-		k := t.Targets(s)
-		p := comfreyplacement.Patience{Target: k.Longest, ShortestTarget: k.Shortest, LongestTarget: k.Longest}
+		k := t.Targets(s.service)
+		p := comfreyplacement.Patience{ShortestTarget: k.Shortest, LongestTarget: k.Longest}
 		for _, w := range q.Waiting() {
-			if p.Yields(w.Target) && len(l) < maxGossipedWaiting {
+			if p.TracksReturns() && !w.IsReturn && len(l) < maxGossipedWaiting {
 				l = append(l, w)
 			}
 		}
@@ -130,6 +144,25 @@
 	return l
 }
 
+// isPatient reports whether a service with some targets has requests that yield to
+// others.
+func isPatient(t comfreyroute.Targets) bool {
+	return comfreyplacement.Patience{ShortestTarget: t.Shortest, LongestTarget: t.Longest}.TracksReturns()
+}
+
+// homeless returns the generations that have to move and found no room, the largest
+// first. All patient requests yield to them. The mutex must be held.
+func (g *Gateway) homeless(now time.Time) []comfreyplacement.Waiter {
+	var l []comfreyplacement.Waiter
+	for n := range g.generations {
+		if now.Before(n.homelessUntil) && !n.hasEnded {
+			l = append(l, comfreyplacement.NewMovingWaiter(n.service.Name, n.kvTokens()))
+		}
+	}
+	slices.SortFunc(l, func(a, b comfreyplacement.Waiter) int { return cmp.Compare(b.PromptTokens, a.PromptTokens) })
+	return l
+}
+
 // observeDepartures counts the replicas that begin to leave.
 func (g *Gateway) observeDepartures(changes []comfreyreplica.Change) {
 	g.mu.Lock()
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -72,7 +72,7 @@
 	}
 	p, e := g.waitInQueue(ctx, x, n, changed, timeout)
 	g.mu.Lock()
-	g.queue(x.service.Name).Remove(n.request, g.config.Now().Sub(entered), e == nil)
+	g.queue(x).Remove(n.request, g.config.Now().Sub(entered), e == nil)
 	g.mu.Unlock()
 	return p, e
 }
@@ -82,23 +82,30 @@
 func (g *Gateway) enqueue(x *exchange, n *generation, timeout time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.queue(x.service.Name)
+	q := g.queue(x)
 	if q.ExpectedWait() > timeout {
 		return false
 	}
-	q.Add(comfreyplacement.Waiter{ID: n.request, Priority: x.priority(), PromptTokens: n.promptTokens, Service: x.service.Name, Target: x.route.TargetLatency})
+	q.Add(comfreyplacement.Waiter{ID: n.request, Priority: x.priority(), PromptTokens: n.promptTokens, Service: x.service.Name, Target: x.route.TargetLatency, IsReturn: x.isReturn})
 	if x.patience().TracksReturns() {
 		g.config.TriggerGossip()
 	}
 	return true
 }
 
-// queue returns the queue of a service. The mutex must be held.
-func (g *Gateway) queue(service string) *comfreyplacement.Queue {
-	q, ok := g.queues[service]
+// lane names a queue of a service.
+type lane struct {
+	service string
+	lane    comfreyplacement.Lane
+}
+
+// queue returns the queue in which a request waits. The mutex must be held.
+func (g *Gateway) queue(x *exchange) *comfreyplacement.Queue {
+	k := lane{x.service.Name, x.patience().Lane()}
+	q, ok := g.queues[k]
 	if !ok {
 		q = &comfreyplacement.Queue{}
-		g.queues[service] = q
+		g.queues[k] = q
 	}
 	return q
 }
@@ -160,7 +167,7 @@
 	now := g.config.Now()
 	l := g.candidates(now, x.search())
 	demand := comfreyplacement.Demand{PromptTokens: n.promptTokens, ExpectedTokens: g.remainingTokens(n)}
-	demand.HeadroomTokens = g.queue(x.service.Name).HeadroomTokens(x.priority())
+	demand.HeadroomTokens = g.queue(x).HeadroomTokens(x.priority())
 	demand.MaxPendingPrefillTokens = comfreyplacement.MaxPendingPrefill(x.route.TargetLatency, now.Sub(x.started), n.promptTokens)
 	demand.Pauses = n.pauses
 	g.leaveRoom(now, x, &demand)
--- a/comfreyplacement/patience.go
+++ b/comfreyplacement/patience.go
@@ -16,7 +16,10 @@
 	returnQueueShare = 0.5
 	// yieldShare is the part of its time in the queue for which a patient request
 	// leaves room for generations that move.
-	yieldShare = 0.5
+	yieldShare = 0.6
+	// returnYieldShare is the part of its time in the queue for which a request whose
+	// caller has returned leaves room for those that can still be on time.
+	returnYieldShare = 0.8
 )
 
 // Patience is how long a request can wait for a placement, and for whom it leaves room
@@ -52,6 +55,29 @@
 	return target > 0 && p.Target >= patientTargetRatio*target
 }
 
+// Lane is a queue of a service. Requests in one lane wait about as long as each other,
+// so that one in another lane does not count for how long they do.
+type Lane int
+
+// The lanes. A service without patient requests has the first one only.
+const (
+	LaneUsual Lane = iota
+	LanePatient
+	LaneReturn
+)
+
+// Lane returns the lane in which the request waits.
+func (p Patience) Lane() Lane {
+	switch {
+	case !p.IsPatient():
+		return LaneUsual
+	case p.IsReturn:
+		return LaneReturn
+	default:
+		return LanePatient
+	}
+}
+
 // TracksReturns reports whether callers of refused requests are recognized when they
 // return.
 func (p Patience) TracksReturns() bool {
--- a/comfreyplacement/queue.go
+++ b/comfreyplacement/queue.go
@@ -37,6 +37,19 @@
 	// Service and Target are the service and the target latency of the request.
 	Service string
 	Target  time.Duration
+	// IsReturn means that the request was refused before, and that its caller has
+	// returned.
+	IsReturn bool
+}
+
+// movingTarget is the target of a generation that has to move, for which any other
+// request can wait.
+const movingTarget = time.Millisecond
+
+// NewMovingWaiter returns a waiter for a generation that has to move and needs some
+// tokens of memory. All patient requests yield to it.
+func NewMovingWaiter(service string, tokens int) Waiter {
+	return Waiter{Service: service, PromptTokens: tokens, Target: movingTarget}
 }
 
 // Add adds a request to the queue.
@@ -81,12 +94,14 @@
 }
 
 // RoomForOthers returns the memory that a request of some priority leaves free for those
-// that wait, at this gateway or another one, to which its patience makes it yield. More
-// urgent and equally urgent ones count.
-func (p Patience) RoomForOthers(waiting []Waiter, priority int) int {
+// that wait, at this gateway or another one, to which it yields. More urgent and equally
+// urgent ones count. A request that is late already, since its caller has returned,
+// yields to all that can still be on time, but not for all of its time in the queue.
+func (p Patience) RoomForOthers(waiting []Waiter, priority int, queued, timeout time.Duration) int {
+	isPatientReturn := p.IsReturn && float64(queued) < returnYieldShare*float64(timeout)
 	room := 0
 	for _, w := range waiting {
-		if w.Priority <= priority && p.Yields(w.Target) {
+		if w.Priority <= priority && (p.Yields(w.Target) || isPatientReturn && !w.IsReturn) {
 			room = max(room, w.PromptTokens)
 		}
 	}
