--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -72,10 +72,15 @@
 			}
 			continue
 		}
-		if !comfreyplacement.MayUseNewReplica(r.ID, g.config.Address, others, now.Sub(r.Since)) {
+		c := g.candidate(now, s, r, load)
+		age := now.Sub(r.Since)
+		if s.WarmUpPerSecond > 0 {
+			age = comfreyplacement.OpeningAge(age, c.Load)
+		}
+		if !comfreyplacement.MayUseNewReplica(r.ID, g.config.Address, others, age) {
 			continue
 		}
-		l = append(l, g.candidate(now, s, r, load))
+		l = append(l, c)
 	}
 	return g.withoutHinted(now, append(l, comfreyplacement.SampleRemote(remote, g.config.Rand)...))
 }
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -193,6 +193,9 @@
 	if len(r.Crashes) > 0 {
 		g.config.MergeCrashRecords(comfreyrpc.DecodeCrashRecords(r.Crashes, g.config.Now()))
 	}
+	if len(r.Leaving) > 0 {
+		g.config.MergeLeaving(decodeStarts(r.Leaving))
+	}
 	if len(r.RateLimits) > 0 {
 		g.config.MergeRateLimits(comfreyrpc.DecodeRateLimits(r.RateLimits, g.config.Now()))
 	}
@@ -258,6 +261,7 @@
 		Crashes: comfreyrpc.EncodeCrashRecords(g.config.RepeatedSuspects(), g.config.Now()),
 	}
 	if r.Complete == 0 {
+		p.Leaving = encodeStarts(g.config.KnownLeaving())
 		p.RateLimits = comfreyrpc.EncodeRateLimits(g.config.KnownRateLimits(), g.config.Now())
 	}
 	if own := g.config.StoreVersion(); g.mustWithholdListing(r, own) {
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -151,6 +151,10 @@
 	// and MergeRateLimits adds those of another gateway.
 	KnownRateLimits func() []comfreyreplica.RateLimit
 	MergeRateLimits func(l []comfreyreplica.RateLimit)
+	// KnownLeaving returns the replicas that leave, for a gateway that starts, and
+	// MergeLeaving adds those that another gateway knows.
+	KnownLeaving func() []comfreyreplica.Start
+	MergeLeaving func(l []comfreyreplica.Start)
 	// Permit answers another gateway's request for a permit, which was passed on a
 	// number of times.
 	Permit func(ctx context.Context, r comfreyratelimit.Request, hops int) comfreyratelimit.Reply
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -41,6 +41,9 @@
 	cells       map[comfreycell.ID]comfreygossip.CellState
 	// rateLimits are those that the node knows, and received those of its first exchange.
 	rateLimits, received []comfreyreplica.RateLimit
+	// leaving are the replicas that leave for all that the node knows, and
+	// receivedLeaving those of exchanges.
+	leaving, receivedLeaving []comfreyreplica.Start
 	// storeCurrentAt is when another gateway last sent a store age.
 	storeCurrentAt time.Time
 }
@@ -118,6 +121,14 @@
 		KnownRateLimits: func() []comfreyreplica.RateLimit {
 			return locked(n, func() []comfreyreplica.RateLimit { return n.rateLimits })
 		},
+		KnownLeaving: func() []comfreyreplica.Start {
+			return locked(n, func() []comfreyreplica.Start { return n.leaving })
+		},
+		MergeLeaving: func(l []comfreyreplica.Start) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.receivedLeaving = l
+		},
 		MergeRateLimits: func(l []comfreyreplica.RateLimit) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -188,7 +199,11 @@
 // exchange, and that permits are requested from any known gateway.
 func TestRateLimitsAndPermitsReachOtherGateways(t *testing.T) {
 	a := startNode(t, 61)
-	locked(a, func() bool { a.rateLimits = testRateLimits(25); return true })
+	leaving := comfreyreplica.Start{ID: "i-left", StartMillis: 7}
+	locked(a, func() bool {
+		a.rateLimits, a.leaving = testRateLimits(25), []comfreyreplica.Start{leaving}
+		return true
+	})
 	b := startNode(t, 62, a.address)
 	await(t, "the limits of the other gateway", func() bool {
 		return locked(b, func() bool {
@@ -196,6 +211,9 @@
 			return len(s.RateLimits) == 25 && s.PermitHolders["app"] == a.address && len(b.received) == 25
 		})
 	})
+	if got := locked(b, func() []comfreyreplica.Start { return b.receivedLeaving }); len(got) != 1 || got[0] != leaving {
+		t.Errorf("expected that a gateway which starts learns that %v leaves, got %v", leaving, got)
+	}
 	r := comfreyratelimit.Request{Service: "app", Key: "key", Offers: []comfreyratelimit.Offer{{Start: comfreyreplica.Start{ID: "i-1"}, PerSecond: 3}}}
 	p, err := b.gossip.RequestPermit(t.Context(), a.address, r, 2)
 	if want := (comfreyratelimit.Reply{Replica: "i-1", Wait: 2 * time.Second, IsBooked: true}); err != nil || p != want {
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -100,9 +100,7 @@
 		d.Paces = comfreyrpc.EncodePaces(chunk(s.Paces, p, maxPaces), now)
 		if p == 0 {
 			d.Leaving, d.LeavingBorn = encodeLeaving(s.Leaving)
-			for _, k := range s.Announced {
-				d.Announced = append(d.Announced, &comfreyproto.ReplicaStart{Replica: k.ID, Born: k.StartMillis})
-			}
+			d.Announced = encodeStarts(s.Announced)
 			d.PermitHolders = s.PermitHolders
 			d.Waiting = comfreyrpc.EncodeWaiting(s.Waiting)
 			d.Refused = comfreyrpc.EncodeRefused(s.Refused, now)
@@ -118,6 +116,22 @@
 	return l[min(part*size, len(l)):min((part+1)*size, len(l))]
 }
 
+func encodeStarts(l []comfreyreplica.Start) []*comfreyproto.ReplicaStart {
+	var m []*comfreyproto.ReplicaStart
+	for _, k := range l {
+		m = append(m, &comfreyproto.ReplicaStart{Replica: k.ID, Born: k.StartMillis})
+	}
+	return m
+}
+
+func decodeStarts(m []*comfreyproto.ReplicaStart) []comfreyreplica.Start {
+	var l []comfreyreplica.Start
+	for _, k := range m {
+		l = append(l, comfreyreplica.Start{ID: k.Replica, StartMillis: k.Born})
+	}
+	return l
+}
+
 // encodeLeaving returns the ids and the starts of replicas.
 func encodeLeaving(l []comfreyreplica.Start) (ids []string, starts []int64) {
 	for _, k := range l {
@@ -239,9 +253,7 @@
 	}
 	a.placements.Generations = append(a.placements.Generations, decodeGenerations(d.Runs)...)
 	a.placements.Leaving = append(a.placements.Leaving, decodeLeaving(d.Leaving, d.LeavingBorn)...)
-	for _, k := range d.Announced {
-		a.placements.Announced = append(a.placements.Announced, comfreyreplica.Start{ID: k.Replica, StartMillis: k.Born})
-	}
+	a.placements.Announced = append(a.placements.Announced, decodeStarts(d.Announced)...)
 	a.placements.RateLimits = append(a.placements.RateLimits, comfreyrpc.DecodeRateLimits(d.RateLimits, g.config.Now())...)
 	a.placements.Paces = append(a.placements.Paces, comfreyrpc.DecodePaces(d.Paces, g.config.Now())...)
 	a.placements.Waiting = append(a.placements.Waiting, comfreyrpc.DecodeWaiting(d.Waiting)...)
--- a/comfreyplacement/new_replica.go
+++ b/comfreyplacement/new_replica.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"io"
 	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 )
 
 const (
@@ -20,6 +22,9 @@
 	// gatewayDoublingTime is after which time twice as many may use it. An engine
 	// prefills a prompt or two in that time.
 	gatewayDoublingTime = 400 * time.Millisecond
+	// unansweredAge is the age until which a replica opens without an answer: two
+	// prompts are prefilled in that time.
+	unansweredAge = 2 * gatewayDoublingTime
 	// maxDoublings bounds the number of gateways of a cell, far above its size.
 	maxDoublings = 16
 )
@@ -49,6 +54,27 @@
 	return before < allowed
 }
 
+// OpeningAge returns the age of a replica that counts for MayUseNewReplica where the
+// pace of new replicas is found from how they answer. Each generation that has got its
+// first event there counts like the time in which the replica is expected to prefill
+// one. One that has work and has answered nothing yet stays at the age that it had when
+// it should have.
+//
+// It is built for this load: a data centre returns at once with a third of all
+// replicas, some of which are slower than usual, and all gateways have generations in
+// their queues. By age alone, a fast replica is idle for most of a second, and a slow
+// one receives prompts for seconds before its first event.
+func OpeningAge(age time.Duration, l comfreyoccupancy.Load) time.Duration {
+	switch {
+	case l.Decoding > 0:
+		return age + time.Duration(l.Decoding)*gatewayDoublingTime
+	case l.PendingPrefillTokens > 0:
+		return min(age, unansweredAge)
+	default:
+		return age
+	}
+}
+
 // rendezvousWeight returns the weight of a gateway for a replica; the gateways
 // of the lowest weights use the replica.
 func rendezvousWeight(replica, gateway string) uint64 {
--- a/comfreyplacement/new_replica_test.go
+++ b/comfreyplacement/new_replica_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 )
 
@@ -97,3 +98,58 @@
 		}
 	}
 }
+
+// TestNewReplicaOpensByItsAnswers replays a replica that returns empty, while 31 gateways
+// have a prompt each and learn of each other's placements after 250 ms. A fast one has to
+// be used by all gateways sooner than by its age alone, and one that answers nothing must
+// not receive more prompts than it can prefill for the first event to be on time.
+func TestNewReplicaOpensByItsAnswers(t *testing.T) {
+	var gateways []string
+	for i := range 31 {
+		gateways = append(gateways, fmt.Sprintf("10.1.0.%d:8748", 19+i))
+	}
+	// replay returns when all gateways may use the replica, and how many prompts it has
+	// received by then or after 5 s, given how long it takes to prefill one.
+	replay := func(prefill time.Duration, age func(age time.Duration, l comfreyoccupancy.Load) time.Duration) (time.Duration, int) {
+		var sentAt []time.Duration
+		used := map[int]bool{}
+		const step, gossipDelay = 50 * time.Millisecond, 250 * time.Millisecond
+		for now := time.Duration(0); now < 5*time.Second; now += step {
+			known := 0
+			for _, at := range sentAt {
+				if now-at >= gossipDelay {
+					known++
+				}
+			}
+			answered := min(known, int(max(now-gossipDelay, 0)/prefill))
+			l := comfreyoccupancy.Load{Decoding: answered, PendingPrefillTokens: 3000 * (known - answered)}
+			open := 0
+			for i, own := range gateways {
+				if !comfreyplacement.MayUseNewReplica("i-1", own, others(gateways, i), age(now, l)) {
+					continue
+				}
+				open++
+				if !used[i] {
+					used[i] = true
+					sentAt = append(sentAt, now)
+				}
+			}
+			if open == len(gateways) {
+				return now, len(sentAt)
+			}
+		}
+		return 5 * time.Second, len(sentAt)
+	}
+	byAge := func(age time.Duration, _ comfreyoccupancy.Load) time.Duration { return age }
+	fast, _ := replay(200*time.Millisecond, comfreyplacement.OpeningAge)
+	fastByAge, _ := replay(200*time.Millisecond, byAge)
+	if fast >= fastByAge {
+		t.Errorf("a fast replica: expected that all gateways use it before %v, got %v", fastByAge, fast)
+	}
+	_, silent := replay(time.Hour, comfreyplacement.OpeningAge)
+	_, silentByAge := replay(time.Hour, byAge)
+	if silent > 8 || silent >= silentByAge {
+		t.Errorf("a replica that does not answer: expected at most 8 prompts, and fewer than %d, got %d", silentByAge, silent)
+	}
+	t.Logf("fast: %v instead of %v; silent: %d prompts instead of %d", fast, fastByAge, silent, silentByAge)
+}
--- a/comfreyplacement/queue.go
+++ b/comfreyplacement/queue.go
@@ -98,7 +98,7 @@
 // urgent ones count. A request that is late already, since its caller has returned,
 // yields to all that can still be on time, but not for all of its time in the queue.
 func (p Patience) RoomForOthers(waiting []Waiter, priority int, queued, timeout time.Duration) int {
-	isPatientReturn := p.IsReturn && float64(queued) < returnYieldShare*float64(timeout)
+	isPatientReturn := p.IsReturn && p.isServicePatient() && float64(queued) < returnYieldShare*float64(timeout)
 	room := 0
 	for _, w := range waiting {
 		if w.Priority <= priority && (p.Yields(w.Target) || isPatientReturn && !w.IsReturn) {
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -66,14 +66,18 @@
 	// evacuations holds the evacuated data centres by name, and warmUps what is
 	// configured of cold replicas, by service.
 	evacuations map[string]evacuation
-	warmUps     map[string]WarmUp
+	// unlisted holds, by id, starts that leave by the word of another process, of
+	// replicas that are not in the set yet.
+	unlisted map[string]unlistedStart
+	warmUps  map[string]WarmUp
 }
 
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
 	return &Set{
 		config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{},
-		limits: startMap[RateLimit]{}, full: startMap[time.Time]{}, hints: map[string]time.Time{}, evacuations: map[string]evacuation{},
+		unlisted: map[string]unlistedStart{},
+		limits:   startMap[RateLimit]{}, full: startMap[time.Time]{}, hints: map[string]time.Time{}, evacuations: map[string]evacuation{},
 	}
 }
 
@@ -117,6 +121,10 @@
 	if isSameStart && now.Before(old.WarmAt) && old.WarmAt.Before(r.WarmAt) {
 		r.WarmAt = old.WarmAt // The registration is as old as the last time the replica wrote it.
 	}
+	if u, ok := s.unlisted[l.ID]; ok && !known && u.isSame(l.start()) {
+		l.IsDraining = true
+		delete(s.unlisted, l.ID)
+	}
 	if l.IsDraining {
 		r.State, r.EndsAt = StateLeaving, now.Add(s.config.DrainPeriod)
 	}
@@ -246,6 +254,7 @@
 	s.expireHints(now)
 	s.expireLimits(now)
 	s.expireEvacuations(now)
+	s.expireUnlisted(now)
 	var c []Change
 	if len(s.restored) > 0 && !now.Before(s.restoredUntil) {
 		for _, l := range s.restored {
