A planned stop answers the connections in the accept queue

Cause: closing a listener resets the connections in its queue, whose callers may have sent requests. Change: the listener of callers accepts what is in its queue, until none arrives for 1 ms, before it closes.

--- /dev/null
+++ b/comfreyforward/listener.go
@@ -0,0 +1,72 @@
+package comfreyforward
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// acceptQuiet is how long no connection must have arrived before a listener stops.
+	acceptQuiet = time.Millisecond
+	// maxStopDelay bounds how long a listener takes to stop while connections arrive.
+	maxStopDelay = 300 * time.Millisecond
+)
+
+// stoppableListener is a listener that accepts what is in its queue before it closes.
+// The kernel resets the connections in the queue of a listener that is closed, although
+// their callers may have sent requests.
+type stoppableListener struct {
+	*net.TCPListener
+	isStopping atomic.Bool
+	// stopped is closed when the listener accepts no more, and closed when it is
+	// closed.
+	stopped, closed         chan struct{}
+	stoppedOnce, closedOnce sync.Once
+}
+
+func newStoppableListener(l *net.TCPListener) *stoppableListener {
+	return &stoppableListener{TCPListener: l, stopped: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener. Once the listener has stopped, it blocks until Close.
+func (l *stoppableListener) Accept() (net.Conn, error) {
+	if l.isStopping.Load() {
+		_ = l.SetDeadline(time.Now().Add(acceptQuiet)) // It fails only if the listener is closed.
+	}
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		return c, nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errors.Join(net.ErrClosed, l.TCPListener.Close())
+		defer func() { <-l.closed }()
+	}
+	l.stoppedOnce.Do(func() { close(l.stopped) })
+	return nil, err
+}
+
+// Stop accepts what is in the queue and closes the socket. It returns when that is done,
+// or after maxStopDelay.
+func (l *stoppableListener) Stop() {
+	l.isStopping.Store(true)
+	_ = l.SetDeadline(time.Now().Add(acceptQuiet)) // It fails only if the listener is closed.
+	t := time.NewTimer(maxStopDelay)
+	defer t.Stop()
+	select {
+	case <-l.stopped:
+	case <-t.C:
+	}
+}
+
+// Close implements net.Listener.
+func (l *stoppableListener) Close() error {
+	l.closedOnce.Do(func() { close(l.closed) })
+	if err := l.TCPListener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -69,6 +69,9 @@
 type Server struct {
 	gateway *Gateway
 	config  ServerConfig
+	// callers accepts the connections of callers; nil if its listener is not one on
+	// TCP.
+	callers *stoppableListener
 }
 
 // NewServer returns a server for a gateway that has not been started.
@@ -118,6 +121,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.config.GracePeriod-gracePeriodMargin)
 	defer cancel()
 	comfreygroup.Sleep(ctx, deregistrationDelay)
+	if s.callers != nil {
+		s.callers.Stop()
+	}
 	err := callers.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = callers.Close()
@@ -156,7 +162,19 @@
 		ReadHeaderTimeout: positiveOr(l.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       positiveOr(l.IdleTimeout, defaultIdleTimeout) + idleTimeoutMargin,
 	}
-	return h, s.serve("callers", s.config.CallerAddress, h, maxCallerConnections(s.config.MaxFileDescriptors))
+	k, err := s.config.Listen(s.config.CallerAddress)
+	if err != nil {
+		return nil, fmt.Errorf("comfreyforward: listening for callers: %w", err)
+	}
+	if tcp, ok := k.(*net.TCPListener); ok {
+		s.callers = newStoppableListener(tcp)
+		k = s.callers
+	}
+	if n := maxCallerConnections(s.config.MaxFileDescriptors); n > 0 {
+		k = newLimitedListener(k, n)
+	}
+	s.serve("callers", k, h)
+	return h, nil
 }
 
 // positiveOr returns v if it is positive, else the default d.
@@ -174,18 +192,16 @@
 	if address == "" {
 		return nil
 	}
-	return s.serve(name, address, &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}, 0)
-}
-
-// serve serves at most a number of connections at a time; zero means no bound.
-func (s *Server) serve(name, address string, h *http.Server, limit int) error {
 	l, err := s.config.Listen(address)
 	if err != nil {
 		return fmt.Errorf("comfreyforward: listening for %s: %w", name, err)
 	}
-	if limit > 0 {
-		l = newLimitedListener(l, limit)
-	}
+	s.serve(name, l, &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
+	return nil
+}
+
+// serve serves the connections of a listener until the group ends.
+func (s *Server) serve(name string, l net.Listener, h *http.Server) {
 	s.gateway.config.Group.Go(name, func(context.Context) error {
 		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("comfreyforward: serving %s: %w", name, err)
@@ -196,7 +212,6 @@
 		<-ctx.Done()
 		return h.Close()
 	})
-	return nil
 }
 
 func (s *Server) readyHandler() http.Handler {
