--- a/comfreyroute/table.go
+++ b/comfreyroute/table.go
@@ -17,6 +17,8 @@
 	// configuration has no customers and requires no keys.
 	Keys   map[string]Customer
 	Limits Limits
+	// SharedKeys are the customers with a key that an earlier customer has too.
+	SharedKeys []string
 }
 
 // Table looks up the route, the service and the customer of a request.
