--- a/comfreyforward/patience.go
+++ b/comfreyforward/patience.go
@@ -51,7 +51,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	x.isReturn = g.returns.Return(x.returnKey())
+	x.isReturn = g.returns.Return(g.config.Now(), x.returnKey())
 }
 
 // observeReturn counts how the request of a caller who has returned ended.
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -266,6 +266,11 @@
 	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		g.recordOutcome(c.ID, true)
 	}
+	if ctx.Err() == nil {
+		g.mu.Lock()
+		g.replicas.ObserveConnectionLost(g.config.Now(), c.ID)
+		g.mu.Unlock()
+	}
 	var s *comfreyconnection.SendError
 	if errors.As(err, &s) && !s.MayHaveArrived {
 		g.endAttempt(x)
--- a/comfreyreplica/warm_up.go
+++ b/comfreyreplica/warm_up.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// ObserveConnectionLost records that a connection to a replica broke or could not be
+// opened. The replica may be starting again, which a process that is cut from the store
+// does not hear of, and then it is cold when it accepts the next one.
+func (s *Set) ObserveConnectionLost(now time.Time, id string) {
+	r, ok := s.replicas[id]
+	if w := s.warmUps[r.Service]; ok && w.PerSecond > 0 {
+		s.replicas[id] = s.withWarmUp(r, now.Add(w.Duration))
+	}
+}
+
 // withWarmUp returns a replica that is cold until a time, or until a later one that
 // is known already.
 func (s *Set) withWarmUp(r Replica, until time.Time) Replica {
--- a/comfreyreplica/warm_up_test.go
+++ b/comfreyreplica/warm_up_test.go
@@ -115,3 +115,20 @@
 		t.Error("expected no choice until there is room")
 	}
 }
+
+// TestReplicaIsColdAfterItsConnectionsBroke checks a process that is cut from the store,
+// before a replica that goes down and comes back under the same id.
+func TestReplicaIsColdAfterItsConnectionsBroke(t *testing.T) {
+	s := newColdSet(30)
+	register(s, start, 1, 0)
+	s.ObserveConnectionLost(start.Add(5*time.Second), "a")
+	if !needsPermit(s, start.Add(5900*time.Millisecond), comfreyreplica.PurposeWork) || needsPermit(s, start.Add(6*time.Second), comfreyreplica.PurposeWork) {
+		t.Error("expected a cold replica for the time of a cold start")
+	}
+	s = newColdSet(0)
+	register(s, start, 1, 0)
+	s.ObserveConnectionLost(start, "a")
+	if r, _ := s.Get("a"); r.WarmAt.After(start) {
+		t.Error("expected no change without a configured rate")
+	}
+}
--- a/comfreyreturn/ledger.go
+++ b/comfreyreturn/ledger.go
@@ -20,6 +20,9 @@
 	// maxRefusals bounds the refusals that are kept, and maxSent those of one message.
 	maxRefusals = 4096
 	maxSent     = 24
+	// earlyReturn is how much earlier than told a caller may return: the processes do
+	// not agree on the time.
+	earlyReturn = 200 * time.Millisecond
 	// returnShare is the part of all placements that returning callers are expected to
 	// get. The others are for callers who come for the first time.
 	returnShare = 0.5
@@ -103,11 +106,12 @@
 	}
 }
 
-// Return reports whether a request was refused before, and its caller returns now. A
-// further return of the same caller is reported too, as long as the refusal is kept.
-func (l *Ledger) Return(k Key) bool {
-	_, ok := l.refusals[k]
-	return ok
+// Return reports whether a request was refused before, and its caller returns when it was
+// told. One that comes earlier counts as coming for the first time. A further return of
+// the same caller is reported too, as long as the refusal is kept.
+func (l *Ledger) Return(now time.Time, k Key) bool {
+	r, ok := l.refusals[k]
+	return ok && now.After(r.Due.Add(-earlyReturn))
 }
 
 // Recent returns the refusals of this process that other processes have to know, the
--- a/comfreyreturn/ledger_test.go
+++ b/comfreyreturn/ledger_test.go
@@ -19,7 +19,7 @@
 	after := a.RetryAfter(start, "llm", time.Second, 20, 30*time.Second)
 	a.Refuse(start, "llm", key(1), after)
 	b.Merge(a.Recent(start))
-	fmt.Println(after, b.Return(key(1)), b.Return(key(2)))
+	fmt.Println(after, b.Return(start.Add(after), key(1)), b.Return(start.Add(after), key(2)))
 	// Output:
 	// 1s true false
 }
@@ -73,11 +73,14 @@
 		t.Error("expected that only the process which refused sends the refusal, for a short time")
 	}
 	b.Expire(start.Add(10 * time.Second))
-	if !b.Return(key(1)) {
+	if !b.Return(start.Add(10*time.Second), key(1)) {
 		t.Error("expected that a late caller is recognized")
 	}
+	if b.Return(start.Add(500*time.Millisecond), key(1)) || !b.Return(start.Add(900*time.Millisecond), key(1)) {
+		t.Error("expected that a caller who does not wait as told is not recognized, and one who comes a little early is")
+	}
 	b.Expire(start.Add(30 * time.Second))
-	if b.Return(key(1)) {
+	if b.Return(start.Add(30*time.Second), key(1)) {
 		t.Error("expected that a refusal is forgotten")
 	}
 }
