--- a/comfreyforward/patience.go
+++ b/comfreyforward/patience.go
@@ -130,7 +130,6 @@
 		return nil
 	}
 	l := g.homeless(g.config.Now())
-	l = slices.DeleteFunc(l, func(w comfreyplacement.Waiter) bool { return !isPatient(t.Targets(w.Service)) })
 	l = l[:min(len(l), maxGossipedWaiting/2)]
 	for s, q := range g.queues {
 		k := t.Targets(s.service)
@@ -150,6 +149,15 @@
 	return comfreyplacement.Patience{ShortestTarget: t.Shortest, LongestTarget: t.Longest}.TracksReturns()
 }
 
+// markHomeless records that a generation has to move and that no replica has room for
+// it, so that patient requests of all gateways leave room. The mutex must be held.
+func (g *Gateway) markHomeless(n *generation) {
+	if t := g.table.Load(); t != nil && isPatient(t.Targets(n.service.Name)) {
+		n.homelessUntil = g.config.Now().Add(homelessPeriod)
+		g.config.TriggerGossip()
+	}
+}
+
 // homeless returns the generations that have to move and found no room, the largest
 // first. All patient requests yield to them. The mutex must be held.
 func (g *Gateway) homeless(now time.Time) []comfreyplacement.Waiter {
