--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -170,19 +170,32 @@
 func (g *Gateway) markStoreUnreachable() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.storeCurrentAt.IsZero() && g.config.Now().Sub(g.storeCurrentAt) >= storeOutageThreshold {
+	if g.wasStoreUnreachable(g.config.Now()) {
 		g.replicas.PlatformUnreachable()
 	}
 }
 
+// wasStoreUnreachable reports whether no gateway that this one knows of has reached the
+// store for some time. The mutex must be held.
+func (g *Gateway) wasStoreUnreachable(now time.Time) bool {
+	return !g.storeCurrentAt.IsZero() && now.Sub(g.storeCurrentAt) >= storeOutageThreshold
+}
+
 // mergeItems merges items from a source into the store cache through f, which
 // returns those that were new, and applies them.
 func (g *Gateway) mergeItems(source string, f func() []comfreystorecache.Item) {
 	g.mu.Lock()
 	var changes []comfreyreplica.Change
 	now := g.config.Now()
+	wasUnreachable := g.wasStoreUnreachable(now)
 	old := g.storeCache.Version()
 	items := f()
+	if wasUnreachable && len(items) > 0 {
+		// Registrations that lapsed meanwhile can be renewed, also if this gateway did
+		// not call the store itself.
+		g.replicas.PlatformUnreachable()
+		g.replicas.PlatformReachable(now)
+	}
 	version := g.storeCache.Version()
 	isRestored := version.Era > old.Era && old.Revision > 0
 	if isRestored {
