--- a/comfreyforward/evacuation.go
+++ b/comfreyforward/evacuation.go
@@ -7,15 +7,10 @@
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
-	"comfreyridge.example/comfreyridge/comfreyroute"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
-// unservableRetryAfter is the retry-after of a request that no replica may serve until
-// an operator or a start changes that, which takes seconds.
-const unservableRetryAfter = 2 * time.Second
-
 // applyEvacuation applies a change of an operator's order to send nothing to a data
 // centre, which may be missing from an older copy of the store. It reports whether the
 // data centre has to be emptied. The mutex must be held.
@@ -63,44 +58,6 @@
 	})
 }
 
-// checkServable returns an error if no replica of a request's service may serve it,
-// although there are some that accept new work: their data centres are evacuated, or
-// they are outside the homes of the request. It would wait in vain.
-func (g *Gateway) checkServable(x *exchange) *attemptError {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	reason := comfreyverdict.Reason("")
-	for _, r := range g.replicas.ByService(x.service.Name) {
-		switch {
-		case !r.IsAccepting():
-		case !g.isHome(x.homes, r):
-			if reason == "" {
-				reason = comfreyverdict.ReasonNoHome
-			}
-		case g.replicas.IsEvacuated(r.DataCentre):
-			reason = comfreyverdict.ReasonEvacuated
-		default:
-			return nil
-		}
-	}
-	if reason == "" {
-		return nil
-	}
-	return &attemptError{reason: reason, isNotRun: true, retryAfter: unservableRetryAfter}
-}
-
-// applyWarmUps applies what a configuration says of cold replicas. The mutex must be
-// held.
-func (g *Gateway) applyWarmUps(t *comfreyroute.Table) {
-	w := map[string]comfreyreplica.WarmUp{}
-	for _, s := range t.Services() {
-		if s.WarmUpTime > 0 || s.WarmUpPerSecond > 0 {
-			w[s.Name] = comfreyreplica.WarmUp{Duration: s.WarmUpTime, PerSecond: s.WarmUpPerSecond}
-		}
-	}
-	g.replicas.SetWarmUps(w)
-}
-
 // reportLeftBehind logs the generations that could not be moved out of an evacuated
 // data centre in time. They end where they run.
 func (g *Gateway) reportLeftBehind(dataCentre string) {
@@ -125,17 +82,3 @@
 	defer g.mu.Unlock()
 	return len(g.replicas.Evacuated(g.config.Now()))
 }
-
-// coldCount returns the number of cold replicas that accept new work.
-func (g *Gateway) coldCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	n := 0
-	now := g.config.Now()
-	for _, r := range g.replicas.All() {
-		if r.IsAccepting() && now.Before(r.WarmAt) {
-			n++
-		}
-	}
-	return n
-}
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -152,6 +152,21 @@
 	return changes
 }
 
+// KnownLeaving returns the replicas that leave, for a gateway that starts.
+func (g *Gateway) KnownLeaving() []comfreyreplica.Start {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replicas.LeavingStarts()
+}
+
+// MergeLeaving merges replicas that leave by the word of another gateway.
+func (g *Gateway) MergeLeaving(starts []comfreyreplica.Start) {
+	g.mu.Lock()
+	changes := g.replicas.MergeLeaving(g.config.Now(), starts)
+	g.mu.Unlock()
+	g.handleReplicaChanges(changes)
+}
+
 // announceLeaving sends the leaving replicas among changes to the other gateways
 // soon. It is needed only for changes that did not come from the store.
 func (g *Gateway) announceLeaving(changes []comfreyreplica.Change) {
--- a/comfreyforward/rate_limit.go
+++ b/comfreyforward/rate_limit.go
@@ -58,21 +58,6 @@
 	}
 }
 
-// KnownLeaving returns the replicas that leave, for a gateway that starts.
-func (g *Gateway) KnownLeaving() []comfreyreplica.Start {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.replicas.LeavingStarts()
-}
-
-// MergeLeaving merges replicas that leave by the word of another gateway.
-func (g *Gateway) MergeLeaving(starts []comfreyreplica.Start) {
-	g.mu.Lock()
-	changes := g.replicas.MergeLeaving(g.config.Now(), starts)
-	g.mu.Unlock()
-	g.handleReplicaChanges(changes)
-}
-
 // recordRateLimit logs a changed limit and the gateway that has sent it; empty if
 // the replica itself has.
 func (g *Gateway) recordRateLimit(l comfreyreplica.RateLimit, gateway string) {
