--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -48,6 +48,21 @@
 	storeCurrentAt time.Time
 }
 
+func (n *node) mergeLeaving(l []comfreyreplica.Start) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.receivedLeaving = l
+}
+
+// mergeRateLimits keeps the limits of the first exchange.
+func (n *node) mergeRateLimits(l []comfreyreplica.RateLimit) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.received == nil {
+		n.received = l
+	}
+}
+
 // startNode starts a node on a loopback address of its own, so that all nodes
 // can use the same ports.
 func startNode(t *testing.T, i int, seeds ...string) *node {
@@ -124,18 +139,7 @@
 		KnownLeaving: func() []comfreyreplica.Start {
 			return locked(n, func() []comfreyreplica.Start { return n.leaving })
 		},
-		MergeLeaving: func(l []comfreyreplica.Start) {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			n.receivedLeaving = l
-		},
-		MergeRateLimits: func(l []comfreyreplica.RateLimit) {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if n.received == nil {
-				n.received = l
-			}
-		},
+		MergeLeaving: n.mergeLeaving, MergeRateLimits: n.mergeRateLimits,
 		MergeCrashRecords: func([]comfreyquarantine.CrashRecord) {},
 		ApplyCellState: func(c comfreycell.ID, s comfreygossip.CellState) {
 			n.mu.Lock()
