--- a/comfreyarch/arch.go
+++ b/comfreyarch/arch.go
@@ -29,11 +29,13 @@
 	"comfreyreconciler",
 	"comfreyconfig",
 	"comfreycall",
+	"comfreyreturn",
 	"comfreyroute",
 	"comfreycell",
 	"comfreystorecache",
 	"comfreyreplica",
 	"comfreyoccupancy",
+	"comfreypace",
 	"comfreyplacement",
 }
 
--- a/comfreygossip/transfer_test.go
+++ b/comfreygossip/transfer_test.go
@@ -42,6 +42,7 @@
 		Address: "127.0.7.240:1", Logger: logger, StoreVersion: c.Version, StoreChangesSince: c.Since, Placements: func() Placements { return Placements{} },
 		RepeatedSuspects: func() []comfreyquarantine.CrashRecord { return nil },
 		KnownRateLimits:  func() []comfreyreplica.RateLimit { return nil },
+		KnownLeaving:     func() []comfreyreplica.Start { return nil },
 		DirectStoreAge:   func() (time.Duration, bool) { return 0, false },
 	})
 }
