--- a/comfreyreplica/replica.go
+++ b/comfreyreplica/replica.go
@@ -71,6 +71,9 @@
 	// IsRemoved means that the replica's registration was removed or that another
 	// replica responded at its address.
 	IsRemoved bool
+	// IsReplaced means that another replica responded at its address, which is not told
+	// by the store.
+	IsReplaced bool
 	// IsAnnounced means that the replica has told this process in a response that it
 	// leaves, before the store or another process told so.
 	IsAnnounced bool
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -214,7 +214,7 @@
 	if !ok || r.IsRemoved {
 		return nil
 	}
-	r.IsRemoved = true
+	r.IsRemoved, r.IsReplaced = true, true
 	return s.setLeaving(now, r)
 }
 
