--- a/comfreyforward/patience.go
+++ b/comfreyforward/patience.go
@@ -97,18 +97,12 @@
 		return
 	}
 	waiting := g.homeless(now)
-	for k, q := range g.queues {
-		if k.service == x.service.Name {
-			waiting = append(waiting, q.Waiting()...)
-		}
+	for _, q := range g.queues {
+		waiting = append(waiting, q.Waiting()...)
 	}
 	for _, q := range g.peerQueues {
 		if now.Sub(q.at) < peerQueueTimeout {
-			for _, w := range q.waiting {
-				if w.Service == x.service.Name {
-					waiting = append(waiting, w)
-				}
-			}
+			waiting = append(waiting, q.waiting...)
 		}
 	}
 	waiting = slices.DeleteFunc(waiting, func(w comfreyplacement.Waiter) bool { return w.Service != x.service.Name })
