--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -78,7 +78,7 @@
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	division        *comfreyratelimit.Division
 	capacityChanges changeNotifier
-	queues          map[lane]*comfreyplacement.Queue
+	queues          map[queueKey]*comfreyplacement.Queue
 	// peerQueues are the queues of other gateways, and returns the refused requests
 	// of all. departures holds how many replicas of each service leave at once.
 	peerQueues map[string]peerQueue
@@ -107,7 +107,7 @@
 		observer:       comfreyquarantine.NewObserver(0),
 		cancels:        map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
 		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
-		queues:         map[lane]*comfreyplacement.Queue{},
+		queues:         map[queueKey]*comfreyplacement.Queue{},
 		peerQueues:     map[string]peerQueue{},
 		returns:        comfreyreturn.NewLedger(),
 		departures:     map[string]*comfreyplacement.Departures{},
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -41,9 +41,9 @@
 	moves int
 	// isMoving is true while a move is in progress.
 	isMoving bool
-	// homelessUntil is until when the generation counts as one that has to move and for
+	// needsRoomUntil is until when the generation counts as one that has to move and for
 	// which no replica has room.
-	homelessUntil time.Time
+	needsRoomUntil time.Time
 	// destination is the destination of a move for rebalancing; nil if the move
 	// has to choose it.
 	destination *comfreyplacement.Candidate
--- a/comfreyforward/listener.go
+++ b/comfreyforward/listener.go
@@ -41,11 +41,14 @@
 	if err == nil {
 		return c, nil
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	isStopped := errors.Is(err, os.ErrDeadlineExceeded)
+	if isStopped {
 		err = errors.Join(net.ErrClosed, l.TCPListener.Close())
-		defer func() { <-l.closed }()
 	}
 	l.stoppedOnce.Do(func() { close(l.stopped) })
+	if isStopped {
+		<-l.closed // The server takes an earlier error for a failure.
+	}
 	return nil, err
 }
 
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -250,7 +250,7 @@
 	}
 	i := comfreyplacement.ChooseMoveDestination(l, comfreyplacement.Demand{PromptTokens: n.kvTokens(), Pauses: n.pauses, CopyTokensPerSecond: n.service.Engine.CopyTokensPerSecond()}, g.config.Rand)
 	if i < 0 {
-		g.markHomeless(n)
+		g.requestRoom(n)
 		return comfreyplacement.Candidate{}, false
 	}
 	g.trackCopy(n, l[i].ID, true)
--- a/comfreyforward/patience.go
+++ b/comfreyforward/patience.go
@@ -1,7 +1,6 @@
 package comfreyforward
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -17,12 +16,9 @@
 	// peerQueueTimeout is how long the queue of another gateway counts without a new
 	// message; gateways send four a second.
 	peerQueueTimeout = 400 * time.Millisecond
-	// maxGossipedWaiting bounds the waiting requests of one message. Others leave room
-	// for the largest.
-	maxGossipedWaiting = 6
-	// homelessPeriod is how long others leave room for a generation that has to move and
-	// found none. It looks for room again after copyRetryDelay.
-	homelessPeriod = 300 * time.Millisecond
+	// requestRoomPeriod is how long others leave room for a generation that has to move
+	// and found none. It looks for room again after copyRetryDelay.
+	requestRoomPeriod = 300 * time.Millisecond
 	// placementRatePeriod is the time over which placements are counted.
 	placementRatePeriod = 500 * time.Millisecond
 )
@@ -96,7 +92,7 @@
 	if !p.IsPatient() {
 		return
 	}
-	waiting := g.homeless(now)
+	waiting := g.movingWaiters(now)
 	for _, q := range g.queues {
 		waiting = append(waiting, q.Waiting()...)
 	}
@@ -123,18 +119,13 @@
 	if t == nil {
 		return nil
 	}
-	l := g.homeless(g.config.Now())
-	l = l[:min(len(l), maxGossipedWaiting/2)]
-	for s, q := range g.queues {
-		k := t.Targets(s.service)
-		p := comfreyplacement.Patience{ShortestTarget: k.Shortest, LongestTarget: k.Longest}
-		for _, w := range q.Waiting() {
-			if p.TracksReturns() && !w.IsReturn && len(l) < maxGossipedWaiting {
-				l = append(l, w)
-			}
+	l := g.movingWaiters(g.config.Now())
+	for k, q := range g.queues {
+		if isPatient(t.Targets(k.service)) {
+			l = append(l, q.Waiting()...)
 		}
 	}
-	return l
+	return comfreyplacement.LargestWaiters(l)
 }
 
 // isPatient reports whether a service with some targets has requests that yield to
@@ -143,25 +134,24 @@
 	return comfreyplacement.Patience{ShortestTarget: t.Shortest, LongestTarget: t.Longest}.TracksReturns()
 }
 
-// markHomeless records that a generation has to move and that no replica has room for
-// it, so that patient requests of all gateways leave room. The mutex must be held.
-func (g *Gateway) markHomeless(n *generation) {
+// requestRoom records that a generation has to move and that no replica has room for it,
+// so that patient requests of all gateways leave room. The mutex must be held.
+func (g *Gateway) requestRoom(n *generation) {
 	if t := g.table.Load(); t != nil && isPatient(t.Targets(n.service.Name)) {
-		n.homelessUntil = g.config.Now().Add(homelessPeriod)
+		n.needsRoomUntil = g.config.Now().Add(requestRoomPeriod)
 		g.config.TriggerGossip()
 	}
 }
 
-// homeless returns the generations that have to move and found no room, the largest
-// first. All patient requests yield to them. The mutex must be held.
-func (g *Gateway) homeless(now time.Time) []comfreyplacement.Waiter {
+// movingWaiters returns the generations that have to move and found no room, in no order.
+// All patient requests yield to them. The mutex must be held.
+func (g *Gateway) movingWaiters(now time.Time) []comfreyplacement.Waiter {
 	var l []comfreyplacement.Waiter
 	for n := range g.generations {
-		if now.Before(n.homelessUntil) && !n.hasEnded {
+		if now.Before(n.needsRoomUntil) && !n.hasEnded {
 			l = append(l, comfreyplacement.NewMovingWaiter(n.service.Name, n.kvTokens()))
 		}
 	}
-	slices.SortFunc(l, func(a, b comfreyplacement.Waiter) int { return cmp.Compare(b.PromptTokens, a.PromptTokens) })
 	return l
 }
 
--- a/comfreyforward/peers.go
+++ b/comfreyforward/peers.go
@@ -93,15 +93,12 @@
 
 // recentlyLeaving returns the replicas that became leaving within
 // leavingGossipTime; apart from the others, those that announced it to this
-// gateway only. A replica whose registration was removed is not among them, unless
-// another one responded at its address: each gateway learns from the store what was
-// removed, and may know that the store was unreachable and that the registration can be
-// renewed. The mutex must be held.
+// gateway only. The mutex must be held.
 func (g *Gateway) recentlyLeaving() (leaving, announced []comfreyreplica.Start) {
 	now := g.config.Now()
 	for _, r := range g.replicas.All() {
 		switch {
-		case r.State != comfreyreplica.StateLeaving || r.IsRemoved && !r.IsReplaced || now.Sub(r.Since) >= leavingGossipTime:
+		case !r.IsKnownToLeave() || now.Sub(r.Since) >= leavingGossipTime:
 		case r.IsAnnounced:
 			announced = append(announced, r.Start())
 		default:
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -93,15 +93,15 @@
 	return true
 }
 
-// lane names a queue of a service.
-type lane struct {
+// queueKey names a queue of a service.
+type queueKey struct {
 	service string
-	lane    comfreyplacement.Lane
+	class   comfreyplacement.QueueClass
 }
 
 // queue returns the queue in which a request waits. The mutex must be held.
 func (g *Gateway) queue(x *exchange) *comfreyplacement.Queue {
-	k := lane{x.service.Name, x.patience().Lane()}
+	k := queueKey{x.service.Name, x.patience().QueueClass()}
 	q, ok := g.queues[k]
 	if !ok {
 		q = &comfreyplacement.Queue{}
--- a/comfreyforward/servable.go
+++ b/comfreyforward/servable.go
@@ -1,8 +1,10 @@
 package comfreyforward
 
 import (
+	"errors"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -10,28 +12,18 @@
 // an operator or a start changes that, which takes seconds.
 const unservableRetryAfter = 2 * time.Second
 
-// checkServable returns an error if no replica of a request's service may serve it,
-// although there are some that accept new work: their data centres are evacuated, or
-// they are outside the homes of the request. It would wait in vain.
+// checkServable returns an error if no replica of a request's service may serve it; see
+// comfreyreplica.Set.
 func (g *Gateway) checkServable(x *exchange) *attemptError {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	reason := comfreyverdict.Reason("")
-	for _, r := range g.replicas.ByService(x.service.Name) {
-		switch {
-		case !r.IsAccepting():
-		case !g.isHome(x.homes, r):
-			if reason == "" {
-				reason = comfreyverdict.ReasonNoHome
-			}
-		case g.replicas.IsEvacuated(r.DataCentre):
-			reason = comfreyverdict.ReasonEvacuated
-		default:
-			return nil
-		}
-	}
-	if reason == "" {
+	err := g.replicas.CheckServable(x.service.Name, func(r comfreyreplica.Replica) bool { return g.isHome(x.homes, r) })
+	g.mu.Unlock()
+	if err == nil {
 		return nil
 	}
-	return &attemptError{reason: reason, isNotRun: true, retryAfter: unservableRetryAfter}
+	reason := comfreyverdict.ReasonEvacuated
+	if errors.Is(err, comfreyreplica.ErrNoHome) {
+		reason = comfreyverdict.ReasonNoHome
+	}
+	return &attemptError{reason: reason, isNotRun: true, retryAfter: unservableRetryAfter, cause: err}
 }
--- a/comfreyoccupancy/report_interval.go
+++ b/comfreyoccupancy/report_interval.go
@@ -27,7 +27,7 @@
 // has no generations that they do not know, and the store tells which ones leave.
 //
 // It is built for this load: each of 45 engines begins a generation a second, and two
-// dozen gateways ask each of them for a report ten times a second together.
+// dozen gateways together ask each of them for two or three reports a second.
 func NeedsReport(sinceResponse, storeAge time.Duration) bool {
 	return sinceResponse >= heardPeriod || storeAge > outageReportAge
 }
--- a/comfreypace/tracker.go
+++ b/comfreypace/tracker.go
@@ -30,9 +30,8 @@
 	// minRatios how many it needs to tell anything.
 	maxRatios = 256
 	minRatios = 32
-	// slowQuantile is the part of all samples that are faster than the pace for which
-	// a decision has to provide. While a prompt is read, one in ten slow moments more
-	// or less makes little difference.
+	// slowQuantile is the part of all samples that are at most as slow as the pace in a
+	// slow moment. The few beyond it may be single delayed steps.
 	slowQuantile = 0.95
 )
 
--- a/comfreyplacement/patience.go
+++ b/comfreyplacement/patience.go
@@ -55,26 +55,26 @@
 	return target > 0 && p.Target >= patientTargetRatio*target
 }
 
-// Lane is a queue of a service. Requests in one lane wait about as long as each other,
-// so that one in another lane does not count for how long they do.
-type Lane int
+// QueueClass tells apart the queues of a service. How long requests of one class wait
+// says nothing of the wait of another.
+type QueueClass int
 
-// The lanes. A service without patient requests has the first one only.
+// The classes. A service without patient requests has the first one only.
 const (
-	LaneUsual Lane = iota
-	LanePatient
-	LaneReturn
+	QueueUsual QueueClass = iota
+	QueuePatient
+	QueueReturn
 )
 
-// Lane returns the lane in which the request waits.
-func (p Patience) Lane() Lane {
+// QueueClass returns the class of the queue in which the request waits.
+func (p Patience) QueueClass() QueueClass {
 	switch {
 	case !p.IsPatient():
-		return LaneUsual
+		return QueueUsual
 	case p.IsReturn:
-		return LaneReturn
+		return QueueReturn
 	default:
-		return LanePatient
+		return QueuePatient
 	}
 }
 
--- a/comfreyplacement/patience_test.go
+++ b/comfreyplacement/patience_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	for _, isReturn := range []bool{false, true} {
 		p := usualDraft
 		p.IsReturn = isReturn
-		if p.IsPatient() || p.TracksReturns() || p.RoomForOthers(check, 1, 0, time.Second) != 0 || p.LeavesRoomForMoves(0, time.Second) || p.Lane() != comfreyplacement.LaneUsual {
+		if p.IsPatient() || p.TracksReturns() || p.RoomForOthers(check, 1, 0, time.Second) != 0 || p.LeavesRoomForMoves(0, time.Second) || p.QueueClass() != comfreyplacement.QueueUsual {
 			t.Errorf("return %v: expected no patience", isReturn)
 		}
 		for _, waited := range []time.Duration{0, time.Second, 5 * time.Second} {
@@ -109,3 +110,19 @@
 		t.Errorf("expected no share long after, got %.3f", got)
 	}
 }
+
+// TestSmallWaitersAreToldBesideManyLargeOnes replays a queue of 40 drafts, one check, a
+// generation that moves and a caller who has returned.
+func TestSmallWaitersAreToldBesideManyLargeOnes(t *testing.T) {
+	var l []comfreyplacement.Waiter
+	for i := range 40 {
+		l = append(l, comfreyplacement.Waiter{Service: "llm", Priority: 1, PromptTokens: 3000 + i, Target: 4 * time.Second})
+	}
+	check := comfreyplacement.Waiter{Service: "llm", Priority: 1, PromptTokens: 2550, Target: 1500 * time.Millisecond}
+	moving := comfreyplacement.NewMovingWaiter("llm", 3500)
+	returned := comfreyplacement.Waiter{Service: "llm", Priority: 1, PromptTokens: 9000, Target: 4 * time.Second, IsReturn: true}
+	got := comfreyplacement.LargestWaiters(append(l, check, moving, returned))
+	if len(got) != 3 || !slices.Contains(got, check) || !slices.Contains(got, moving) || !slices.Contains(got, l[39]) {
+		t.Errorf("expected the largest draft, the check and the generation that moves, got %+v", got)
+	}
+}
--- a/comfreyplacement/queue.go
+++ b/comfreyplacement/queue.go
@@ -1,6 +1,7 @@
 package comfreyplacement
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -52,6 +53,29 @@
 	return Waiter{Service: service, PromptTokens: tokens, Target: movingTarget}
 }
 
+// LargestWaiters returns, of some waiting requests, the largest one of each service,
+// priority and target. Others that yield leave room for the largest, so that they need to
+// know no more. Requests whose callers have returned are left out: no others yield to
+// them.
+//
+// It is built for this load: a gateway has dozens of drafts in its queue and one check,
+// which is smaller than all of them, and the other gateways have to know of the check.
+func LargestWaiters(waiting []Waiter) []Waiter {
+	type class struct {
+		service  string
+		priority int
+		target   time.Duration
+	}
+	largest := map[class]Waiter{}
+	for _, w := range waiting {
+		k := class{w.Service, w.Priority, w.Target}
+		if o, ok := largest[k]; !w.IsReturn && (!ok || w.PromptTokens > o.PromptTokens) {
+			largest[k] = w
+		}
+	}
+	return slices.Collect(maps.Values(largest))
+}
+
 // Add adds a request to the queue.
 func (q *Queue) Add(w Waiter) {
 	q.waiting = append(q.waiting, w)
--- a/comfreyreplica/replica.go
+++ b/comfreyreplica/replica.go
@@ -84,6 +84,13 @@
 	return r.start()
 }
 
+// IsKnownToLeave reports whether the replica leaves by what other processes can not
+// learn from the store: its own word, or that of another replica at its address. One
+// whose registration was removed may have lapsed in an outage of the store.
+func (r Replica) IsKnownToLeave() bool {
+	return r.State == StateLeaving && (!r.IsRemoved || r.IsReplaced)
+}
+
 // IsAccepting reports whether the replica accepts new requests.
 func (r Replica) IsAccepting() bool {
 	return r.State != StateLeaving
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -117,7 +117,7 @@
 		s.replicas[l.ID] = old
 		return nil // A leaving replica does not become ready again.
 	}
-	r := Replica{Registration: l, Since: now, WarmAt: now.Add(l.WarmUpTime)}
+	r := Replica{Registration: l, Since: now, WarmAt: now.Add(min(l.WarmUpTime, maxWarmUp))}
 	if isSameStart && now.Before(old.WarmAt) && old.WarmAt.Before(r.WarmAt) {
 		r.WarmAt = old.WarmAt // The registration is as old as the last time the replica wrote it.
 	}
--- a/comfreyreplica/unlisted.go
+++ b/comfreyreplica/unlisted.go
@@ -11,13 +11,12 @@
 	until time.Time
 }
 
-// LeavingStarts returns the starts of replicas that leave, in no order. They are for a
-// process that starts: a replica can have announced it in a response before the store
-// says so.
+// LeavingStarts returns the starts of replicas that are known to leave, in no order. They
+// are for a process that starts.
 func (s *Set) LeavingStarts() []Start {
 	var l []Start
 	for _, r := range s.replicas {
-		if r.State == StateLeaving && !r.IsRemoved {
+		if r.IsKnownToLeave() {
 			l = append(l, r.Start())
 		}
 	}
--- a/comfreyreplica/warm_up_test.go
+++ b/comfreyreplica/warm_up_test.go
@@ -132,3 +132,13 @@
 		t.Error("expected no change without a configured rate")
 	}
 }
+
+// TestAbsurdWarmUpIsBounded guards against a replica that takes a limited rate for ever
+// because its registration states an absurd time.
+func TestAbsurdWarmUpIsBounded(t *testing.T) {
+	s := newColdSet(30)
+	register(s, start, 1, 1000*time.Hour)
+	if needsPermit(s, start.Add(2*time.Minute), comfreyreplica.PurposeWork) {
+		t.Error("expected a warm replica after two minutes")
+	}
+}
