--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -119,7 +119,9 @@
 	// isUnframed means that its streams have neither a length nor chunks and end with
 	// their channel.
 	isUnframed bool
-	extras     int
+	// endDelay is the time from the last event of a stream to its end.
+	endDelay time.Duration
+	extras   int
 }
 
 // StartEngine starts a replica and registers it.
@@ -456,6 +458,9 @@
 			return false
 		}
 	}
+	if !pause(e.endDelay) {
+		return false
+	}
 	e.w.markCompleted(id)
 	e.w.Record.Notef("replica %s has sent the whole answer to %s", e.ID, id)
 	if e.isUnframed {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,11 +5,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -54,30 +57,48 @@
 	}
 }
 
-// freePorts returns unused TCP ports of an address.
-func freePorts(ip string, n int) []int {
-	var ports []int
-	var open []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", ip+":0")
-		must(err)
-		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+// freeRange returns the first of 24 ports that are free at all of some addresses. It is
+// below the range from which the kernel takes ports, so that nobody gets them meanwhile.
+func freeRange(ips []string) int {
+	for range 100 {
+		base := 20000 + rand.IntN(300)*30
+		if isFree(ips, base) {
+			return base
+		}
 	}
-	for _, l := range open {
-		_ = l.Close()
+	must(fmt.Errorf("no free ports"))
+	return 0
+}
+
+func isFree(ips []string, base int) bool {
+	for _, ip := range ips {
+		for p := base; p < base+24; p++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+		u, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", ip, base+1))
+		if err != nil {
+			return false
+		}
+		_ = u.Close()
 	}
-	return ports
+	return true
 }
 
 // StartGateways starts some processes of target/comfreyridge forward, the command of the
 // deploy file, with the settings of a small deployment. Each has a loopback address of
 // its own, since all machines use the same ports.
 func StartGateways(w *World, n int, bounds map[string]any) []*Gateway {
-	p := freePorts("127.0.0.1", 3)
-	base := freePorts("127.0.0.1", 1)[0] - 20 // The range ends below an ephemeral port.
 	ip := func(i int) string { return fmt.Sprintf("127.0.0.%d", i+1) }
-	var seeds []string
+	var ips, seeds []string
+	for i := range n {
+		ips = append(ips, ip(i))
+	}
+	base := freeRange(ips)
+	p := []int{base + 20, base + 21, base + 22}
 	for i := range min(n, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", ip(i), p[2]))
 	}
@@ -166,13 +187,20 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE BINARY RECORD")
 		os.Exit(2)
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		stopGateways()
+		os.Exit(2)
+	}()
 	f, err := os.Create(os.Args[3])
 	must(err)
 	record := &Record{file: f, start: time.Now()}
 	dir, err := os.MkdirTemp("", "comfrey-review-")
 	must(err)
 	w := &World{Record: record, Dir: dir, Binary: os.Args[2], HasTrouble: os.Getenv("TROUBLE") != "0"}
-	cases := map[string]func(w *World) []string{"kv-move": runKVMove, "resume": runResume, "unframed": runUnframed}
+	cases := map[string]func(w *World) []string{"kv-move": runKVMove, "resume": runResume, "unframed": runUnframed, "late-end": runLateEnd}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		must(fmt.Errorf("unknown case %q", os.Args[1]))
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -14,7 +14,6 @@
 	const (
 		streams = 60
 		waves   = 3
-		graceS  = 8
 	)
 	w.Step = 9 * time.Millisecond
 	w.Store = NewStore()
@@ -41,10 +40,8 @@
 				w.checkOwnEvents(q, a)
 				mu.Lock()
 				defer mu.Unlock()
-				isPlanned := i%len(gateways) == stopping && !stopped.IsZero() && ended.After(stopped) && ended.Before(stopped.Add((graceS+1)*time.Second))
-				if isPlanned && !a.IsComplete && w.hasCompleted(q.ID) {
-					w.Break("LOST: %s was passed on, and its replica sent the whole answer of %d events; the requester's channel ended %d ms after the SIGTERM without a complete answer (%s)",
-						q.ID, q.Events, ended.Sub(stopped).Milliseconds(), a.Err)
+				if i%len(gateways) == stopping {
+					w.checkWholeAnswer(q, a, stopped, ended)
 				}
 			})
 		}
@@ -68,3 +65,16 @@
 	}
 	return w.broken
 }
+
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 8 * time.Second
+
+// checkWholeAnswer checks that a requester got the whole answer that a replica has sent,
+// if its channel ended around the planned stop of its gateway.
+func (w *World) checkWholeAnswer(q Request, a Answer, stopped, ended time.Time) {
+	isPlanned := !stopped.IsZero() && ended.After(stopped) && ended.Before(stopped.Add(grace+time.Second))
+	if isPlanned && !a.IsComplete && w.hasCompleted(q.ID) {
+		w.Break("LOST: %s was passed on, and its replica sent the whole answer of %d events; the requester's channel ended %d ms after the SIGTERM without a complete answer (%s)",
+			q.ID, q.Events, ended.Sub(stopped).Milliseconds(), a.Err)
+	}
+}
