A stop at the previous replica does not break off a stream at its end

It hit each generation that was moved from a replica whose response ended early by itself (chunks, a length, a reset, inside an event) to one whose response ends with its connection.

Cause: an end of the connection does not tell whether such a stream is complete, so the gateway asks whether a move has stopped the generation. The answer was kept in the generation (stopCalled, isStopped) and was cleared only when it was asked for, which happens only if the source's stream looked complete. Otherwise it stayed, and was taken for a stop at the replica that completed the stream: no copy to resume from, so the response was aborted. The replica was counted as failed, and the request as one in flight at a crash.

No second stop was sent, which rules out a stop at the destination.

Change: the state of the call is a value of its own (stopCall), which belongs to the replica that executes the generation. setReplica, through which every change of the replica goes, begins without one. A call that returns late writes to its own value.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -47,15 +47,20 @@
 	// destination is the destination of a move for rebalancing; nil if the move
 	// has to choose it.
 	destination *comfreyplacement.Candidate
-	// stopCalled is closed when the call that stops the generation at its source has
-	// returned, and isStopped is its result; nil if there was no such call.
-	stopCalled chan struct{}
-	isStopped  bool
+	// stop is the latest call that stops the generation at its replica; nil if there
+	// was none there.
+	stop *stopCall
 	// continuation is where the generation is resumed if its stream ends early;
 	// nil if there is no copy.
 	continuation *continuation
 }
 
+// setReplica sets the replica that executes the generation from now on. A stop at the
+// previous one says nothing about it. The mutex must be held.
+func (n *generation) setReplica(c comfreyplacement.Candidate) {
+	n.replica, n.stop = c, nil
+}
+
 // generatedTokens returns the number of output tokens so far. The mutex must be
 // held.
 func (n *generation) generatedTokens() int {
@@ -84,7 +89,7 @@
 // trackPlacement records the replica that executes a generation, and counts its
 // memory there. The mutex must be held.
 func (g *Gateway) trackPlacement(n *generation, c comfreyplacement.Candidate) {
-	n.replica = c
+	n.setReplica(c)
 	g.trackLoad(n, c)
 }
 
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -281,15 +281,24 @@
 // still complete, because some replicas serve longer than expected.
 const copyGracePeriod = time.Second
 
+// stopCall is a call that stops a generation at the replica that executes it. The
+// mutex of the gateway guards mayHaveStopped.
+type stopCall struct {
+	// returned is closed when the call has returned.
+	returned chan struct{}
+	// mayHaveStopped is the result of the call.
+	mayHaveStopped bool
+}
+
 // stopAtSource stops a generation at its source, which closes the stream; the
 // goroutine that relays the stream then resumes the generation from the copy.
 func (g *Gateway) stopAtSource(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation) {
-	called := make(chan struct{})
-	defer close(called)
+	s := &stopCall{returned: make(chan struct{})}
+	defer close(s.returned)
 	g.mu.Lock()
 	isOver := n.hasEnded || n.replica.ID != r.ID
 	if !isOver {
-		n.stopCalled, n.isStopped = called, false
+		n.stop = s
 	}
 	g.mu.Unlock()
 	if isOver {
@@ -299,29 +308,28 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// After any other failure the generation may have stopped.
-	n.isStopped = !errors.Is(err, comfreycall.ErrUnknownGeneration)
+	s.mayHaveStopped = !errors.Is(err, comfreycall.ErrUnknownGeneration)
 }
 
 // errStopped means that a generation was stopped at its source.
 var errStopped = errors.New("comfreyforward: the generation was stopped to be moved")
 
-// awaitStopped reports whether a stream has ended because its generation was stopped
-// at the source, which the end of its connection does not tell.
+// awaitStopped reports whether a stream may have ended because its generation was
+// stopped at the source, which the end of its connection does not tell.
 func (g *Gateway) awaitStopped(ctx context.Context, n *generation) bool {
 	g.mu.Lock()
-	called := n.stopCalled
-	n.stopCalled = nil
+	s := n.stop
 	g.mu.Unlock()
-	if called == nil {
+	if s == nil {
 		return false
 	}
 	select {
-	case <-called:
+	case <-s.returned:
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return n.isStopped
+	return s.mayHaveStopped
 }
 
 // releaseCopy frees a copy that is no longer needed.
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -214,7 +214,7 @@
 	}
 	if err == nil {
 		p.reservation = id
-		n.replica = p.Candidate
+		n.setReplica(p.Candidate)
 		return true
 	}
 	f := x.logFields(now)
