A stream whose generation may have been stopped does not look complete

What a caller would see: a stream that ends early and looks complete.

- The caller's time is over while the call that stops the generation has not returned.
Its result was still false then, so that a stream without framing, which the call had ended, was completed.
- One call has failed in a way that leaves open whether it stopped the generation, and a second one is told that there is no such generation.
Only the second was asked for, although the first may be why there is none.

Change: a call counts as one that may have stopped the generation until it has returned, and after a call in doubt the generation stays in doubt at this replica. It is then resumed from its copy, or broken off.

--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -286,17 +286,19 @@
 type stopCall struct {
 	// returned is closed when the call has returned.
 	returned chan struct{}
-	// mayHaveStopped is the result of the call.
+	// mayHaveStopped is false if neither this call nor an earlier one at the same
+	// replica can have stopped the generation.
 	mayHaveStopped bool
 }
 
 // stopAtSource stops a generation at its source, which closes the stream; the
 // goroutine that relays the stream then resumes the generation from the copy.
 func (g *Gateway) stopAtSource(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation) {
-	s := &stopCall{returned: make(chan struct{})}
+	s := &stopCall{returned: make(chan struct{}), mayHaveStopped: true}
 	defer close(s.returned)
 	g.mu.Lock()
 	isOver := n.hasEnded || n.replica.ID != r.ID
+	wasInDoubt := n.stop != nil && n.stop.mayHaveStopped
 	if !isOver {
 		n.stop = s
 	}
@@ -307,8 +309,7 @@
 	_, err := g.copyKVCache(ctx, n, r, first.destination, true)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// After any other failure the generation may have stopped.
-	s.mayHaveStopped = !errors.Is(err, comfreycall.ErrUnknownGeneration)
+	s.mayHaveStopped = wasInDoubt || !errors.Is(err, comfreycall.ErrUnknownGeneration)
 }
 
 // errStopped means that a generation was stopped at its source.
