A refused call does not count as a stop of its generation

What a caller would see: a stream of a replica that ends its responses with the connection is resumed at its end although it is complete, or is broken off there if its copy no longer exists, after a move whose last call was refused because another copy was in progress, was not permitted, or found no connection.

Cause: every failure but "no such generation" counted as a possible stop, also those that show that the generation goes on.

Change: mayHaveStopped decides by the error of the call. What is answered with "copy in progress" or never sent stopped nothing.

Test: TestMovedStreamWithoutFramingIsResumed/call_refused failed before (23 events instead of 3); TestMayHaveStopped for the errors.

--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
@@ -309,7 +310,17 @@
 	_, err := g.copyKVCache(ctx, n, r, first.destination, true)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.mayHaveStopped = wasInDoubt || !errors.Is(err, comfreycall.ErrUnknownGeneration)
+	s.mayHaveStopped = wasInDoubt || mayHaveStopped(err)
+}
+
+// mayHaveStopped reports whether a generation may have been stopped by a call, given
+// the error of the call.
+func mayHaveStopped(err error) bool {
+	if errors.Is(err, comfreycall.ErrUnknownGeneration) || errors.Is(err, comfreycall.ErrCopyInProgress) {
+		return false
+	}
+	var s *comfreyconnection.SendError
+	return !errors.As(err, &s) || s.MayHaveArrived
 }
 
 // errStopped means that a generation was stopped at its source.
