--- a/comfreyforward/events_test.go
+++ b/comfreyforward/events_test.go
@@ -23,3 +23,19 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestPartOfNextEventDoesNotHoldEventBack guards against an event that is sent to its
+// caller only once the replica has completed the next one, of which a part came with it.
+func TestPartOfNextEventDoesNotHoldEventBack(t *testing.T) {
+	for rest, want := range map[string]bool{
+		"": false, "id: 8\n": false, "id: 8\ndata: tok": false, "id: 8\n\n": true, "id: 8\r\n\r\n": true, "id: 8\n\nid: 9\n": true,
+	} {
+		r := newEventReader(strings.NewReader("id: 7\n\n" + rest))
+		if _, err := r.next(); err != nil {
+			t.Fatal(err)
+		}
+		if got := r.hasBuffered(); got != want {
+			t.Errorf("with %q buffered: got %t, want %t", rest, got, want)
+		}
+	}
+}
