A control call takes no response but its own

Cause: control calls to replicas (load reports, reservations, copies of KV caches, their release) were sent without an id on the connections of callers' requests. A late second copy of a response was taken for the response to such a call; the connection was used again although the call's own response was still to come, and the next call, for another generation, took that. The stream was then resumed with the handle of another generation's copy.

Change: a response is taken by the id that it names. One without an id is taken only on a connection that was not used before, which is closed after it, and so is one on which a foreign response was skipped. So a response that comes late finds no call that could take it.

--- a/comfreyconnection/connection.go
+++ b/comfreyconnection/connection.go
@@ -20,9 +20,9 @@
 
 // connection is one HTTP/1.1 connection to a replica.
 type connection struct {
-	address string
-	net     net.Conn
-	reader  *bufio.Reader
+	key    poolKey
+	net    net.Conn
+	reader *bufio.Reader
 	// limiter is the source of the reader.
 	limiter *headLimiter
 	// expires is the time after which the connection is not reused.
@@ -30,11 +30,15 @@
 	// keepAlive is how long the replica keeps an idle connection open; zero if
 	// unknown.
 	keepAlive time.Duration
+	// isUsed means that a request was sent and got a response, and requestID is the id
+	// of the latest one.
+	isUsed    bool
+	requestID string
 }
 
-func newConnection(address string, n net.Conn) *connection {
+func newConnection(k poolKey, n net.Conn) *connection {
 	l := &headLimiter{reader: n}
-	return &connection{address: address, net: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	return &connection{key: k, net: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
 // errHeadTooLarge means that a connection has delivered too many bytes before the end
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -1,7 +1,6 @@
 package comfreyconnection
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -28,8 +27,11 @@
 	Body   []byte
 	// IDHeader names the request id header that replicas echo; it tells the
 	// response from one to an earlier request. Empty means that responses carry
-	// no id.
+	// no id, which is safe only if the peer never sends a response twice.
 	IDHeader string
+	// IsControl tells calls of the gateway itself from requests of callers. The two
+	// never share a connection.
+	IsControl bool
 	// Timeouts limit the call in addition to its context.
 	Timeouts Timeouts
 	// Permit, if set, is called immediately before the request is written. An
@@ -57,9 +59,22 @@
 	return e.Cause
 }
 
-// errMismatchedResponses means that a connection delivered only responses to
-// other requests.
-var errMismatchedResponses = errors.New("comfreyconnection: expected the response to this request, got responses to others")
+var (
+	// errMismatchedResponses means that a connection delivered only responses to
+	// other requests.
+	errMismatchedResponses = errors.New("comfreyconnection: expected the response to this request, got responses to others")
+	// errUnidentifiedResponse means that a response without a request id may belong to
+	// an earlier request.
+	errUnidentifiedResponse = errors.New("comfreyconnection: expected a response with a request id on a connection that was used before, got one without")
+)
+
+// id returns the request id, or an empty string if responses carry none.
+func (r Request) id() string {
+	if r.IDHeader == "" {
+		return ""
+	}
+	return r.Header.Get(r.IDHeader)
+}
 
 // Response is a replica's response. Body returns io.EOF only if the body is
 // complete. The caller must call Close.
@@ -93,9 +108,13 @@
 		return nil, &SendError{Cause: err}
 	}
 	ctx, progress := r.Timeouts.start(ctx)
-	c := p.take(address)
+	k := poolKey{address: address, isControl: r.IsControl}
+	var c *connection
+	if r.IDHeader == "" || r.id() != "" {
+		c = p.take(k, r.id())
+	}
 	if c == nil {
-		n, err := p.open(ctx, address)
+		n, err := p.open(ctx, k)
 		if err != nil {
 			err = causeOf(ctx, err)
 			progress.stop()
@@ -144,14 +163,15 @@
 		})
 	}
 	c.limiter.begin()
-	h, err := readResponseHeader(c.reader, r)
+	h, isOnlyResponse, err := readResponseHeader(c, r)
 	c.limiter.end()
 	if err != nil {
 		return nil, err
 	}
+	c.isUsed, c.requestID = true, r.id()
 	a := &Response{Status: h.StatusCode, Header: h.Header, Length: h.ContentLength, pool: p, connection: c, written: written}
 	a.EndsWithConnection = h.ContentLength < 0 && len(h.TransferEncoding) == 0
-	a.isReusable = !h.Close
+	a.isReusable = !h.Close && isOnlyResponse
 	c.keepAlive = keepAliveTime(h.Header)
 	a.Body = &responseBody{response: a, reader: h.Body}
 	return a, nil
@@ -171,32 +191,40 @@
 }
 
 // readResponseHeader reads the headers of the response to r. It skips
-// informational responses and responses to other requests.
-func readResponseHeader(b *bufio.Reader, r Request) (*http.Response, error) {
+// informational responses and responses to other requests. isOnlyResponse reports
+// whether the response is known to be the only one due on the connection: none was
+// skipped, and it names the id of the request, so that a second copy of it will not be
+// taken for the response to a later one.
+func readResponseHeader(c *connection, r Request) (h *http.Response, isOnlyResponse bool, err error) {
 	request := &http.Request{Method: r.Method}
+	hasSkipped := false
 	for range maxSkippedResponses {
-		h, err := http.ReadResponse(b, request)
+		h, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, fmt.Errorf("comfreyconnection: reading a response: %w", err)
+			return nil, false, fmt.Errorf("comfreyconnection: reading a response: %w", err)
 		}
 		if h.StatusCode >= 100 && h.StatusCode < 200 {
 			continue
 		}
-		id := ""
-		if r.IDHeader != "" {
-			id = h.Header.Get(r.IDHeader)
+		if r.IDHeader == "" {
+			return h, true, nil
+		}
+		id := h.Header.Get(r.IDHeader)
+		if id == "" && (c.isUsed || hasSkipped) {
+			return nil, false, errUnidentifiedResponse
 		}
-		if id == "" || id == r.Header.Get(r.IDHeader) {
-			return h, nil
+		if id == "" || id == r.id() {
+			return h, id != "" && !hasSkipped, nil
 		}
 		if h.Close || h.ContentLength < 0 && len(h.TransferEncoding) == 0 {
 			break
 		}
+		hasSkipped = true
 		if _, err := io.Copy(io.Discard, h.Body); err != nil {
-			return nil, fmt.Errorf("comfreyconnection: skipping a response to another request: %w", err)
+			return nil, false, fmt.Errorf("comfreyconnection: skipping a response to another request: %w", err)
 		}
 	}
-	return nil, errMismatchedResponses
+	return nil, false, errMismatchedResponses
 }
 
 // keepAliveTime returns how long the replica keeps an idle connection open,
@@ -235,8 +263,8 @@
 }
 
 // Close returns the connection to the pool if the request was written and the
-// response read completely, and no data followed it. Otherwise it closes the
-// connection, which makes the replica stop.
+// response read completely, and no further response or other data is to come. Otherwise
+// it closes the connection, which makes the replica stop.
 func (a *Response) Close() {
 	if a.isClosed {
 		return
--- a/comfreyconnection/pool.go
+++ b/comfreyconnection/pool.go
@@ -42,8 +42,8 @@
 	// IdleTimeout is how long an idle connection is kept at most; a shorter
 	// keep-alive time of the replica takes precedence. The default is 3 s.
 	IdleTimeout time.Duration
-	// MaxIdle is the number of idle connections kept for each address; 4 by
-	// default.
+	// MaxIdle is the number of idle connections kept for each address, and as many
+	// for control calls; 4 by default.
 	MaxIdle int
 	// SilenceTimeout is how long sent data may stay unacknowledged before the
 	// connection counts as lost; 3 s by default.
@@ -54,6 +54,12 @@
 	OnOpen func(address string)
 }
 
+// poolKey tells apart the connections that must not take each other's place.
+type poolKey struct {
+	address   string
+	isControl bool
+}
+
 // Pool keeps idle connections to replicas for reuse. It is safe for concurrent
 // use.
 type Pool struct {
@@ -61,7 +67,7 @@
 	group  *comfreygroup.Group
 
 	mu   sync.Mutex
-	idle map[string][]*connection
+	idle map[poolKey][]*connection
 }
 
 // NewPool returns a pool whose goroutines belong to g.
@@ -81,7 +87,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	p := &Pool{config: c, group: g, idle: map[string][]*connection{}}
+	p := &Pool{config: c, group: g, idle: map[poolKey][]*connection{}}
 	if c.Dial == nil {
 		p.config.Dial = p.dial
 	}
@@ -99,29 +105,32 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// take returns an idle connection that can be reused, or nil.
-func (p *Pool) take(address string) *connection {
+// take returns an idle connection that can be reused for a request, or nil. If the
+// request was sent on a connection before, a second copy of the response would be taken
+// for the new one, so that connection is closed.
+func (p *Pool) take(k poolKey, requestID string) *connection {
 	for {
-		c := p.pop(address)
+		c := p.pop(k)
 		if c == nil {
 			return nil
 		}
-		if p.config.Now().Before(c.expires) && c.isIdle() {
+		isRepeat := requestID != "" && c.requestID == requestID
+		if !isRepeat && p.config.Now().Before(c.expires) && c.isIdle() {
 			return c
 		}
 		c.close()
 	}
 }
 
-func (p *Pool) pop(address string) *connection {
+func (p *Pool) pop(k poolKey) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.idle[address]
+	l := p.idle[k]
 	if len(l) == 0 {
 		return nil
 	}
 	c := l[len(l)-1]
-	p.idle[address] = l[:len(l)-1]
+	p.idle[k] = l[:len(l)-1]
 	return c
 }
 
@@ -135,30 +144,30 @@
 	c.expires = p.config.Now().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if keep <= 0 || len(p.idle[c.address]) >= p.config.MaxIdle {
+	if keep <= 0 || len(p.idle[c.key]) >= p.config.MaxIdle {
 		c.close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
 // open opens a new connection.
-func (p *Pool) open(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) open(ctx context.Context, k poolKey) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
-	n, err := p.config.Dial(ctx, address)
+	n, err := p.config.Dial(ctx, k.address)
 	if err != nil {
 		return nil, fmt.Errorf("comfreyconnection: dialing a replica: %w", err)
 	}
 	if p.config.OnOpen != nil {
-		p.config.OnOpen(address)
+		p.config.OnOpen(k.address)
 	}
-	return newConnection(address, n), nil
+	return newConnection(k, n), nil
 }
 
-// Dial opens a connection to an address and keeps it for reuse.
+// Dial opens a connection to an address and keeps it for requests of callers.
 func (p *Pool) Dial(ctx context.Context, address string) error {
-	c, err := p.open(ctx, address)
+	c, err := p.open(ctx, poolKey{address: address})
 	if err != nil {
 		return err
 	}
@@ -172,7 +181,7 @@
 	now := p.config.Now()
 	var old []*connection
 	p.mu.Lock()
-	for a, l := range p.idle {
+	for k, l := range p.idle {
 		kept := l[:0]
 		for _, c := range l {
 			if now.Before(c.expires) && c.isIdle() {
@@ -181,9 +190,9 @@
 				old = append(old, c)
 			}
 		}
-		p.idle[a] = kept
+		p.idle[k] = kept
 		if len(kept) == 0 {
-			delete(p.idle, a)
+			delete(p.idle, k)
 		}
 	}
 	p.mu.Unlock()
@@ -194,11 +203,15 @@
 
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
+	var old []*connection
 	p.mu.Lock()
-	l := p.idle[address]
-	delete(p.idle, address)
+	for _, isControl := range []bool{false, true} {
+		k := poolKey{address: address, isControl: isControl}
+		old = append(old, p.idle[k]...)
+		delete(p.idle, k)
+	}
 	p.mu.Unlock()
-	for _, c := range l {
+	for _, c := range old {
 		c.close()
 	}
 }
