A stream that its caller resumes goes on after the caller's last event when it is moved

Cause: for a continuation the caller's Last-Event-Id is replaced by the id of the last event that this gateway has sent, and there was none. An event without an id counted as none, too.

Change: the last event of a generation begins with that of the caller, and an event without an id does not change it. Whether a resumed generation has shown that it does not crash its replica is a field of its own.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -33,6 +33,9 @@
 	// PromptTokens and MaxTokens are the length of the prompt and the maximum
 	// number of output tokens; zero if the request does not state them.
 	PromptTokens, MaxTokens int
+	// LastEvent is the id of the event after which the caller resumes its stream;
+	// empty if it asks for the whole stream.
+	LastEvent string
 	// PromptParts are the ids of the parts of the prompt that other requests may
 	// share, in the order of the prompt.
 	PromptParts []string
@@ -43,9 +46,10 @@
 	// Source is the address of the replica that executed the generation before.
 	Source string
 	Handle string
-	// LastEvent is the id of the last event that was sent to the caller; empty
-	// if there was none.
+	// LastEvent is the id of the last event that the caller has; empty if it has none.
 	LastEvent string
+	// HasProgress means that the generation has sent an event through this gateway.
+	HasProgress bool
 }
 
 // Attempt is what a gateway sends to a replica in addition to the caller's
--- a/comfreyforward/events.go
+++ b/comfreyforward/events.go
@@ -14,7 +14,7 @@
 	r *bufio.Reader
 	// buffer holds the event that is being read.
 	buffer []byte
-	// id is the id of the last complete event.
+	// id is the id of the last complete event that has one.
 	id string
 }
 
@@ -29,8 +29,9 @@
 // errEventTooLarge means that an event exceeds maxEventSize.
 var errEventTooLarge = errors.New("comfreyforward: event exceeds 1 MiB")
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferSize)}
+// newEventReader returns a reader of a stream that begins after the event with an id.
+func newEventReader(r io.Reader, id string) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBufferSize), id: id}
 }
 
 // next returns the next event including the blank line that ends it. The bytes
--- a/comfreyforward/events_test.go
+++ b/comfreyforward/events_test.go
@@ -11,7 +11,7 @@
 // the next read, which looks like the blank line at the end of an event.
 func TestLineThatFillsTheBufferDoesNotEndTheEvent(t *testing.T) {
 	first := "data: " + strings.Repeat("x", eventBufferSize-len("data: ")) + "\nid: 7\n\n"
-	r := newEventReader(strings.NewReader(first + "id: 8\n\n"))
+	r := newEventReader(strings.NewReader(first+"id: 8\n\n"), "")
 	b, err := r.next()
 	if err != nil || string(b) != first || r.id != "7" {
 		t.Fatalf("got %d bytes, id %q, %v; want %d", len(b), r.id, err, len(first))
@@ -30,7 +30,7 @@
 	for rest, want := range map[string]bool{
 		"": false, "id: 8\n": false, "id: 8\ndata: tok": false, "id: 8\n\n": true, "id: 8\r\n\r\n": true, "id: 8\n\nid: 9\n": true,
 	} {
-		r := newEventReader(strings.NewReader("id: 7\n\n" + rest))
+		r := newEventReader(strings.NewReader("id: 7\n\n"+rest), "")
 		if _, err := r.next(); err != nil {
 			t.Fatal(err)
 		}
@@ -39,3 +39,14 @@
 		}
 	}
 }
+
+// TestEventWithoutIDKeepsTheLastOne guards against a stream that is resumed from its
+// beginning because an event without an id was the last one before a move.
+func TestEventWithoutIDKeepsTheLastOne(t *testing.T) {
+	r := newEventReader(strings.NewReader("data: x\n\nid: 8\n\ndata: y\n\nid:\n\n"), "7")
+	for _, want := range []string{"7", "8", "8", ""} {
+		if _, err := r.next(); err != nil || r.id != want {
+			t.Errorf("got id %q, %v, want %q", r.id, err, want)
+		}
+	}
+}
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -33,8 +33,11 @@
 	maxTokens    int
 	class        string
 
-	replica   comfreyplacement.Candidate
-	events    int
+	replica comfreyplacement.Candidate
+	// events is the number of events that were sent to the caller here.
+	events int
+	// lastEvent is the id of the last event that the caller has, also from an earlier
+	// connection; empty if it has none.
 	lastEvent string
 	hasEnded  bool
 	// moves counts how often the generation was resumed at another replica.
@@ -130,6 +133,13 @@
 	}
 }
 
+// lastEvent returns the id of the last event that the caller of a generation has.
+func (g *Gateway) lastEvent(n *generation) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return n.lastEvent
+}
+
 // eventsPerEstimate is the number of events after which the expected remaining
 // tokens are estimated again.
 const eventsPerEstimate = 8
@@ -163,7 +173,7 @@
 	n.continuation = nil
 	if next != nil {
 		n.moves++
-		next.LastEvent = n.lastEvent
+		next.LastEvent, next.HasProgress = n.lastEvent, n.events > 0
 		g.trackPlacement(n, next.destination)
 		g.estimator.Finish(g.config.Now(), kvCopyID(n)) // The generation now occupies the memory of its copy.
 	}
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -36,7 +36,7 @@
 func (g *Gateway) forwardStream(ctx context.Context, x *exchange) {
 	n := &generation{
 		request: x.call.ID, service: x.service, homes: x.homes, pauses: pausesOf(x), class: x.route.Name,
-		promptTokens: x.call.PromptTokens, maxTokens: x.call.MaxTokens,
+		promptTokens: x.call.PromptTokens, maxTokens: x.call.MaxTokens, lastEvent: x.call.LastEvent,
 	}
 	g.retryBudget(x.service.Name).RecordRequest(x.started)
 	g.recognizeReturn(x)
@@ -237,7 +237,7 @@
 // relay relays the events of one response. It returns nil if the response is
 // complete.
 func (o *streamWriter) relay(a *comfreyconnection.Response) error {
-	e := newEventReader(a.Body)
+	e := newEventReader(a.Body, o.g.lastEvent(o.n))
 	for {
 		b, err := e.next()
 		isEnd := errors.Is(err, io.EOF)
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -197,7 +197,7 @@
 // not be relayed to the caller is returned as an error.
 func (g *Gateway) send(ctx context.Context, x *exchange, c comfreyplacement.Candidate, t comfreycall.Attempt) (*comfreyconnection.Response, comfreycall.ResponseHeader, *attemptError) {
 	// A generation that is resumed after its first event has run without a crash.
-	if t.Continue == nil || t.Continue.LastEvent == "" {
+	if t.Continue == nil || !t.Continue.HasProgress {
 		if e := g.checkSuspect(x); e != nil {
 			return nil, comfreycall.ResponseHeader{}, e
 		}
