A generation that is moved before its response begins is resumed

What a caller would see: 502 for a stream whose replica leaves while it reads the prompt: an engine can copy a generation from its first token on, which may be before it has sent the response header.

Cause: a stream that ended before its header was a failed request, and only one that ended later was resumed. The replica counted as failed, and the request as one in flight at a crash, although this gateway had stopped it.

Change: resume is one function for both; it goes on at the next copy if the resumed generation was moved again meanwhile. An attempt that ends while there is a copy is no fault of its replica.

Test: TestMoveBeforeResponseHeader, moved once and twice; both failed before (502).

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -163,6 +163,14 @@
 	g.capacityChanges.notify()
 }
 
+// canResume reports whether a generation, which may be nil, has a copy from which it can
+// be resumed. The end of its stream is then no fault of its replica.
+func (g *Gateway) canResume(n *generation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return n != nil && n.continuation != nil
+}
+
 // takeContinuation returns where a generation whose stream ended early is
 // resumed, and makes it the generation's placement. It returns nil if there is
 // no copy.
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -56,6 +56,8 @@
 	replica string
 	// tried holds the replicas that must not be chosen again.
 	tried map[string]bool
+	// generation is the one that the request runs; nil if its response is no stream.
+	generation *generation
 	// permit is for the next call to a replica with a rate limit, and permitRequests
 	// counts how often permits were asked for.
 	permit         comfreyreplica.Permit
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -40,6 +40,7 @@
 	}
 	g.retryBudget(x.service.Name).RecordRequest(x.started)
 	g.recognizeReturn(x)
+	x.generation = n
 	g.addGeneration(n)
 	isComplete := false
 	defer func() { g.removeGeneration(n, isComplete) }()
@@ -81,6 +82,12 @@
 		if e == nil {
 			return a, nil
 		}
+		if e.isLost && ctx.Err() == nil {
+			// A move may have stopped the generation before it sent anything.
+			if a, e, ok := g.resume(ctx, x, n); ok {
+				return a, e
+			}
+		}
 		last = e
 		if !g.mayRetry(ctx, x, e) {
 			return nil, last
@@ -88,6 +95,37 @@
 	}
 }
 
+// resume resumes a generation from its copy, after its stream has ended early. ok is
+// false if there was no copy.
+func (g *Gateway) resume(ctx context.Context, x *exchange, n *generation) (a *comfreyconnection.Response, e *attemptError, ok bool) {
+	for next := g.takeContinuation(n); next != nil; next = g.takeContinuation(n) {
+		ok = true
+		a, _, e = g.send(ctx, x, next.destination, newAttempt(next.destination, next))
+		if e == nil && a.Status >= 300 {
+			a.Close()
+			e = &attemptError{reason: comfreyverdict.ReasonEngineRefused}
+		}
+		f := map[string]any{"replica": next.destination.ID, "from": next.Source, "handle": next.Handle, "last-event": next.LastEvent, "copy-age-ms": g.config.Now().Sub(next.completedAt).Milliseconds()}
+		if e == nil {
+			g.record(n.request, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, f)
+			g.config.Group.Go("move", func(ctx context.Context) error {
+				// The destination may have started to leave during the move.
+				if comfreygroup.Sleep(ctx, copyRetryDelay) {
+					g.moveRemaining(next.destination.ID)
+				}
+				return nil
+			})
+			return a, nil, true
+		}
+		f["error"] = e.Error()
+		g.record(n.request, comfreydecision.KindResume, e.reason, f)
+		if !e.isLost {
+			break
+		}
+	}
+	return nil, e, ok
+}
+
 // priority returns the priority of a request; that of the customer takes
 // precedence over that of the route.
 func (x *exchange) priority() int {
@@ -128,34 +166,19 @@
 			g.abortStream(ctx, x, n, o, err)
 			return false
 		}
-		next := g.takeContinuation(n)
-		if next == nil {
+		var e *attemptError
+		var ok bool
+		a, e, ok = g.resume(ctx, x, n)
+		switch {
+		case !ok:
 			g.loseAttempt(x, n.replica)
 			g.recordOutcome(n.replica.ID, true)
 			g.abortStream(ctx, x, n, o, err)
 			return false
-		}
-		var e *attemptError
-		a, _, e = g.send(ctx, x, next.destination, newAttempt(next.destination, next))
-		if e == nil && a.Status >= 300 {
-			a.Close()
-			e = &attemptError{reason: comfreyverdict.ReasonEngineRefused}
-		}
-		f := map[string]any{"replica": next.destination.ID, "from": next.Source, "handle": next.Handle, "last-event": next.LastEvent, "copy-age-ms": g.config.Now().Sub(next.completedAt).Milliseconds()}
-		if e != nil {
-			f["error"] = e.Error()
-			g.record(n.request, comfreydecision.KindResume, e.reason, f)
+		case e != nil:
 			g.abortStream(ctx, x, n, o, e)
 			return false
 		}
-		g.record(n.request, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, f)
-		g.config.Group.Go("move", func(ctx context.Context) error {
-			// The destination may have started to leave during the move.
-			if comfreygroup.Sleep(ctx, copyRetryDelay) {
-				g.moveRemaining(next.destination.ID)
-			}
-			return nil
-		})
 	}
 	g.abortStream(ctx, x, n, o, errors.New("comfreyforward: too many continuations"))
 	return false
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -254,6 +254,13 @@
 
 // handleSendError handles an attempt that got no response.
 func (g *Gateway) handleSendError(ctx context.Context, x *exchange, c comfreyplacement.Candidate, err error) *attemptError {
+	var s *comfreyconnection.SendError
+	mayHaveArrived := !errors.As(err, &s) || s.MayHaveArrived
+	if mayHaveArrived && ctx.Err() == nil && g.canResume(x.generation) {
+		g.finishWork(c, false)
+		x.sent++
+		return &attemptError{reason: comfreyverdict.ReasonConnectionLost, isLost: true, cause: err}
+	}
 	g.finishWork(c, true)
 	if reason, ok := permitReason(err); ok {
 		g.endAttempt(x)
@@ -271,8 +278,7 @@
 		g.replicas.ObserveConnectionLost(g.config.Now(), c.ID)
 		g.mu.Unlock()
 	}
-	var s *comfreyconnection.SendError
-	if errors.As(err, &s) && !s.MayHaveArrived {
+	if !mayHaveArrived {
 		g.endAttempt(x)
 		if isRefused(err) {
 			g.observeDialRefused(c)
