The end of a stream has the write timeout of its own

Cause: the write deadline that is set before each event was still in force when the server wrote the end of the response, after the handler had returned.

With a write timeout of 0.1 s, a stream that ends 0.3 s after its last event is broken off, also without a planned stop.

Change: the deadline is set anew when the stream has ended. The write timeout is a setting of the gateway, with the same default.

--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -105,6 +105,9 @@
 	Recorder   *comfreydecision.Recorder
 	Group      *comfreygroup.Group
 	Retry      RetryLimit
+	// WriteTimeout is how long the write of one event to a caller may take; 5 s by
+	// default.
+	WriteTimeout time.Duration
 	// Replicas are the periods of replicas that leave, and of data centres that are
 	// evacuated.
 	Replicas comfreyreplica.Config
@@ -144,6 +147,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.WriteTimeout <= 0 {
+		c.WriteTimeout = defaultWriteTimeout
+	}
 	if c.Rand == nil {
 		c.Rand = rand.Float64
 	}
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -22,8 +22,8 @@
 	// fault cannot move it for ever; a generation of 25 s meets eight leaving
 	// replicas.
 	maxContinuations = 50
-	// writeTimeout is how long the write of one event to a caller may take.
-	writeTimeout = 5 * time.Second
+	// defaultWriteTimeout is Config.WriteTimeout if that is zero.
+	defaultWriteTimeout = 5 * time.Second
 )
 
 // lengthDistribution returns the distribution of the output lengths of a
@@ -159,6 +159,8 @@
 		}
 		if err == nil {
 			g.completeAttempt(x, a.Status)
+			// The server writes the end of the response once the handler has returned.
+			o.extendDeadline()
 			g.finishStream(x, n, o, comfreyverdict.ReasonAccepted, nil)
 			return true
 		}
@@ -305,8 +307,7 @@
 
 // write sends bytes to the caller, and flushes them if no more are available.
 func (o *streamWriter) write(b []byte, isLast bool) error {
-	// A connection that does not support deadlines is written to without one.
-	_ = o.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	o.extendDeadline()
 	_, err := o.x.w.Write(b)
 	if err == nil && isLast {
 		err = o.controller.Flush()
@@ -314,3 +315,9 @@
 	o.isBroken = err != nil
 	return err
 }
+
+// extendDeadline gives what is written next the write timeout.
+func (o *streamWriter) extendDeadline() {
+	// A connection that does not support deadlines is written to without one.
+	_ = o.controller.SetWriteDeadline(time.Now().Add(o.g.config.WriteTimeout))
+}
