A planned stop answers the requests that wait, and begins none that it cannot end

Cause: the wait for a placement was bounded by the queue timeout, up to 6 s for callers who have returned, and not by the end of the stop after 7.6 s.

Change: comfreyplacement.PlannedStop decides, when the stop begins, for each request that arrives, and ten times a second for each that waits, whether its generation can still be expected to end before the connections are closed. If not, it is refused at once (not-run, leaving), with a Retry-After up to the moment at which the load balancer sends no more connections here.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -57,7 +57,9 @@
 	table  atomic.Pointer[comfreyroute.Table]
 	// isDraining is set when a planned stop begins.
 	isDraining atomic.Bool
-	metrics    *metrics
+	// stopTimes are those of the planned stop; nil if there is none.
+	stopTimes atomic.Pointer[stopTimes]
+	metrics   *metrics
 
 	mu           sync.Mutex
 	storeCache   *comfreystorecache.Cache
@@ -78,7 +80,9 @@
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	division        *comfreyratelimit.Division
 	capacityChanges changeNotifier
-	queues          map[queueKey]*comfreyplacement.Queue
+	// tokenTimes is how long a token takes, by service.
+	tokenTimes map[string]time.Duration
+	queues     map[queueKey]*comfreyplacement.Queue
 	// peerQueues are the queues of other gateways, and returns the refused requests
 	// of all. departures holds how many replicas of each service leave at once.
 	peerQueues map[string]peerQueue
@@ -107,6 +111,7 @@
 		observer:       comfreyquarantine.NewObserver(0),
 		cancels:        map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
 		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
+		tokenTimes:     map[string]time.Duration{},
 		queues:         map[queueKey]*comfreyplacement.Queue{},
 		peerQueues:     map[string]peerQueue{},
 		returns:        comfreyreturn.NewLedger(),
@@ -138,9 +143,11 @@
 	}
 }
 
-// StartDraining begins a planned stop: the gateway is no longer ready, and
-// finishes open requests.
-func (g *Gateway) StartDraining() {
+// StartDraining begins a planned stop: the gateway is no longer ready, and finishes
+// open requests, but for those that it cannot serve before end, when their connections
+// are closed. Until deregistered the load balancer may send new ones.
+func (g *Gateway) StartDraining(deregistered, end time.Time) {
+	g.stopTimes.Store(&stopTimes{deregistered: deregistered, end: end})
 	g.isDraining.Store(true)
 }
 
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -50,6 +50,9 @@
 func (g *Gateway) awaitPlacement(ctx context.Context, x *exchange, n *generation) (placement, *attemptError) {
 	// The channel is created before the search, so that no change is missed.
 	changed := g.capacityChanges.changed()
+	if e := g.checkPlannedStop(x, n); e != nil {
+		return placement{}, e
+	}
 	if p, ok := g.placeGeneration(ctx, x, n); ok {
 		return p, nil
 	}
@@ -111,7 +114,7 @@
 }
 
 // waitInQueue looks for a placement after each change, and periodically, until
-// the queue timeout.
+// the queue timeout or, in a planned stop, as long as the generation can still end here.
 func (g *Gateway) waitInQueue(ctx context.Context, x *exchange, n *generation, changed <-chan struct{}, timeout time.Duration) (placement, *attemptError) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -128,6 +131,9 @@
 		}
 		comfreygroup.Sleep(ctx, recheckDelay)
 		changed = g.capacityChanges.changed()
+		if e := g.checkPlannedStop(x, n); e != nil {
+			return placement{}, e
+		}
 		if p, ok := g.placeGeneration(ctx, x, n); ok {
 			return p, nil
 		}
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -116,9 +116,10 @@
 func (s *Server) drain(callers *http.Server) error {
 	g := s.gateway
 	began := g.config.Now()
-	g.StartDraining()
+	limit := s.config.GracePeriod - gracePeriodMargin
+	g.StartDraining(began.Add(deregistrationDelay), began.Add(limit))
 	g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "stopping", "streams": g.streamCount()})
-	ctx, cancel := context.WithTimeout(context.Background(), s.config.GracePeriod-gracePeriodMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	comfreygroup.Sleep(ctx, deregistrationDelay)
 	if s.callers != nil {
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -225,6 +225,7 @@
 	}
 	g.record(n.request, comfreydecision.KindFinish, reason, f)
 	if reason == comfreyverdict.ReasonAccepted {
+		g.observeTokenTime(n, o.latestEventAt.Sub(o.firstEventAt))
 		g.observeResponse(x, http.StatusOK)
 	}
 }
--- /dev/null
+++ b/comfreyplacement/planned_stop.go
@@ -0,0 +1,41 @@
+package comfreyplacement
+
+import "time"
+
+const (
+	// stopRefusalMargin is how long before its connection is closed a request is
+	// refused, so that the refusal still reaches its caller.
+	stopRefusalMargin = 500 * time.Millisecond
+	// minStopRetryAfter is the least time after which a caller returns that a stopping
+	// gateway refuses.
+	minStopRetryAfter = 50 * time.Millisecond
+	// maxStopRetryShare is the part of its caller's remaining time that a caller waits
+	// before it returns.
+	maxStopRetryShare = 1.0 / 3
+)
+
+// PlannedStop is the planned stop of a gateway as it stands at one moment.
+//
+// It is built for this load: generations of many seconds wait at every gateway, and the
+// gateways are stopped one after the other. A request that begins too late at one of them
+// is cut off with it, and one that waits to the end gets no answer; both would be served
+// by another gateway.
+type PlannedStop struct {
+	// EndsIn is the time until the gateway closes all connections, and DeregisteredIn
+	// that until the load balancer sends no new ones.
+	EndsIn, DeregisteredIn time.Duration
+}
+
+// CanServe reports whether a response that is expected to take some time from now on is
+// complete before the end of the stop. A request for which there is no room yet waits as
+// long as it can.
+func (s PlannedStop) CanServe(expected time.Duration) bool {
+	return s.EndsIn-stopRefusalMargin > expected
+}
+
+// RetryAfter returns when the caller of a refused request may return and reach another
+// gateway, given the time that the caller has left.
+func (s PlannedStop) RetryAfter(left time.Duration) time.Duration {
+	longest := time.Duration(maxStopRetryShare * float64(left))
+	return max(min(s.DeregisteredIn, longest), minStopRetryAfter)
+}
