--- a/comfreyplacement/planned_stop.go
+++ b/comfreyplacement/planned_stop.go
@@ -27,8 +27,7 @@
 }
 
 // CanServe reports whether a response that is expected to take some time from now on is
-// complete before the end of the stop. A request for which there is no room yet waits as
-// long as it can.
+// complete before the end of the stop. A waiting request is refused once it is not.
 func (s PlannedStop) CanServe(expected time.Duration) bool {
 	return s.EndsIn-stopRefusalMargin > expected
 }
