--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -163,7 +163,7 @@
 		})
 	}
 	c.limiter.begin()
-	h, isOnlyResponse, err := readResponseHeader(c, r)
+	h, mayReuse, err := readResponseHeader(c, r)
 	c.limiter.end()
 	if err != nil {
 		return nil, err
@@ -171,7 +171,7 @@
 	c.isUsed, c.requestID = true, r.id()
 	a := &Response{Status: h.StatusCode, Header: h.Header, Length: h.ContentLength, pool: p, connection: c, written: written}
 	a.EndsWithConnection = h.ContentLength < 0 && len(h.TransferEncoding) == 0
-	a.isReusable = !h.Close && isOnlyResponse
+	a.isReusable = !h.Close && mayReuse
 	c.keepAlive = keepAliveTime(h.Header)
 	a.Body = &responseBody{response: a, reader: h.Body}
 	return a, nil
@@ -191,11 +191,10 @@
 }
 
 // readResponseHeader reads the headers of the response to r. It skips
-// informational responses and responses to other requests. isOnlyResponse reports
-// whether the response is known to be the only one due on the connection: none was
-// skipped, and it names the id of the request, so that a second copy of it will not be
-// taken for the response to a later one.
-func readResponseHeader(c *connection, r Request) (h *http.Response, isOnlyResponse bool, err error) {
+// informational responses and responses to other requests. mayReuse reports whether the
+// connection can be used for a later request: nothing was skipped, and the response names
+// the id of its request, so that a second copy of it would be recognized.
+func readResponseHeader(c *connection, r Request) (h *http.Response, mayReuse bool, err error) {
 	request := &http.Request{Method: r.Method}
 	hasSkipped := false
 	for range maxSkippedResponses {
--- a/comfreyforward/events.go
+++ b/comfreyforward/events.go
@@ -70,9 +70,9 @@
 	}
 }
 
-// hasBuffered reports whether the end of the next event is in the read buffer. The rest
+// hasCompleteEvent reports whether the end of the next event is in the read buffer. The rest
 // of one that is there in part may take a while.
-func (e *eventReader) hasBuffered() bool {
+func (e *eventReader) hasCompleteEvent() bool {
 	b, _ := e.r.Peek(e.r.Buffered())
 	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
 }
--- a/comfreyforward/events_test.go
+++ b/comfreyforward/events_test.go
@@ -34,7 +34,7 @@
 		if _, err := r.next(); err != nil {
 			t.Fatal(err)
 		}
-		if got := r.hasBuffered(); got != want {
+		if got := r.hasCompleteEvent(); got != want {
 			t.Errorf("with %q buffered: got %t, want %t", rest, got, want)
 		}
 	}
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -277,7 +277,7 @@
 			o.writeHeader(a)
 		}
 		if len(b) > 0 {
-			if err := o.write(b, isEnd || !e.hasBuffered()); err != nil {
+			if err := o.write(b, isEnd || !e.hasCompleteEvent()); err != nil {
 				return err
 			}
 		}
