A planned stop answers the requests in flight before it closes their connections

Cause: connections were closed at the end of the stop, whatever their requests waited for. Only the queue was bounded by the stop.

Change: 0.3 s before all connections are closed, each request whose response has not begun is ended, whatever it waits for, and gets a final response: 503 not-run if no replica can have received it, else 502 may-have-run. A response that has begun goes on to the end.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -59,7 +59,11 @@
 	isDraining atomic.Bool
 	// stopTimes are those of the planned stop; nil if there is none.
 	stopTimes atomic.Pointer[stopTimes]
-	metrics   *metrics
+	// unanswered ends when the requests without a response get a final one, because
+	// their connections are about to be closed.
+	unanswered    context.Context
+	endUnanswered context.CancelFunc
+	metrics       *metrics
 
 	mu           sync.Mutex
 	storeCache   *comfreystorecache.Cache
@@ -118,6 +122,7 @@
 		departures:     map[string]*comfreyplacement.Departures{},
 		division:       comfreyratelimit.NewDivision(c.Address),
 	}
+	g.unanswered, g.endUnanswered = context.WithCancel(context.Background())
 	g.metrics = newMetrics(g)
 	fleet := g.lengths.Distribution(comfreylength.Key{})
 	g.estimator = comfreyoccupancy.NewEstimator(comfreyoccupancy.Config{RemainingTokens: fleet.RemainingTokens})
@@ -151,6 +156,13 @@
 	g.isDraining.Store(true)
 }
 
+// EndUnanswered ends the requests whose response has not begun, at the end of a planned
+// stop. Their callers get a final response: that a request has not run, if no replica can
+// have received it, or that it may have run.
+func (g *Gateway) EndUnanswered() {
+	g.endUnanswered()
+}
+
 // Ready returns nil if the load balancer should send requests to this gateway,
 // or the reason why not.
 func (g *Gateway) Ready() error {
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
@@ -74,6 +75,8 @@
 	execution comfreyquarantine.ExecutionID
 	// cancel ends the request.
 	cancel context.CancelCauseFunc
+	// response tells whether the response of a replica has begun; see beginResponse.
+	response atomic.Int32
 }
 
 // ServeHTTP implements http.Handler.
@@ -95,6 +98,7 @@
 	defer stop()
 	ctx, x.cancel = context.WithCancelCause(ctx)
 	defer x.cancel(nil)
+	defer context.AfterFunc(g.unanswered, x.endUnanswered)()
 	if x.route.Kind == comfreyroute.KindStreaming {
 		g.forwardStream(ctx, x)
 		return
--- a/comfreyforward/planned_stop.go
+++ b/comfreyforward/planned_stop.go
@@ -1,6 +1,9 @@
 package comfreyforward
 
 import (
+	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreyplacement"
@@ -18,6 +21,63 @@
 	deregistered, end time.Time
 }
 
+// errStopEnds is why a request ends without the response of a replica: the connections
+// of a gateway that stops are about to be closed.
+var errStopEnds = errors.New("comfreyforward: the gateway stops")
+
+// isEndedByStop reports whether a request was ended by the end of a planned stop.
+func isEndedByStop(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errStopEnds)
+}
+
+// The states of the response of a replica.
+const (
+	responsePending int32 = iota
+	responseBegun
+	// responseEnded means that the gateway responds in place of a replica.
+	responseEnded
+)
+
+// beginResponse reports whether the response of a replica may be sent to the caller. If
+// not, the request has been cancelled.
+func (x *exchange) beginResponse() bool {
+	if x.response.CompareAndSwap(responsePending, responseBegun) {
+		return true
+	}
+	x.cancel(errStopEnds)
+	return false
+}
+
+// endUnanswered ends the request unless its response has begun.
+func (x *exchange) endUnanswered() {
+	if x.response.CompareAndSwap(responsePending, responseEnded) {
+		x.cancel(errStopEnds)
+	}
+}
+
+// respondToStop sends the final response to a request that the end of a planned stop has
+// ended.
+func (g *Gateway) respondToStop(x *exchange) {
+	if x.sent > 0 {
+		g.fail(x, http.StatusBadGateway, comfreyverdict.ReasonLeaving, errStopEnds)
+		return
+	}
+	g.mu.Lock()
+	after := g.returnAfterStop(g.config.Now(), x, comfreyplacement.PlannedStop{})
+	g.mu.Unlock()
+	g.refuse(x, comfreyverdict.ReasonLeaving, after)
+}
+
+// returnAfterStop returns when the caller of a request that a gateway refuses because it
+// stops may return. The mutex must be held.
+func (g *Gateway) returnAfterStop(now time.Time, x *exchange, s comfreyplacement.PlannedStop) time.Duration {
+	after := s.RetryAfter(x.deadline.Sub(now))
+	if x.patience().TracksReturns() {
+		g.returns.Refuse(now, x.service.Name, x.returnKey(), after)
+	}
+	return after
+}
+
 // checkPlannedStop returns an error if the gateway stops before a generation that has
 // not begun can be expected to end. The caller returns to another gateway.
 func (g *Gateway) checkPlannedStop(x *exchange, n *generation) *attemptError {
@@ -32,11 +92,7 @@
 	if s.CanServe(g.expectedDuration(n)) {
 		return nil
 	}
-	after := s.RetryAfter(x.deadline.Sub(now))
-	if x.patience().TracksReturns() {
-		g.returns.Refuse(now, x.service.Name, x.returnKey(), after)
-	}
-	return &attemptError{reason: comfreyverdict.ReasonLeaving, isNotRun: true, retryAfter: after}
+	return &attemptError{reason: comfreyverdict.ReasonLeaving, isNotRun: true, retryAfter: g.returnAfterStop(now, x, s)}
 }
 
 // expectedDuration returns how long the rest of a generation is expected to take, once
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -40,6 +40,9 @@
 	// gracePeriodMargin is how long before the end of the grace period, when
 	// the process is killed, the gateway stops by itself.
 	gracePeriodMargin = 400 * time.Millisecond
+	// finalResponseMargin is how long before it closes all connections a gateway
+	// responds to the requests whose response has not begun.
+	finalResponseMargin = 300 * time.Millisecond
 )
 
 // ServerConfig holds the addresses and limits of a Server.
@@ -111,8 +114,9 @@
 	return s.drain(callers)
 }
 
-// drain marks the gateway as not ready and finishes open requests. Those that
-// are open at the end of the grace period are aborted.
+// drain marks the gateway as not ready and finishes open requests. Of those that are
+// open near the end of the grace period, the ones whose response has not begun get a
+// final one, and the others are aborted.
 func (s *Server) drain(callers *http.Server) error {
 	g := s.gateway
 	began := g.config.Now()
@@ -125,7 +129,13 @@
 	if s.callers != nil {
 		s.callers.Stop()
 	}
-	err := callers.Shutdown(ctx)
+	serving, cancelServing := context.WithDeadline(ctx, began.Add(limit-finalResponseMargin))
+	defer cancelServing()
+	err := callers.Shutdown(serving)
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.EndUnanswered()
+		err = callers.Shutdown(ctx)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = callers.Close()
 	}
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -189,6 +189,10 @@
 // abortStream ends a stream that is not complete: with an error status if no
 // response headers were sent, else by closing the caller's connection.
 func (g *Gateway) abortStream(ctx context.Context, x *exchange, n *generation, o *streamWriter, err error) {
+	if isEndedByStop(ctx) {
+		g.respondToStop(x)
+		return
+	}
 	reason := comfreyverdict.ReasonAnswerCut
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -274,6 +278,9 @@
 			return errPartialEvent
 		}
 		if !o.isHeaderSent {
+			if !o.x.beginResponse() {
+				return errStopEnds
+			}
 			o.writeHeader(a)
 		}
 		if len(b) > 0 {
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -149,6 +149,8 @@
 		reason, cause = e.reason, e.cause
 	}
 	switch {
+	case isEndedByStop(ctx):
+		g.respondToStop(x)
 	case isHeldBack(ctx) && x.sent > 0:
 		g.fail(x, http.StatusBadGateway, comfreyverdict.ReasonSuspectRequest, errHeldBack)
 	case isCallerGone(ctx):
@@ -315,6 +317,9 @@
 	if isComplete && a.Length >= 0 && int64(b.Len()) != a.Length && x.r.Method != http.MethodHead {
 		return &attemptError{reason: comfreyverdict.ReasonAnswerCut}
 	}
+	if !x.beginResponse() {
+		return &attemptError{reason: comfreyverdict.ReasonLeaving, cause: errStopEnds}
+	}
 	g.copyHeader(x, a)
 	x.w.WriteHeader(a.Status)
 	if _, err = x.w.Write(b.Bytes()); err == nil && !isComplete {
