A planned stop begins no generation whose length it cannot tell

Cause: the expected duration was zero at a gateway where no stream had ended, as after a restart, left out the reading of the prompt, and was the mean of a wide spread.

Change: a generation is begun in a planned stop if it ends before the stop with a probability of 0.8, and of 0.99 once the load balancer has removed the gateway, when a refused caller is served by another one at once. comfreyplacement.GenerationTimes learns the time to the first event and that of a token, with their deviations, also from streams that still run; comfreylength.Distribution has the quantile of the tokens. What is not known yet has a default.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -84,9 +84,9 @@
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	division        *comfreyratelimit.Division
 	capacityChanges changeNotifier
-	// tokenTimes is how long a token takes, by service.
-	tokenTimes map[string]time.Duration
-	queues     map[queueKey]*comfreyplacement.Queue
+	// generationTimes are those of each service.
+	generationTimes map[string]*comfreyplacement.GenerationTimes
+	queues          map[queueKey]*comfreyplacement.Queue
 	// peerQueues are the queues of other gateways, and returns the refused requests
 	// of all. departures holds how many replicas of each service leave at once.
 	peerQueues map[string]peerQueue
@@ -102,25 +102,25 @@
 // started.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		config:         c.withDefaults(),
-		storeCache:     comfreystorecache.New(),
-		replicas:       comfreyreplica.NewSet(c.Replicas),
-		health:         comfreyreplica.NewHealth(),
-		lengths:        comfreylength.New(comfreylength.Config{}),
-		retryBudgets:   map[string]*comfreyrouter.RetryBudget{},
-		unaryLoads:     map[string]*unaryLoad{},
-		paces:          map[string]*comfreypace.Tracker{},
-		generations:    map[*generation]struct{}{},
-		quarantine:     newQuarantine(c),
-		observer:       comfreyquarantine.NewObserver(0),
-		cancels:        map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
-		crashCheckedAt: map[comfreyquarantine.Upstream]time.Time{},
-		tokenTimes:     map[string]time.Duration{},
-		queues:         map[queueKey]*comfreyplacement.Queue{},
-		peerQueues:     map[string]peerQueue{},
-		returns:        comfreyreturn.NewLedger(),
-		departures:     map[string]*comfreyplacement.Departures{},
-		division:       comfreyratelimit.NewDivision(c.Address),
+		config:          c.withDefaults(),
+		storeCache:      comfreystorecache.New(),
+		replicas:        comfreyreplica.NewSet(c.Replicas),
+		health:          comfreyreplica.NewHealth(),
+		lengths:         comfreylength.New(comfreylength.Config{}),
+		retryBudgets:    map[string]*comfreyrouter.RetryBudget{},
+		unaryLoads:      map[string]*unaryLoad{},
+		paces:           map[string]*comfreypace.Tracker{},
+		generations:     map[*generation]struct{}{},
+		quarantine:      newQuarantine(c),
+		observer:        comfreyquarantine.NewObserver(0),
+		cancels:         map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
+		crashCheckedAt:  map[comfreyquarantine.Upstream]time.Time{},
+		generationTimes: map[string]*comfreyplacement.GenerationTimes{},
+		queues:          map[queueKey]*comfreyplacement.Queue{},
+		peerQueues:      map[string]peerQueue{},
+		returns:         comfreyreturn.NewLedger(),
+		departures:      map[string]*comfreyplacement.Departures{},
+		division:        comfreyratelimit.NewDivision(c.Address),
 	}
 	g.unanswered, g.endUnanswered = context.WithCancel(context.Background())
 	g.metrics = newMetrics(g)
--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -33,6 +33,10 @@
 	maxTokens    int
 	class        string
 
+	// sentAt is when the generation was last sent to its first replica. Only the
+	// goroutine of its request uses it.
+	sentAt time.Time
+
 	replica comfreyplacement.Candidate
 	// events is the number of events that were sent to the caller here.
 	events int
--- a/comfreyforward/planned_stop.go
+++ b/comfreyforward/planned_stop.go
@@ -10,9 +10,9 @@
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
-// tokenTimeWeight is the weight of the newest stream in the moving average of the time
-// that a token takes.
-const tokenTimeWeight = 0.1
+// eventsPerTimeEstimate is the number of events of a running stream after which the time
+// that a token takes is observed.
+const eventsPerTimeEstimate = 32
 
 // stopTimes are the moments of a planned stop.
 type stopTimes struct {
@@ -89,29 +89,43 @@
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	s := comfreyplacement.PlannedStop{EndsIn: t.end.Sub(now), DeregisteredIn: max(t.deregistered.Sub(now), 0)}
-	if s.CanServe(g.expectedDuration(n)) {
+	if s.CanServe(g.expectedDuration(n, s.MinChance())) {
 		return nil
 	}
 	return &attemptError{reason: comfreyverdict.ReasonLeaving, isNotRun: true, retryAfter: g.returnAfterStop(now, x, s)}
 }
 
-// expectedDuration returns how long the rest of a generation is expected to take, once
-// it has room; zero if no stream of its service has ended here. The mutex must be held.
-func (g *Gateway) expectedDuration(n *generation) time.Duration {
-	return time.Duration(g.remainingTokens(n) * float64(g.tokenTimes[n.service.Name]))
+// expectedDuration returns the time within which the rest of a generation ends with some
+// probability, once it has room. The mutex must be held.
+func (g *Gateway) expectedDuration(n *generation, probability float64) time.Duration {
+	generated := n.generatedTokens()
+	tokens := g.lengthDistribution(n).RemainingQuantile(generated, probability)
+	if n.maxTokens > 0 {
+		tokens = min(tokens, float64(max(n.maxTokens-generated, 0)))
+	}
+	return g.timesOf(n).Duration(tokens)
+}
+
+// timesOf returns the times of the service of a generation. The mutex must be held.
+func (g *Gateway) timesOf(n *generation) *comfreyplacement.GenerationTimes {
+	t := g.generationTimes[n.service.Name]
+	if t == nil {
+		t = &comfreyplacement.GenerationTimes{}
+		g.generationTimes[n.service.Name] = t
+	}
+	return t
+}
+
+// observeFirstEvent records how long after a generation was sent its first event came.
+func (g *Gateway) observeFirstEvent(n *generation, after time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.timesOf(n).ObserveFirstEvent(after)
 }
 
-// observeTokenTime records how long the events of a complete stream took.
+// observeTokenTime records how long the events of a stream after its first one took.
 func (g *Gateway) observeTokenTime(n *generation, events time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	tokens := n.generatedTokens() - n.service.Engine.TokensPerEvent
-	if tokens <= 0 {
-		return
-	}
-	t := events / time.Duration(tokens)
-	if known, ok := g.tokenTimes[n.service.Name]; ok {
-		t = known + time.Duration(tokenTimeWeight*float64(t-known))
-	}
-	g.tokenTimes[n.service.Name] = t
+	g.timesOf(n).ObserveTokens(n.generatedTokens()-n.service.Engine.TokensPerEvent, events)
 }
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -78,6 +78,7 @@
 		}
 		t := newAttempt(c.Candidate, nil)
 		t.Reservation = c.reservation
+		n.sentAt = g.config.Now()
 		a, _, e := g.send(ctx, x, c.Candidate, t)
 		if e == nil {
 			return a, nil
@@ -258,10 +259,14 @@
 	switch d := now.Sub(o.latestEventAt); {
 	case o.firstEventAt.IsZero():
 		o.firstEventAt = now
+		o.g.observeFirstEvent(o.n, now.Sub(o.n.sentAt))
 	case d > o.longestPause:
 		o.longestPause, o.longestPauseEvent = d, o.n.events
 	}
 	o.latestEventAt = now
+	if o.n.events%eventsPerTimeEstimate == 0 {
+		o.g.observeTokenTime(o.n, now.Sub(o.firstEventAt))
+	}
 }
 
 // relay relays the events of one response. It returns nil if the response is
--- a/comfreylength/distribution.go
+++ b/comfreylength/distribution.go
@@ -106,6 +106,26 @@
 	return float64(sum / s)
 }
 
+// RemainingQuantile returns the number of further output tokens, after the generated ones,
+// that an output does not exceed with the given probability.
+func (d *Distribution) RemainingQuantile(generated int, probability float64) float64 {
+	d.rebuildIfStale()
+	target := float32(1-probability) * d.survivalAt(generated)
+	from, left := generated, d.survivalAt(generated)
+	for b := Bucket(generated) + 1; b <= buckets; b++ {
+		n := lowerBound(b)
+		if s := d.survival[b]; s <= target {
+			share := float32(1)
+			if left > s {
+				share = (left - target) / (left - s)
+			}
+			return float64(from-generated) + float64(share)*float64(n-from)
+		}
+		from, left = n, d.survival[b]
+	}
+	return float64(from - generated)
+}
+
 // survivalAt returns the probability that an output is at least tokens long,
 // interpolated linearly within the bucket.
 func (d *Distribution) survivalAt(tokens int) float32 {
--- a/comfreyplacement/planned_stop.go
+++ b/comfreyplacement/planned_stop.go
@@ -9,6 +9,11 @@
 	// minStopRetryAfter is the least time after which a caller returns that a stopping
 	// gateway refuses.
 	minStopRetryAfter = 50 * time.Millisecond
+	// returnChance is the probability with which a generation has to end before the stop
+	// while its caller would have to wait for another gateway, and removedChance that
+	// from when another gateway serves the caller at once.
+	returnChance  = 0.8
+	removedChance = 0.99
 	// maxStopRetryShare is the part of its caller's remaining time that a caller waits
 	// before it returns.
 	maxStopRetryShare = 1.0 / 3
@@ -26,6 +31,16 @@
 	EndsIn, DeregisteredIn time.Duration
 }
 
+// MinChance returns the probability with which a generation has to end before the stop so
+// that its caller gains by it. A refusal costs little once the load balancer sends its
+// caller elsewhere.
+func (s PlannedStop) MinChance() float64 {
+	if s.DeregisteredIn > 0 {
+		return returnChance
+	}
+	return removedChance
+}
+
 // CanServe reports whether a response that is expected to take some time from now on is
 // complete before the end of the stop. A waiting request is refused once it is not.
 func (s PlannedStop) CanServe(expected time.Duration) bool {
--- a/comfreyplacement/planned_stop_test.go
+++ b/comfreyplacement/planned_stop_test.go
@@ -21,6 +21,16 @@
 	// 7s false false 50ms 50ms
 }
 
+// TestLateGenerationHasToBeSureToEnd replays a generation of unknown length that arrives
+// before and after the load balancer has removed the gateway.
+func TestLateGenerationHasToBeSureToEnd(t *testing.T) {
+	early := comfreyplacement.PlannedStop{EndsIn: 7 * time.Second, DeregisteredIn: 2 * time.Second}.MinChance()
+	late := comfreyplacement.PlannedStop{EndsIn: 4 * time.Second}.MinChance()
+	if early <= 0.5 || early >= late || late < 0.99 {
+		t.Errorf("got a chance of %v and %v, want more than even and nearly sure", early, late)
+	}
+}
+
 // TestQueueIsEmptyBeforePlannedStopEnds replays a stop of a gateway whose queue is full
 // and for which no room becomes free: every waiting request is refused in time, whatever
 // its expected duration, and those that can still be served go on waiting.
