A planned stop begins no request that does not stream and cannot end in it

Cause: only generations were checked against the end of the stop.

Change: the same decision holds for requests that do not stream, before each attempt, with the time that the responses of their service take, learned with its deviation. Their callers are refused (not-run, leaving) and return to another gateway.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -84,8 +84,10 @@
 	crashCheckedAt  map[comfreyquarantine.Upstream]time.Time
 	division        *comfreyratelimit.Division
 	capacityChanges changeNotifier
-	// generationTimes are those of each service.
+	// generationTimes are those of each service, and responseTimes how long the requests
+	// of each take that do not stream.
 	generationTimes map[string]*comfreyplacement.GenerationTimes
+	responseTimes   map[string]*comfreyplacement.TimeEstimate
 	queues          map[queueKey]*comfreyplacement.Queue
 	// peerQueues are the queues of other gateways, and returns the refused requests
 	// of all. departures holds how many replicas of each service leave at once.
@@ -116,6 +118,7 @@
 		cancels:         map[comfreyquarantine.ExecutionID]context.CancelCauseFunc{},
 		crashCheckedAt:  map[comfreyquarantine.Upstream]time.Time{},
 		generationTimes: map[string]*comfreyplacement.GenerationTimes{},
+		responseTimes:   map[string]*comfreyplacement.TimeEstimate{},
 		queues:          map[queueKey]*comfreyplacement.Queue{},
 		peerQueues:      map[string]peerQueue{},
 		returns:         comfreyreturn.NewLedger(),
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -50,7 +50,7 @@
 func (g *Gateway) awaitPlacement(ctx context.Context, x *exchange, n *generation) (placement, *attemptError) {
 	// The channel is created before the search, so that no change is missed.
 	changed := g.capacityChanges.changed()
-	if e := g.checkPlannedStop(x, n); e != nil {
+	if e := g.checkGenerationStop(x, n); e != nil {
 		return placement{}, e
 	}
 	if p, ok := g.placeGeneration(ctx, x, n); ok {
@@ -131,7 +131,7 @@
 		}
 		comfreygroup.Sleep(ctx, recheckDelay)
 		changed = g.capacityChanges.changed()
-		if e := g.checkPlannedStop(x, n); e != nil {
+		if e := g.checkGenerationStop(x, n); e != nil {
 			return placement{}, e
 		}
 		if p, ok := g.placeGeneration(ctx, x, n); ok {
--- a/comfreyforward/planned_stop.go
+++ b/comfreyforward/planned_stop.go
@@ -78,9 +78,10 @@
 	return after
 }
 
-// checkPlannedStop returns an error if the gateway stops before a generation that has
-// not begun can be expected to end. The caller returns to another gateway.
-func (g *Gateway) checkPlannedStop(x *exchange, n *generation) *attemptError {
+// checkPlannedStop returns an error if the gateway stops before a request that has not
+// begun can be expected to end, given the time that it takes with some probability. The
+// caller returns to another gateway.
+func (g *Gateway) checkPlannedStop(x *exchange, duration func(probability float64) time.Duration) *attemptError {
 	t := g.stopTimes.Load()
 	if t == nil {
 		return nil
@@ -89,12 +90,40 @@
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	s := comfreyplacement.PlannedStop{EndsIn: t.end.Sub(now), DeregisteredIn: max(t.deregistered.Sub(now), 0)}
-	if s.CanServe(g.expectedDuration(n, s.MinChance())) {
+	if s.CanServe(duration(s.MinChance())) {
 		return nil
 	}
 	return &attemptError{reason: comfreyverdict.ReasonLeaving, isNotRun: true, retryAfter: g.returnAfterStop(now, x, s)}
 }
 
+// checkGenerationStop is checkPlannedStop for a generation.
+func (g *Gateway) checkGenerationStop(x *exchange, n *generation) *attemptError {
+	return g.checkPlannedStop(x, func(probability float64) time.Duration { return g.expectedDuration(n, probability) })
+}
+
+// checkUnaryStop is checkPlannedStop for a request that does not stream.
+func (g *Gateway) checkUnaryStop(x *exchange) *attemptError {
+	return g.checkPlannedStop(x, func(float64) time.Duration { return g.responseTime(x).Upper(0) })
+}
+
+// responseTime returns how long requests take that do not stream, of the service of one.
+// The mutex must be held.
+func (g *Gateway) responseTime(x *exchange) *comfreyplacement.TimeEstimate {
+	e := g.responseTimes[x.service.Name]
+	if e == nil {
+		e = &comfreyplacement.TimeEstimate{}
+		g.responseTimes[x.service.Name] = e
+	}
+	return e
+}
+
+// observeResponseTime records how long a replica took for a response that is no stream.
+func (g *Gateway) observeResponseTime(x *exchange, d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.responseTime(x).Observe(d)
+}
+
 // expectedDuration returns the time within which the rest of a generation ends with some
 // probability, once it has room. The mutex must be held.
 func (g *Gateway) expectedDuration(n *generation, probability float64) time.Duration {
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -69,6 +69,13 @@
 	g.retryBudget(x.service.Name).RecordRequest(x.started)
 	var last *attemptError
 	for {
+		if e := g.checkUnaryStop(x); e != nil {
+			if last != nil && !last.isNotRun {
+				e = last
+			}
+			g.respondFailure(ctx, x, e)
+			return
+		}
 		c, ok := g.chooseUnary(x)
 		if !ok {
 			isNotRun := last == nil || last.isNotRun
@@ -170,11 +177,13 @@
 // attemptUnary sends a request to one replica and relays its response. It
 // returns nil once the caller has a response.
 func (g *Gateway) attemptUnary(ctx context.Context, x *exchange, c comfreyplacement.Candidate) *attemptError {
+	began := g.config.Now()
 	a, reply, e := g.send(ctx, x, c, comfreycall.Attempt{Replica: c.ID})
 	defer g.finishUnary(c, reply)
 	if e != nil {
 		return e
 	}
+	g.observeResponseTime(x, g.config.Now().Sub(began))
 	defer a.Close()
 	if a.Status >= http.StatusInternalServerError && x.route.Kind == comfreyroute.KindIdempotent && x.sent < x.route.MaxAttempts && !g.retryBudget(x.service.Name).IsExhausted() {
 		g.completeAttempt(x, a.Status)
