A planned stop accepts the connections above the limit before it stops listening

Cause: the listener accepts its queue before it closes, but no connection is accepted while the limit is reached, and 0.3 s later the socket was closed all the same.

Change: idle connections are closed first, which frees their places, and the listener goes on as long as connections wait in its queue because of the limit, up to the final responses of the stop.

--- a/comfreyforward/limit.go
+++ b/comfreyforward/limit.go
@@ -5,6 +5,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 )
 
 const (
@@ -49,6 +50,9 @@
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	// isFull is true while the limit allows no further connection, and wasFull if that
+	// was so since the last call of hasBeenFull.
+	isFull, wasFull atomic.Bool
 }
 
 func newLimitedListener(l net.Listener, limit int) *limitedListener {
@@ -57,8 +61,13 @@
 
 // Accept implements net.Listener.
 func (l *limitedListener) Accept() (net.Conn, error) {
+	if len(l.slots) == cap(l.slots) {
+		l.isFull.Store(true)
+		l.wasFull.Store(true)
+	}
 	select {
 	case l.slots <- struct{}{}:
+		l.isFull.Store(false)
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
@@ -70,6 +79,13 @@
 	return &limitedConn{Conn: c, listener: l}, nil
 }
 
+// hasBeenFull reports whether the limit allowed no further connection at any time since
+// its last call.
+func (l *limitedListener) hasBeenFull() bool {
+	wasFull := l.wasFull.Swap(false)
+	return wasFull || l.isFull.Load()
+}
+
 // Close implements net.Listener.
 func (l *limitedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
--- a/comfreyforward/listener.go
+++ b/comfreyforward/listener.go
@@ -1,12 +1,15 @@
 package comfreyforward
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -53,16 +56,37 @@
 }
 
 // Stop accepts what is in the queue and closes the socket. It returns when that is done,
-// or after maxStopDelay.
-func (l *stoppableListener) Stop() {
+// or after maxStopDelay, or when ctx ends. It goes on while connections wait in the queue
+// and isBlocked reports that the server could not accept more.
+func (l *stoppableListener) Stop(ctx context.Context, isBlocked func() bool) {
 	l.isStopping.Store(true)
 	_ = l.SetDeadline(time.Now().Add(acceptQuiet)) // It fails only if the listener is closed.
-	t := time.NewTimer(maxStopDelay)
-	defer t.Stop()
-	select {
-	case <-l.stopped:
-	case <-t.C:
+	for {
+		t := time.NewTimer(maxStopDelay)
+		select {
+		case <-l.stopped:
+		case <-t.C:
+			if isBlocked() && l.hasPending() {
+				continue
+			}
+		case <-ctx.Done():
+		}
+		t.Stop()
+		return
+	}
+}
+
+// hasPending reports whether a connection is in the queue.
+func (l *stoppableListener) hasPending() bool {
+	c, err := l.SyscallConn()
+	if err != nil {
+		return false
 	}
+	n := 0
+	err = c.Control(func(descriptor uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0) // A signal may interrupt it.
+	})
+	return err == nil && n > 0
 }
 
 // Close implements net.Listener.
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -75,6 +75,8 @@
 	// callers accepts the connections of callers; nil if its listener is not one on
 	// TCP.
 	callers *stoppableListener
+	// limited bounds the connections of callers; nil if they have no bound.
+	limited *limitedListener
 }
 
 // NewServer returns a server for a gateway that has not been started.
@@ -126,11 +128,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	comfreygroup.Sleep(ctx, deregistrationDelay)
-	if s.callers != nil {
-		s.callers.Stop()
-	}
 	serving, cancelServing := context.WithDeadline(ctx, began.Add(limit-finalResponseMargin))
 	defer cancelServing()
+	s.stopListening(serving, callers)
 	err := callers.Shutdown(serving)
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.EndUnanswered()
@@ -143,6 +143,17 @@
 	return err
 }
 
+// stopListening closes the listener for callers, once all connections that wait there are
+// accepted. Idle connections are closed before, so that those above the limit get their
+// places.
+func (s *Server) stopListening(ctx context.Context, callers *http.Server) {
+	if s.callers == nil {
+		return
+	}
+	callers.SetKeepAlivesEnabled(false)
+	s.callers.Stop(ctx, func() bool { return s.limited != nil && s.limited.hasBeenFull() })
+}
+
 func (g *Gateway) streamCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -182,7 +193,8 @@
 		k = s.callers
 	}
 	if n := maxCallerConnections(s.config.MaxFileDescriptors); n > 0 {
-		k = newLimitedListener(k, n)
+		s.limited = newLimitedListener(k, n)
+		k = s.limited
 	}
 	s.serve("callers", k, h)
 	return h, nil
