A listener that stops on a slow host still accepts its queue

Cause: a listener that stops accepts until no connection has arrived for 1 ms. On a host with a small share of a core that time can pass between setting the deadline and the first look at the queue; the socket was then closed with connections in it, which the kernel resets.

Change: once the time has passed, the queue itself is asked whether it is empty.

--- a/comfreyforward/listener.go
+++ b/comfreyforward/listener.go
@@ -25,6 +25,8 @@
 type stoppableListener struct {
 	*net.TCPListener
 	isStopping atomic.Bool
+	// quiet is how long no connection must have arrived before the listener stops.
+	quiet time.Duration
 	// stopped is closed when the listener accepts no more, and closed when it is
 	// closed.
 	stopped, closed         chan struct{}
@@ -32,15 +34,20 @@
 }
 
 func newStoppableListener(l *net.TCPListener) *stoppableListener {
-	return &stoppableListener{TCPListener: l, stopped: make(chan struct{}), closed: make(chan struct{})}
+	return &stoppableListener{TCPListener: l, quiet: acceptQuiet, stopped: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener. Once the listener has stopped, it blocks until Close.
 func (l *stoppableListener) Accept() (net.Conn, error) {
 	if l.isStopping.Load() {
-		_ = l.SetDeadline(time.Now().Add(acceptQuiet)) // It fails only if the listener is closed.
+		_ = l.SetDeadline(time.Now().Add(l.quiet)) // It fails only if the listener is closed.
 	}
 	c, err := l.TCPListener.Accept()
+	for errors.Is(err, os.ErrDeadlineExceeded) && l.hasPending() {
+		// The deadline can pass before the first look at the queue if the host is slow.
+		_ = l.SetDeadline(time.Now().Add(maxStopDelay))
+		c, err = l.TCPListener.Accept()
+	}
 	if err == nil {
 		return c, nil
 	}
@@ -60,7 +67,7 @@
 // and isBlocked reports that the server could not accept more.
 func (l *stoppableListener) Stop(ctx context.Context, isBlocked func() bool) {
 	l.isStopping.Store(true)
-	_ = l.SetDeadline(time.Now().Add(acceptQuiet)) // It fails only if the listener is closed.
+	_ = l.SetDeadline(time.Now().Add(l.quiet)) // It fails only if the listener is closed.
 	for {
 		t := time.NewTimer(maxStopDelay)
 		select {
