A response during a planned stop is the last one of its connection

What callers saw: the response to a request that had arrived before a planned stop began, a refusal too, left the connection open; the caller's next request, also one that was told to return to another gateway, was sent to the one that stops, or met the close of the connection.

Cause: whether a connection ends was decided when its request arrived.

Change: it is decided when the response is written. A generation is also checked against the stop once more after the search for a placement, which can take three reservations.

Evidence: TestPlannedStopEndsConnectionsOfEarlierRequests, 2 of 2 connections stayed open before, none now.

--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -82,9 +83,6 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{w: w, r: r, started: g.config.Now(), call: g.config.Protocol.ParseRequestHeaders(r.Header), tried: map[string]bool{}}
-	if g.isDraining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if !g.resolve(x) {
 		return
 	}
@@ -252,6 +250,7 @@
 	}
 	g.record(x.call.ID, comfreydecision.KindRefuse, e.Reason, f)
 	g.observeResponse(x, status)
+	g.setConnection(x)
 	x.w.WriteHeader(status)
 	// The write fails only if the caller has disconnected.
 	_, _ = io.WriteString(x.w, `{"verdict":"`+e.Verdict.String()+`","reason":"`+string(e.Reason)+`"}`)
@@ -271,16 +270,18 @@
 }
 
 // copyHeader copies the headers of a replica's response to the response of the
-// caller. A Connection header that the gateway has set is kept.
+// caller.
 func (g *Gateway) copyHeader(x *exchange, a *comfreyconnection.Response) {
 	h := withoutHopByHopHeaders(a.Header)
 	g.config.Protocol.RemoveInternalHeaders(h)
-	out := x.w.Header()
-	isClosing := out.Get("Connection") != ""
-	for n, v := range h {
-		out[n] = v
-	}
-	if isClosing {
-		out.Set("Connection", "close")
+	maps.Copy(x.w.Header(), h)
+	g.setConnection(x)
+}
+
+// setConnection makes the response the last one of its connection if the gateway stops, so
+// that the caller's next request reaches another gateway.
+func (g *Gateway) setConnection(x *exchange) {
+	if g.isDraining.Load() {
+		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -70,6 +70,10 @@
 	var last *attemptError
 	for {
 		c, e := g.awaitPlacement(ctx, x, n)
+		if e == nil {
+			// The search may have taken long.
+			e = g.checkGenerationStop(x, n)
+		}
 		if e != nil {
 			if last != nil && !(last.isNotRun && e.retryAfter > 0) {
 				return nil, last
