A planned stop closes no idle connection on which a request has arrived

Change: idle connections are closed one by one, except for those that are readable; these get their answer first. Shutdown follows when no idle connection has a request.

--- a/comfreyforward/limit.go
+++ b/comfreyforward/limit.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 const (
@@ -102,6 +104,15 @@
 	once     sync.Once
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	k, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("comfreyforward: expected a connection of the system, got %T", c.Conn)
+	}
+	return k.SyscallConn()
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.once.Do(func() { <-c.listener.slots })
--- a/comfreyforward/listener.go
+++ b/comfreyforward/listener.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -64,8 +62,8 @@
 
 // Stop accepts what is in the queue and closes the socket. It returns when that is done,
 // or after maxStopDelay, or when ctx ends. It goes on while connections wait in the queue
-// and isBlocked reports that the server could not accept more.
-func (l *stoppableListener) Stop(ctx context.Context, isBlocked func() bool) {
+// and makeRoom reports that there was no place for them.
+func (l *stoppableListener) Stop(ctx context.Context, makeRoom func() bool) {
 	l.isStopping.Store(true)
 	_ = l.SetDeadline(time.Now().Add(l.quiet)) // It fails only if the listener is closed.
 	for {
@@ -73,7 +71,7 @@
 		select {
 		case <-l.stopped:
 		case <-t.C:
-			if isBlocked() && l.hasPending() {
+			if makeRoom() && l.hasPending() {
 				continue
 			}
 		case <-ctx.Done():
@@ -85,15 +83,7 @@
 
 // hasPending reports whether a connection is in the queue.
 func (l *stoppableListener) hasPending() bool {
-	c, err := l.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = c.Control(func(descriptor uintptr) {
-		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0) // A signal may interrupt it.
-	})
-	return err == nil && n > 0
+	return isReadable(l.TCPListener)
 }
 
 // Close implements net.Listener.
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -77,6 +77,8 @@
 	callers *stoppableListener
 	// limited bounds the connections of callers; nil if they have no bound.
 	limited *limitedListener
+	// idle are the connections of callers without a request.
+	idle idleConnections
 }
 
 // NewServer returns a server for a gateway that has not been started.
@@ -130,7 +132,7 @@
 	comfreygroup.Sleep(ctx, deregistrationDelay)
 	serving, cancelServing := context.WithDeadline(ctx, began.Add(limit-finalResponseMargin))
 	defer cancelServing()
-	s.stopListening(serving, callers)
+	s.stopListening(serving)
 	err := callers.Shutdown(serving)
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.EndUnanswered()
@@ -144,14 +146,26 @@
 }
 
 // stopListening closes the listener for callers, once all connections that wait there are
-// accepted. Idle connections are closed before, so that those above the limit get their
-// places.
-func (s *Server) stopListening(ctx context.Context, callers *http.Server) {
-	if s.callers == nil {
-		return
-	}
-	callers.SetKeepAlivesEnabled(false)
-	s.callers.Stop(ctx, func() bool { return s.limited != nil && s.limited.hasBeenFull() })
+// accepted, and the idle connections.
+func (s *Server) stopListening(ctx context.Context) {
+	s.makeRoom()
+	if s.callers != nil {
+		s.callers.Stop(ctx, s.makeRoom)
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxStopDelay)
+	defer cancel()
+	for s.idle.closeUnused() > 0 && comfreygroup.Sleep(ctx, acceptQuiet) {
+	}
+}
+
+// makeRoom closes idle connections if there was no place for further ones, and reports
+// whether that was so.
+func (s *Server) makeRoom() bool {
+	if s.limited == nil || !s.limited.hasBeenFull() {
+		return false
+	}
+	s.idle.closeUnused()
+	return true
 }
 
 func (g *Gateway) streamCount() int {
@@ -183,6 +197,7 @@
 		MaxHeaderBytes:    positiveOr(l.HeaderSizeBytes, defaultMaxHeaderBytes),
 		ReadHeaderTimeout: positiveOr(l.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       positiveOr(l.IdleTimeout, defaultIdleTimeout) + idleTimeoutMargin,
+		ConnState:         s.idle.observe,
 	}
 	k, err := s.config.Listen(s.config.CallerAddress)
 	if err != nil {
