--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -154,7 +154,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxStopDelay)
 	defer cancel()
-	for s.idle.closeUnused() > 0 && comfreygroup.Sleep(ctx, acceptQuiet) {
+	for s.idle.closeUnused() > 0 {
+		if !comfreygroup.Sleep(ctx, acceptQuiet) {
+			return
+		}
 	}
 }
 
