--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -72,6 +72,9 @@
 
 // ResponseHeader holds the values of a replica's response headers.
 type ResponseHeader struct {
+	// Responder is the id of the replica that responded; empty if the response does not
+	// state it.
+	Responder string
 	// IsSigned reports whether the response carries the replica's signature.
 	IsSigned bool
 	// IsNotRun reports whether the response states that the replica did not run
