A control call names its replica and carries no request id

Cause: gave these calls a request id, so that their responses are told from late ones. What has an id and names no replica is a request to whoever has the address. Now a call names the replica it is for, which every other one rejects, and has no id, without which nothing is run, whether or not the replica heeds the first.

--- a/comfreycall/call.go
+++ b/comfreycall/call.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// ErrOtherReplica means that another replica than the one that a call is for has responded
+// at its address. It has not run anything.
+var ErrOtherReplica = errors.New("comfreycall: expected the replica that the call is for, got a response of another one at its address")
+
 // The errors of a KV copy.
 var (
 	// ErrUnknownGeneration means that the replica executes no generation for
@@ -127,7 +131,10 @@
 
 // Target is the replica that a call is sent to.
 type Target struct {
-	// Address is the replica's IP address and port.
+	// Replica is the id of the replica that the call is for.
+	Replica string
+	// Address is the replica's IP address and port, at which another replica may have
+	// started meanwhile.
 	Address string
 	// Permit is called immediately before the call is sent; an error ends it.
 	Permit func() error
--- a/comfreyconnection/connection.go
+++ b/comfreyconnection/connection.go
@@ -20,9 +20,9 @@
 
 // connection is one HTTP/1.1 connection to a replica.
 type connection struct {
-	key    poolKey
-	net    net.Conn
-	reader *bufio.Reader
+	address string
+	net     net.Conn
+	reader  *bufio.Reader
 	// limiter is the source of the reader.
 	limiter *headLimiter
 	// expires is the time after which the connection is not reused.
@@ -36,9 +36,9 @@
 	requestID string
 }
 
-func newConnection(k poolKey, n net.Conn) *connection {
+func newConnection(address string, n net.Conn) *connection {
 	l := &headLimiter{reader: n}
-	return &connection{key: k, net: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	return &connection{address: address, net: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
 // errHeadTooLarge means that a connection has delivered too many bytes before the end
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -26,12 +26,10 @@
 	Header http.Header
 	Body   []byte
 	// IDHeader names the request id header that replicas echo; it tells the
-	// response from one to an earlier request. Empty means that responses carry
+	// response from one to an earlier request. A request without that header is the only
+	// one of its connection. Empty means that responses carry
 	// no id, which is safe only if the peer never sends a response twice.
 	IDHeader string
-	// IsControl tells calls of the gateway itself from requests of callers. The two
-	// never share a connection.
-	IsControl bool
 	// Timeouts limit the call in addition to its context.
 	Timeouts Timeouts
 	// Permit, if set, is called immediately before the request is written. An
@@ -108,13 +106,12 @@
 		return nil, &SendError{Cause: err}
 	}
 	ctx, progress := r.Timeouts.start(ctx)
-	k := poolKey{address: address, isControl: r.IsControl}
 	var c *connection
 	if r.IDHeader == "" || r.id() != "" {
-		c = p.take(k, r.id())
+		c = p.take(address, r.id())
 	}
 	if c == nil {
-		n, err := p.open(ctx, k)
+		n, err := p.open(ctx, address)
 		if err != nil {
 			err = causeOf(ctx, err)
 			progress.stop()
--- a/comfreyconnection/pool.go
+++ b/comfreyconnection/pool.go
@@ -42,8 +42,7 @@
 	// IdleTimeout is how long an idle connection is kept at most; a shorter
 	// keep-alive time of the replica takes precedence. The default is 3 s.
 	IdleTimeout time.Duration
-	// MaxIdle is the number of idle connections kept for each address, and as many
-	// for control calls; 4 by default.
+	// MaxIdle is the number of idle connections kept for each address; 4 by default.
 	MaxIdle int
 	// SilenceTimeout is how long sent data may stay unacknowledged before the
 	// connection counts as lost; 3 s by default.
@@ -54,12 +53,6 @@
 	OnOpen func(address string)
 }
 
-// poolKey tells apart the connections that must not take each other's place.
-type poolKey struct {
-	address   string
-	isControl bool
-}
-
 // Pool keeps idle connections to replicas for reuse. It is safe for concurrent
 // use.
 type Pool struct {
@@ -67,7 +60,7 @@
 	group  *comfreygroup.Group
 
 	mu   sync.Mutex
-	idle map[poolKey][]*connection
+	idle map[string][]*connection
 }
 
 // NewPool returns a pool whose goroutines belong to g.
@@ -87,7 +80,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	p := &Pool{config: c, group: g, idle: map[poolKey][]*connection{}}
+	p := &Pool{config: c, group: g, idle: map[string][]*connection{}}
 	if c.Dial == nil {
 		p.config.Dial = p.dial
 	}
@@ -108,9 +101,9 @@
 // take returns an idle connection that can be reused for a request, or nil. If the
 // request was sent on a connection before, a second copy of the response would be taken
 // for the new one, so that connection is closed.
-func (p *Pool) take(k poolKey, requestID string) *connection {
+func (p *Pool) take(address, requestID string) *connection {
 	for {
-		c := p.pop(k)
+		c := p.pop(address)
 		if c == nil {
 			return nil
 		}
@@ -122,15 +115,15 @@
 	}
 }
 
-func (p *Pool) pop(k poolKey) *connection {
+func (p *Pool) pop(address string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.idle[k]
+	l := p.idle[address]
 	if len(l) == 0 {
 		return nil
 	}
 	c := l[len(l)-1]
-	p.idle[k] = l[:len(l)-1]
+	p.idle[address] = l[:len(l)-1]
 	return c
 }
 
@@ -144,30 +137,30 @@
 	c.expires = p.config.Now().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if keep <= 0 || len(p.idle[c.key]) >= p.config.MaxIdle {
+	if keep <= 0 || len(p.idle[c.address]) >= p.config.MaxIdle {
 		c.close()
 		return
 	}
-	p.idle[c.key] = append(p.idle[c.key], c)
+	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
 // open opens a new connection.
-func (p *Pool) open(ctx context.Context, k poolKey) (*connection, error) {
+func (p *Pool) open(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
-	n, err := p.config.Dial(ctx, k.address)
+	n, err := p.config.Dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("comfreyconnection: dialing a replica: %w", err)
 	}
 	if p.config.OnOpen != nil {
-		p.config.OnOpen(k.address)
+		p.config.OnOpen(address)
 	}
-	return newConnection(k, n), nil
+	return newConnection(address, n), nil
 }
 
 // Dial opens a connection to an address and keeps it for requests of callers.
 func (p *Pool) Dial(ctx context.Context, address string) error {
-	c, err := p.open(ctx, poolKey{address: address})
+	c, err := p.open(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -181,7 +174,7 @@
 	now := p.config.Now()
 	var old []*connection
 	p.mu.Lock()
-	for k, l := range p.idle {
+	for a, l := range p.idle {
 		kept := l[:0]
 		for _, c := range l {
 			if now.Before(c.expires) && c.isIdle() {
@@ -190,9 +183,9 @@
 				old = append(old, c)
 			}
 		}
-		p.idle[k] = kept
+		p.idle[a] = kept
 		if len(kept) == 0 {
-			delete(p.idle, k)
+			delete(p.idle, a)
 		}
 	}
 	p.mu.Unlock()
@@ -203,13 +196,9 @@
 
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
-	var old []*connection
 	p.mu.Lock()
-	for _, isControl := range []bool{false, true} {
-		k := poolKey{address: address, isControl: isControl}
-		old = append(old, p.idle[k]...)
-		delete(p.idle, k)
-	}
+	old := p.idle[address]
+	delete(p.idle, address)
 	p.mu.Unlock()
 	for _, c := range old {
 		c.close()
--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -15,6 +15,7 @@
 // replica, is decided in comfreyreplica alone.
 func (g *Gateway) target(ctx context.Context, replica, address string, p comfreyreplica.Purpose) comfreycall.Target {
 	return comfreycall.Target{
+		Replica: replica,
 		Address: address,
 		Permit:  func() error { return g.permitCall(ctx, &call{replica: replica, purpose: p}) },
 		Observe: func(h comfreycall.ResponseHeader) { g.observeHeader(replica, h) },
