A response of another replica ends all calls to the one whose address it has

For requests of callers the same response took the replica out at once.

Both take one path now: the replica is replaced as long as it is listed at that address, no call of any purpose is sent for it there, no generation is moved away from it, and other gateways are told. A stop that another replica has rejected cannot have stopped the generation. comfrey_forward_replaced_total and a line with state=replaced, the responder and the age of the store show it.

--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -18,7 +18,7 @@
 		Replica: replica,
 		Address: address,
 		Permit:  func() error { return g.permitCall(ctx, &call{replica: replica, purpose: p}) },
-		Observe: func(h comfreycall.ResponseHeader) { g.observeHeader(replica, h) },
+		Observe: func(h comfreycall.ResponseHeader) { g.observeHeader(replica, address, h) },
 	}
 }
 
@@ -50,10 +50,11 @@
 	return g.replicas.MayCallWith(g.config.Now(), c.replica, c.purpose, c.permit)
 }
 
-// observeHeader applies what the header of a response says of its replica. A
-// response of another replica says nothing of this one.
-func (g *Gateway) observeHeader(replica string, h comfreycall.ResponseHeader) {
+// observeHeader applies what the header of a response from an address says of the replica
+// that was called there. A response of another replica says only that it has the address.
+func (g *Gateway) observeHeader(replica, address string, h comfreycall.ResponseHeader) {
 	if h.IsOtherReplica {
+		g.observeReplaced(replica, address, h.Responder)
 		return
 	}
 	g.observeRateLimit(replica, h.RateLimit)
@@ -88,10 +89,30 @@
 	g.announceLeaving(changes)
 }
 
+// observeReplaced handles the response of another replica, whose id may be unknown, at the
+// address of the one that was called. No more calls for that one are sent there.
+func (g *Gateway) observeReplaced(replica, address, responder string) {
+	g.mu.Lock()
+	changes := g.replicas.MarkReplaced(g.config.Now(), replica, address)
+	g.mu.Unlock()
+	if len(changes) == 0 {
+		return
+	}
+	g.metrics.replaced.Inc()
+	age, _ := g.StoreAge()
+	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonForeignReplica, map[string]any{
+		"replica": replica, "address": address, "state": "replaced", "responder": responder, "store-age-ms": age.Milliseconds(),
+	})
+	g.handleReplicaChanges(changes)
+	g.announceLeaving(changes)
+}
+
 // permitReason returns the reason why a call was not permitted, if that is what
 // err says.
 func permitReason(err error) (comfreyverdict.Reason, bool) {
 	switch {
+	case errors.Is(err, comfreyreplica.ErrReplaced):
+		return comfreyverdict.ReasonForeignReplica, true
 	case errors.Is(err, comfreyreplica.ErrLeaving):
 		return comfreyverdict.ReasonLeaving, true
 	case errors.Is(err, comfreyreplica.ErrEvacuated):
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreylength"
@@ -279,7 +280,7 @@
 	defer cancel()
 	p, err := g.config.Engines.FetchReport(ctx, g.target(ctx, r.ID, r.Address, comfreyreplica.PurposeControl))
 	now := g.config.Now()
-	if _, ok := permitReason(err); ok {
+	if _, ok := permitReason(err); ok || errors.Is(err, comfreycall.ErrOtherReplica) {
 		return
 	}
 	if err != nil {
@@ -321,7 +322,7 @@
 		g.observeRegistration(c)
 		if r.State == comfreyreplica.StateLeaving {
 			g.config.Pool.CloseIdle(r.Address)
-			if g.moveAway(r) {
+			if !r.IsReplaced && g.moveAway(r) {
 				g.config.Group.Go("end", func(ctx context.Context) error {
 					g.fetchLeaveTime(ctx, r)
 					return nil
--- a/comfreyforward/metrics.go
+++ b/comfreyforward/metrics.go
@@ -20,6 +20,8 @@
 	// pauses counts responses that asked for a pause, and announcements replicas
 	// that said in a response that they leave.
 	pauses, announcements prometheus.Counter
+	// replaced counts replicas whose addresses were found to have another owner.
+	replaced prometheus.Counter
 	// rateLimits counts changes of the rate limits of replicas.
 	rateLimits prometheus.Counter
 	// evacuations counts changes of evacuations by state, and leftBehind generations
@@ -58,6 +60,7 @@
 		leftBehind:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_left_behind_total", Help: "Generations that could not be moved out of an evacuated data centre."}),
 		pauses:        prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_pauses_total", Help: "Responses of replicas that asked for a pause."}),
 		announcements: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_leaving_announced_total", Help: "Replicas that announced in a response that they leave."}),
+		replaced:      prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_replaced_total", Help: "Replicas at whose addresses another one responded."}),
 		gauges: []prometheus.Collector{
 			gauge("comfrey_forward_streams", "Open streams.", func() float64 { return float64(g.streamCount()) }),
 			gauge("comfrey_forward_replicas", "Replicas that accept new work.", func() float64 { return float64(g.ReplicaCount()) }),
@@ -84,7 +87,7 @@
 // Collectors returns the collectors of the gateway's metrics.
 func (g *Gateway) Collectors() []prometheus.Collector {
 	m := g.metrics
-	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.rateLimits, m.evacuations, m.leftBehind, m.returns}, m.gauges...)
+	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.replaced, m.rateLimits, m.evacuations, m.leftBehind, m.returns}, m.gauges...)
 }
 
 // CountConnection counts a connection that was opened to a replica or the
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -316,7 +316,7 @@
 // mayHaveStopped reports whether a generation may have been stopped by a call, given
 // the error of the call.
 func mayHaveStopped(err error) bool {
-	if errors.Is(err, comfreycall.ErrUnknownGeneration) || errors.Is(err, comfreycall.ErrCopyInProgress) {
+	if errors.Is(err, comfreycall.ErrUnknownGeneration) || errors.Is(err, comfreycall.ErrCopyInProgress) || errors.Is(err, comfreycall.ErrOtherReplica) {
 		return false
 	}
 	var s *comfreyconnection.SendError
--- a/comfreyforward/move_test.go
+++ b/comfreyforward/move_test.go
@@ -21,6 +21,7 @@
 		"stopped without room":     {comfreycall.ErrNoCapacity, true},
 		"no such generation":       {comfreycall.ErrUnknownGeneration, false},
 		"another copy in progress": {comfreycall.ErrCopyInProgress, false},
+		"another replica":          {fmt.Errorf("%w: got status 421", comfreycall.ErrOtherReplica), false},
 		"not permitted or no connection": {
 			fmt.Errorf("platform: %w", &comfreyconnection.SendError{IsDial: true, Cause: errors.New("refused")}), false,
 		},
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -227,6 +227,9 @@
 	f["replica"], f["tokens"], f["error"] = p.ID, p.toReserve, err.Error()
 	reason, isNotPermitted := permitReason(err)
 	switch {
+	case errors.Is(err, comfreycall.ErrOtherReplica):
+		reason = comfreyverdict.ReasonForeignReplica
+		g.estimator.Finish(now, n.request)
 	case isNotPermitted:
 		g.estimator.Finish(now, n.request)
 		if reason == comfreyverdict.ReasonUpstreamLimited {
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -235,16 +235,12 @@
 		return nil, comfreycall.ResponseHeader{}, g.handleSendError(ctx, x, c, err)
 	}
 	r := g.config.Protocol.ParseResponseHeaders(a.Status, a.Header)
-	g.observeHeader(c.ID, r)
+	g.observeHeader(c.ID, c.Address, r)
 	g.finishWork(c, a.Status >= http.StatusInternalServerError)
 	switch {
 	case r.IsOtherReplica:
 		a.Close()
 		g.endAttempt(x)
-		g.mu.Lock()
-		changes := g.replicas.MarkReplaced(g.config.Now(), c.ID)
-		g.mu.Unlock()
-		g.handleReplicaChanges(changes)
 		return nil, r, &attemptError{reason: comfreyverdict.ReasonForeignReplica, isNotRun: true}
 	case r.IsNotRun && a.Status != http.StatusBadRequest:
 		a.Close()
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -9,6 +9,8 @@
 var (
 	// ErrLeaving means that a replica accepts no new work.
 	ErrLeaving = errors.New("comfreyreplica: expected a replica that accepts work, got one that leaves")
+	// ErrReplaced means that another replica has the address of the one that is to be called.
+	ErrReplaced = errors.New("comfreyreplica: expected a replica that has its address, got one whose address has another owner")
 	// ErrPaused means that a replica has asked this process not to call it for a
 	// time.
 	ErrPaused = errors.New("comfreyreplica: expected a replica that may be called, got one that has asked for a pause")
@@ -77,17 +79,21 @@
 }
 
 // MayCallWith returns nil if a call for a purpose may be sent to a replica now, or
-// else ErrLeaving, ErrEvacuated, ErrPaused or ErrLimited. It has to be asked immediately before
+// else ErrReplaced, ErrLeaving, ErrEvacuated, ErrPaused or ErrLimited. It has to be asked immediately before
 // each call, and once for each, since it counts the resumed generations of a pause,
 // and a permit is for one call.
 //
 // It is built for this load: replicas are replaced every few seconds while the
-// store is unreachable, or refuse bursts that many processes send at once, or take
-// a few requests a second from all processes; and what was decided some time before,
+// store is unreachable, and their addresses go to others, or they refuse bursts that many
+// processes send at once, or take a few requests a second from all processes; and what was
+// decided some time before,
 // such as a request that has waited for its connection, must not reach them any
 // more.
 func (s *Set) MayCallWith(now time.Time, id string, p Purpose, permit Permit) error {
 	r, ok := s.replicas[id]
+	if r.IsReplaced {
+		return ErrReplaced
+	}
 	if p == PurposeWork && (!ok || !r.IsAccepting()) {
 		return ErrLeaving
 	}
--- a/comfreyreplica/evacuation.go
+++ b/comfreyreplica/evacuation.go
@@ -109,8 +109,11 @@
 
 // MoveAwayUntil returns until when generations can be moved away from a replica that
 // has to be emptied: until it ends if it leaves, or for a part of EvacuationPeriod. It
-// reports false for one that need not be emptied.
+// reports false for one that need not be emptied, or cannot be because it has ended.
 func (s *Set) MoveAwayUntil(r Replica) (until time.Time, ok bool) {
+	if r.IsReplaced {
+		return time.Time{}, false
+	}
 	e, isEvacuated := s.evacuations[r.DataCentre]
 	if isEvacuated {
 		until = e.since.Add(s.MoveAwayPeriod())
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -208,10 +208,11 @@
 	return c
 }
 
-// MarkReplaced records that another replica responded at this one's address.
-func (s *Set) MarkReplaced(now time.Time, id string) []Change {
+// MarkReplaced records that another replica has responded at an address to a call for this
+// one. It has no effect if the replica has another address by now.
+func (s *Set) MarkReplaced(now time.Time, id, address string) []Change {
 	r, ok := s.replicas[id]
-	if !ok || r.IsRemoved {
+	if !ok || r.IsReplaced || r.Address != address {
 		return nil
 	}
 	r.IsRemoved, r.IsReplaced = true, true
