An address belongs to the listed replica that started there last

Now a registration at an address replaces the replica that is listed there and started earlier; both starts are by the clock of that host. A registration whose service no configuration names replaces none, since other programs write entries too.

TestAddressBelongsToReplicaThatStartedLast and TestAddressIsTakenTwice are new.

--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -271,5 +271,12 @@
 	if isRestored {
 		return g.replicas.UpdateRestored(now, l)
 	}
-	return g.replicas.Update(now, l)
+	changes := g.replicas.Update(now, l)
+	// Entries of other writers may name services that do not exist.
+	if t := g.table.Load(); t != nil {
+		if _, ok := t.Service(l.Service); ok {
+			changes = append(changes, g.replicas.TakeAddress(now, id)...)
+		}
+	}
+	return changes
 }
--- a/comfreyreplica/replaced_test.go
+++ b/comfreyreplica/replaced_test.go
@@ -43,3 +43,59 @@
 		})
 	}
 }
+
+// TestAddressBelongsToReplicaThatStartedLast guards against calls that go on to the former
+// owner of an address at which a later replica is listed.
+func TestAddressBelongsToReplicaThatStartedLast(t *testing.T) {
+	for name, c := range map[string]struct {
+		// former and later are when the two started, and laterAddress where the later is.
+		former, later int64
+		laterAddress  string
+		want          error
+	}{
+		"the former started earlier":     {7, 8, "a", comfreyreplica.ErrReplaced},
+		"the listed one started earlier": {8, 7, "a", nil},
+		"at the same time":               {7, 7, "a", nil},
+		"another address":                {7, 8, "b", nil},
+		"the former's start is unknown":  {0, 8, "a", nil},
+		"the later's start is unknown":   {7, 0, "a", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newAccessSet()
+			for _, l := range []comfreyreplica.Registration{
+				{ID: "former", Service: "llm", Address: "a", StartMillis: c.former},
+				{ID: "later", Service: "app", Address: c.laterAddress, StartMillis: c.later},
+			} {
+				s.Update(start, l)
+				s.TakeAddress(start, l.ID)
+			}
+			for _, p := range allPurposes {
+				checkCall(t, s, "the former owner", start, "former", p, c.want)
+				checkCall(t, s, "the later one", start, "later", p, nil)
+			}
+		})
+	}
+}
+
+// TestAddressIsTakenTwice checks that each owner of an address takes it from the one
+// before, also after that one was dropped, and gets it back after another start.
+func TestAddressIsTakenTwice(t *testing.T) {
+	s := newAccessSet()
+	take := func(now time.Time, id string, started int64) {
+		s.Update(now, comfreyreplica.Registration{ID: id, Service: "llm", Address: "a", StartMillis: started})
+		s.TakeAddress(now, id)
+	}
+	take(start, "first", 1)
+	take(start, "second", 2)
+	take(start, "third", 3)
+	checkCall(t, s, "first", start, "first", comfreyreplica.PurposeControl, comfreyreplica.ErrReplaced)
+	checkCall(t, s, "second", start, "second", comfreyreplica.PurposeControl, comfreyreplica.ErrReplaced)
+	take(start, "first", 4)
+	checkCall(t, s, "first, started again", start, "first", comfreyreplica.PurposeWork, nil)
+	checkCall(t, s, "third", start, "third", comfreyreplica.PurposeControl, comfreyreplica.ErrReplaced)
+	s.Remove(start, "first")
+	later := start.Add(time.Hour)
+	s.Expire(later)
+	take(later, "fourth", 5)
+	checkCall(t, s, "fourth", later, "fourth", comfreyreplica.PurposeWork, nil)
+}
--- a/comfreyreplica/replica.go
+++ b/comfreyreplica/replica.go
@@ -71,8 +71,8 @@
 	// IsRemoved means that the replica's registration was removed or that another
 	// replica responded at its address.
 	IsRemoved bool
-	// IsReplaced means that another replica responded at its address, which is not told
-	// by the store.
+	// IsReplaced means that another replica has its address: it responded there, or is
+	// listed there and started later. The store does not tell it of this one.
 	IsReplaced bool
 	// IsAnnounced means that the replica has told this process in a response that it
 	// leaves, before the store or another process told so.
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -61,6 +61,8 @@
 	limits        startMap[RateLimit]
 	// full holds until when a permit for a replica is not expected to be had.
 	full startMap[time.Time]
+	// owners holds, by address, the replica that started there last.
+	owners map[string]string
 	// hints holds until when replicas are avoided.
 	hints map[string]time.Time
 	// evacuations holds the evacuated data centres by name, and warmUps what is
@@ -76,7 +78,7 @@
 func NewSet(c Config) *Set {
 	return &Set{
 		config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{},
-		unlisted: map[string]unlistedStart{},
+		unlisted: map[string]unlistedStart{}, owners: map[string]string{},
 		limits:   startMap[RateLimit]{}, full: startMap[time.Time]{}, hints: map[string]time.Time{}, evacuations: map[string]evacuation{},
 	}
 }
@@ -269,6 +271,9 @@
 		}
 		if r.State == StateLeaving && now.Sub(r.EndsAt) > leavingRetention {
 			delete(s.replicas, id)
+			if s.owners[r.Address] == id {
+				delete(s.owners, r.Address)
+			}
 		}
 	}
 	return c
