A load report counts only for the start that it states

A report without a start was applied to whatever replica was registered at its address, also if the registration states one: an engine of another service would have been counted as the former one, and could have taken it out as leaving. Replicas state their start in all that they say of themselves, so a report has to state that of the registration, unless the registration states none. TestReportOfAnotherEngineIsIgnored failed before in the case without a start. The stand-ins' reports state their start as the platform's do.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -292,13 +292,15 @@
 		g.mu.Unlock()
 		return
 	}
+	if !p.IsOf(r) {
+		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonForeignReplica, map[string]any{"replica": r.ID, "born": r.StartMillis, "report-born": p.StartMillis})
+		return
+	}
 	g.mu.Lock()
 	var changes []comfreyreplica.Change
-	if p.StartMillis == 0 || r.StartMillis == 0 || p.StartMillis == r.StartMillis {
-		g.estimator.SetReport(now, r.ID, p)
-		if p.IsLeaving {
-			changes = g.replicas.MarkLeaving(now, r.ID, p.LeavesIn)
-		}
+	g.estimator.SetReport(now, r.ID, p)
+	if p.IsLeaving {
+		changes = g.replicas.MarkLeaving(now, r.ID, p.LeavesIn)
 	}
 	g.mu.Unlock()
 	g.handleReplicaChanges(changes)
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -92,7 +92,7 @@
 	}
 	f["leaves-ms"], f["runs"] = p.LeavesIn.Milliseconds(), len(p.Generations)
 	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonLeaving, f)
-	if p.LeavesIn > 0 {
+	if p.LeavesIn > 0 && p.IsOf(r) {
 		g.mu.Lock()
 		g.replicas.MarkLeaving(g.config.Now(), r.ID, p.LeavesIn)
 		g.mu.Unlock()
--- a/comfreyreplica/report.go
+++ b/comfreyreplica/report.go
@@ -28,3 +28,10 @@
 	// unknown.
 	StartMillis int64
 }
+
+// IsOf reports whether the report can be that of a replica: it states the same start as
+// the registration, unless that states none. Replicas state their start in all that they
+// say, so that a report without one comes from another replica at the address.
+func (p Report) IsOf(r Replica) bool {
+	return r.StartMillis == 0 || p.StartMillis == r.StartMillis
+}
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -79,7 +79,7 @@
 	return &Set{
 		config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{},
 		unlisted: map[string]unlistedStart{}, owners: map[string]string{},
-		limits:   startMap[RateLimit]{}, full: startMap[time.Time]{}, hints: map[string]time.Time{}, evacuations: map[string]evacuation{},
+		limits: startMap[RateLimit]{}, full: startMap[time.Time]{}, hints: map[string]time.Time{}, evacuations: map[string]evacuation{},
 	}
 }
 
