A load report of a later start shows that the address has another owner

So an engine at the address of a former one does not reject the calls for that one; a report was ignored for its later start, and the former owner was still offered reservations, copies and requests. A report of a later start now replaces it, as the rejection of a request does. TestReportOfAnotherEngineIsIgnored failed before in the case of a later start.

TestOwnCallIsNotRunAtReusedAddress: listings, watches and calls of other gateways carry no id either and are run by no replica at their addresses; it passes without a change.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -273,8 +273,8 @@
 	return l
 }
 
-// fetchReport fetches and applies the load report of one engine. A report from
-// another incarnation at the same address is ignored.
+// fetchReport fetches and applies the load report of one engine. That of another start is
+// ignored; a later one shows that the engine has ended.
 func (g *Gateway) fetchReport(ctx context.Context, r comfreyreplica.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -294,6 +294,9 @@
 	}
 	if !p.IsOf(r) {
 		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonForeignReplica, map[string]any{"replica": r.ID, "born": r.StartMillis, "report-born": p.StartMillis})
+		if p.StartMillis > r.StartMillis {
+			g.observeReplaced(r.ID, r.Address, "")
+		}
 		return
 	}
 	g.mu.Lock()
