A generation is not stopped for a destination that has lost its copy

Callers lost streams that a move had stopped at a sound source: between the first copy and the stop, the destination had crashed, and another replica had its address or it had started again under its id. The copy is held by one start of the destination, and a move looked at no more than its id. Before it copies again or stops the source, a move now checks that this start may still run; if not, it drops the copy, and the generation runs on and is moved elsewhere.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -6,6 +6,7 @@
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
+	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
 )
 
@@ -14,6 +15,8 @@
 	// source is the replica that made the copy.
 	source      string
 	destination comfreyplacement.Candidate
+	// holder is the start of the destination that has the copy.
+	holder comfreyreplica.Start
 	comfreycall.Continuation
 	// completedAt is when the latest copy was complete.
 	completedAt time.Time
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -153,6 +153,9 @@
 // first copy.
 func (g *Gateway) completeMove(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation, hasWaiting bool) {
 	defer g.finishMove(n)
+	if g.dropLostCopy(n, first) {
+		return
+	}
 	g.mu.Lock()
 	if k, ok := g.replicas.Get(r.ID); ok {
 		if until, mustMove := g.replicas.MoveAwayUntil(k); mustMove {
@@ -168,7 +171,29 @@
 			g.mu.Unlock()
 		}
 	}
-	g.stopAtSource(ctx, n, r, first)
+	if !g.dropLostCopy(n, first) {
+		g.stopAtSource(ctx, n, r, first)
+	}
+}
+
+// dropLostCopy drops the copy of a generation, which runs on at its source, if the
+// replica that had it has ended. It reports whether it did.
+func (g *Gateway) dropLostCopy(n *generation, first *continuation) bool {
+	g.mu.Lock()
+	if g.replicas.IsCurrent(first.holder) {
+		g.mu.Unlock()
+		return false
+	}
+	hasCopy := n.continuation == first
+	if hasCopy {
+		n.continuation = nil
+	}
+	g.mu.Unlock()
+	if hasCopy {
+		g.releaseCopy(first)
+	}
+	g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonForeignReplica, map[string]any{"replica": first.source, "to": first.destination.ID, "born": first.holder.StartMillis, "handle": first.Handle, "state": "lost"})
+	return true
 }
 
 // finishMove clears the state of a move, successful or not.
@@ -207,11 +232,12 @@
 		}
 		g.mu.Lock()
 		generated := n.generatedTokens()
+		k, _ := g.replicas.Get(d.ID)
 		g.mu.Unlock()
 		c, err := g.copyKVCache(ctx, n, r, d, false)
 		switch {
 		case err == nil:
-			return &continuation{source: r.ID, destination: d, completedAt: g.config.Now(), generatedTokens: generated, Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
+			return &continuation{source: r.ID, destination: d, holder: k.Start(), completedAt: g.config.Now(), generatedTokens: generated, Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
 		case errors.Is(err, comfreycall.ErrUnknownGeneration) && !g.hasStarted(n) && g.config.Now().Before(r.EndsAt):
 			if !comfreygroup.Sleep(ctx, copyRetryDelay) {
 				return nil
--- a/comfreyreplica/owner.go
+++ b/comfreyreplica/owner.go
@@ -25,3 +25,10 @@
 	s.owners[r.Address] = id
 	return s.MarkReplaced(now, former.ID, former.Address)
 }
+
+// IsCurrent reports whether a start of a replica may still run: it is known, no other
+// replica has its address, and the replica has not started again.
+func (s *Set) IsCurrent(k Start) bool {
+	r, ok := s.replicas[k.ID]
+	return ok && !r.IsReplaced && r.Start().isSame(k)
+}
--- a/comfreyreplica/replaced_test.go
+++ b/comfreyreplica/replaced_test.go
@@ -99,3 +99,29 @@
 	take(later, "fourth", 5)
 	checkCall(t, s, "fourth", later, "fourth", comfreyreplica.PurposeWork, nil)
 }
+
+// TestCopyIsHeldByOneStart checks for how long a start may hold the copy of a KV cache:
+// also while it leaves or is not listed, but not after another start, or once another
+// replica has its address.
+func TestCopyIsHeldByOneStart(t *testing.T) {
+	holder := comfreyreplica.Start{ID: "a", StartMillis: 7}
+	for name, c := range map[string]struct {
+		change func(s *comfreyreplica.Set)
+		want   bool
+	}{
+		"nothing":          {func(*comfreyreplica.Set) {}, true},
+		"it leaves":        {func(s *comfreyreplica.Set) { s.Announce(start, "a") }, true},
+		"no longer listed": {func(s *comfreyreplica.Set) { s.Remove(start, "a") }, true},
+		"started again": {func(s *comfreyreplica.Set) {
+			s.Update(start, comfreyreplica.Registration{ID: "a", Service: "app", Address: "a", StartMillis: 8})
+		}, false},
+		"another at its address": {func(s *comfreyreplica.Set) { s.MarkReplaced(start, "a", "a") }, false},
+		"forgotten":              {func(s *comfreyreplica.Set) { s.Remove(start, "a"); s.Expire(start.Add(time.Hour)) }, false},
+	} {
+		s := newAccessSet("a", "b")
+		c.change(s)
+		if got := s.IsCurrent(holder); got != c.want {
+			t.Errorf("%s: got %t, want %t", name, got, c.want)
+		}
+	}
+}
