A response to a call for an earlier start replaces no later one

Found by reading the change: a load report of a later start arrives together with the new registration, and the replica that had started again was marked as replaced, by the report that showed its start, until its registration changed. The replaced start is named now; TestReplacedReplicaGetsNoCalls has the case.

--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -27,8 +27,8 @@
 	Body   []byte
 	// IDHeader names the request id header that replicas echo; it tells the
 	// response from one to an earlier request. A request without that header is the only
-	// one of its connection. Empty means that responses carry
-	// no id, which is safe only if the peer never sends a response twice.
+	// one of its connection. An empty name means that responses carry no id, which is
+	// safe only if the peer never sends a response twice.
 	IDHeader string
 	// Timeouts limit the call in addition to its context.
 	Timeouts Timeouts
--- a/comfreyforward/access.go
+++ b/comfreyforward/access.go
@@ -54,7 +54,7 @@
 // that was called there. A response of another replica says only that it has the address.
 func (g *Gateway) observeHeader(replica, address string, h comfreycall.ResponseHeader) {
 	if h.IsOtherReplica {
-		g.observeReplaced(replica, address, h.Responder)
+		g.observeReplaced(comfreyreplica.Start{ID: replica}, address, h.Responder)
 		return
 	}
 	g.observeRateLimit(replica, h.RateLimit)
@@ -90,10 +90,11 @@
 }
 
 // observeReplaced handles the response of another replica, whose id may be unknown, at the
-// address of the one that was called. No more calls for that one are sent there.
-func (g *Gateway) observeReplaced(replica, address, responder string) {
+// address of the one that was called, or of another start of that one. No more calls for
+// the start that was called are sent there.
+func (g *Gateway) observeReplaced(called comfreyreplica.Start, address, responder string) {
 	g.mu.Lock()
-	changes := g.replicas.MarkReplaced(g.config.Now(), replica, address)
+	changes := g.replicas.MarkReplaced(g.config.Now(), called, address)
 	g.mu.Unlock()
 	if len(changes) == 0 {
 		return
@@ -101,7 +102,7 @@
 	g.metrics.replaced.Inc()
 	age, _ := g.StoreAge()
 	g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonForeignReplica, map[string]any{
-		"replica": replica, "address": address, "state": "replaced", "responder": responder, "store-age-ms": age.Milliseconds(),
+		"replica": called.ID, "address": address, "state": "replaced", "responder": responder, "store-age-ms": age.Milliseconds(),
 	})
 	g.handleReplicaChanges(changes)
 	g.announceLeaving(changes)
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -79,16 +79,15 @@
 }
 
 // MayCallWith returns nil if a call for a purpose may be sent to a replica now, or
-// else ErrReplaced, ErrLeaving, ErrEvacuated, ErrPaused or ErrLimited. It has to be asked immediately before
-// each call, and once for each, since it counts the resumed generations of a pause,
-// and a permit is for one call.
+// else ErrReplaced, ErrLeaving, ErrEvacuated, ErrPaused or ErrLimited. It has to be asked
+// immediately before each call, and once for each, since it counts the resumed generations
+// of a pause, and a permit is for one call.
 //
 // It is built for this load: replicas are replaced every few seconds while the
 // store is unreachable, and their addresses go to others, or they refuse bursts that many
 // processes send at once, or take a few requests a second from all processes; and what was
-// decided some time before,
-// such as a request that has waited for its connection, must not reach them any
-// more.
+// decided some time before, such as a request that has waited for its connection, must not
+// reach them any more.
 func (s *Set) MayCallWith(now time.Time, id string, p Purpose, permit Permit) error {
 	r, ok := s.replicas[id]
 	if r.IsReplaced {
--- a/comfreyreplica/owner.go
+++ b/comfreyreplica/owner.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	s.owners[r.Address] = id
-	return s.MarkReplaced(now, former.ID, former.Address)
+	return s.MarkReplaced(now, former.Start(), former.Address)
 }
 
 // IsCurrent reports whether a start of a replica may still run: it is known, no other
--- a/comfreyreplica/replaced_test.go
+++ b/comfreyreplica/replaced_test.go
@@ -22,10 +22,14 @@
 		t.Run(name, func(t *testing.T) {
 			s := newAccessSet("a", "b")
 			prepare(s)
-			if c := s.MarkReplaced(start, "a", "elsewhere"); len(c) > 0 {
+			called := comfreyreplica.Start{ID: "a", StartMillis: 7}
+			if c := s.MarkReplaced(start, called, "elsewhere"); len(c) > 0 {
 				t.Errorf("a response at an address that the replica does not have: got %+v", c)
 			}
-			if c := s.MarkReplaced(start, "a", "a"); len(c) != 1 || !c[0].Replica.IsReplaced || c[0].Replica.IsAccepting() {
+			if c := s.MarkReplaced(start, comfreyreplica.Start{ID: "a", StartMillis: 6}, "a"); len(c) > 0 {
+				t.Errorf("a response to a call for an earlier start: got %+v", c)
+			}
+			if c := s.MarkReplaced(start, called, "a"); len(c) != 1 || !c[0].Replica.IsReplaced || c[0].Replica.IsAccepting() {
 				t.Errorf("a response at its address: expected one change to a replaced replica, got %+v", c)
 			}
 			r, _ := s.Get("a")
@@ -115,7 +119,7 @@
 		"started again": {func(s *comfreyreplica.Set) {
 			s.Update(start, comfreyreplica.Registration{ID: "a", Service: "app", Address: "a", StartMillis: 8})
 		}, false},
-		"another at its address": {func(s *comfreyreplica.Set) { s.MarkReplaced(start, "a", "a") }, false},
+		"another at its address": {func(s *comfreyreplica.Set) { s.MarkReplaced(start, holder, "a") }, false},
 		"forgotten":              {func(s *comfreyreplica.Set) { s.Remove(start, "a"); s.Expire(start.Add(time.Hour)) }, false},
 	} {
 		s := newAccessSet("a", "b")
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -210,11 +210,11 @@
 	return c
 }
 
-// MarkReplaced records that another replica has responded at an address to a call for this
-// one. It has no effect if the replica has another address by now.
-func (s *Set) MarkReplaced(now time.Time, id, address string) []Change {
-	r, ok := s.replicas[id]
-	if !ok || r.IsReplaced || r.Address != address {
+// MarkReplaced records that the address of one start of a replica has another owner. It
+// has no effect if the replica has started again since, or has another address by now.
+func (s *Set) MarkReplaced(now time.Time, k Start, address string) []Change {
+	r, ok := s.replicas[k.ID]
+	if !ok || r.IsReplaced || r.Address != address || !r.Start().isSame(k) {
 		return nil
 	}
 	r.IsRemoved, r.IsReplaced = true, true
