Engine stand-in's test: one look at the load counts what runs and waits

Cause: the test's loop summed Running of one load and Waiting of another. A generation that is admitted between the two looks counts in neither, so the loop ended at once.

Change: the loop takes both figures from one load.

The check is the same.

--- a/comfreyfakeengine/batch_test.go
+++ b/comfreyfakeengine/batch_test.go
@@ -95,7 +95,7 @@
 			synctest.Wait()
 			from := time.Now()
 			e.Resume()
-			for e.Load().Running+e.Load().Waiting > 0 {
+			for l := e.Load(); l.Running+l.Waiting > 0; l = e.Load() {
 				time.Sleep(time.Millisecond)
 			}
 			d = time.Since(from)
