A listener that stops drops new connections before it closes

What callers saw: during a planned stop under load a caller connects, sends its request, and gets a reset (LOST).

Cause: the kernel resets what is in the queue of a listener that is closed. Between the last look at the queue and the close a connection can always arrive, however short the time is; a handshake that has begun is reset too.

Change: a listener that stops attaches a socket filter that drops SYN packets, accepts until nothing has arrived for 100 ms, and closes. Where the filter is not supported, it closes as before.

Why it works: a caller whose SYN is dropped is not connected and has sent nothing; it connects again after a second or finds the port closed, both before any request. All callers whose handshake has begun are accepted.

--- a/comfreyforward/listener.go
+++ b/comfreyforward/listener.go
@@ -13,18 +13,27 @@
 const (
 	// acceptQuiet is how long no connection must have arrived before a listener stops.
 	acceptQuiet = time.Millisecond
+	// handshakeQuiet is the same for a listener that drops new connections. It is longer
+	// than the round trip of a handshake that has begun.
+	handshakeQuiet = 100 * time.Millisecond
 	// maxStopDelay bounds how long a listener takes to stop while connections arrive.
 	maxStopDelay = 300 * time.Millisecond
 )
 
 // stoppableListener is a listener that accepts what is in its queue before it closes.
 // The kernel resets the connections in the queue of a listener that is closed, although
-// their callers may have sent requests.
+// their callers may have sent requests. So a listener that stops drops the first packet of
+// each new connection: its caller connects again, or finds the port closed, and has sent
+// no request.
 type stoppableListener struct {
 	*net.TCPListener
 	isStopping atomic.Bool
 	// quiet is how long no connection must have arrived before the listener stops.
 	quiet time.Duration
+	// dropsNew is whether the listener drops new connections while it stops.
+	dropsNew bool
+	// closeSocket closes the socket; TCPListener.Close by default.
+	closeSocket func() error
 	// stopped is closed when the listener accepts no more, and closed when it is
 	// closed.
 	stopped, closed         chan struct{}
@@ -32,7 +41,9 @@
 }
 
 func newStoppableListener(l *net.TCPListener) *stoppableListener {
-	return &stoppableListener{TCPListener: l, quiet: acceptQuiet, stopped: make(chan struct{}), closed: make(chan struct{})}
+	return &stoppableListener{
+		TCPListener: l, quiet: acceptQuiet, closeSocket: l.Close, stopped: make(chan struct{}), closed: make(chan struct{}),
+	}
 }
 
 // Accept implements net.Listener. Once the listener has stopped, it blocks until Close.
@@ -51,7 +62,7 @@
 	}
 	isStopped := errors.Is(err, os.ErrDeadlineExceeded)
 	if isStopped {
-		err = errors.Join(net.ErrClosed, l.TCPListener.Close())
+		err = errors.Join(net.ErrClosed, l.closeSocket())
 	}
 	l.stoppedOnce.Do(func() { close(l.stopped) })
 	if isStopped {
@@ -62,8 +73,12 @@
 
 // Stop accepts what is in the queue and closes the socket. It returns when that is done,
 // or after maxStopDelay, or when ctx ends. It goes on while connections wait in the queue
-// and makeRoom reports that there was no place for them.
+// and either no new ones join them or makeRoom reports that there was no place for them.
+// It must be called once.
 func (l *stoppableListener) Stop(ctx context.Context, makeRoom func() bool) {
+	if dropSYNs(l.TCPListener) == nil {
+		l.dropsNew, l.quiet = true, handshakeQuiet
+	}
 	l.isStopping.Store(true)
 	_ = l.SetDeadline(time.Now().Add(l.quiet)) // It fails only if the listener is closed.
 	for {
@@ -71,7 +86,7 @@
 		select {
 		case <-l.stopped:
 		case <-t.C:
-			if makeRoom() && l.hasPending() {
+			if (makeRoom() || l.dropsNew) && l.hasPending() {
 				continue
 			}
 		case <-ctx.Done():
@@ -89,7 +104,7 @@
 // Close implements net.Listener.
 func (l *stoppableListener) Close() error {
 	l.closedOnce.Do(func() { close(l.closed) })
-	if err := l.TCPListener.Close(); !errors.Is(err, net.ErrClosed) {
+	if err := l.closeSocket(); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
--- a/comfreyforward/listener_test.go
+++ b/comfreyforward/listener_test.go
@@ -1,7 +1,9 @@
 package comfreyforward
 
 import (
+	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 )
@@ -50,3 +52,76 @@
 		t.Error("a closed listener accepted a connection")
 	}
 }
+
+// TestConnectionIsNotResetAsListenerCloses connects between the listener's last look at its
+// queue and its close. It guards against callers who are connected, send a request, and are
+// reset.
+func TestConnectionIsNotResetAsListenerCloses(t *testing.T) {
+	inner, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newStoppableListener(inner.(*net.TCPListener))
+	dialed := make(chan error, 1)
+	l.closeSocket = func() error {
+		c, err := net.DialTimeout("tcp", inner.Addr().String(), 200*time.Millisecond)
+		if err == nil {
+			_ = c.Close()
+		}
+		select {
+		case dialed <- err:
+		default:
+		}
+		return inner.Close()
+	}
+	var g sync.WaitGroup
+	g.Go(func() {
+		if c, err := l.Accept(); err == nil {
+			t.Errorf("expected no connection, got one from %v", c.RemoteAddr())
+		}
+	})
+	l.Stop(context.Background(), func() bool { return false })
+	_ = l.Close()
+	g.Wait()
+	if err := <-dialed; err == nil {
+		t.Error("a caller was connected to a listener that accepts no more")
+	}
+}
+
+// TestStoppedListenerAcceptsConnectedCallers stops a listener while a caller is in its
+// queue.
+func TestStoppedListenerAcceptsConnectedCallers(t *testing.T) {
+	inner, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	l := newStoppableListener(inner.(*net.TCPListener))
+	var g sync.WaitGroup
+	g.Go(func() { l.Stop(context.Background(), func() bool { return false }) })
+	for !l.isStopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	k, err := l.Accept()
+	if err != nil {
+		t.Fatalf("a connection in the queue: got %v", err)
+	}
+	if _, err := k.Read(make([]byte, 1)); err != nil {
+		t.Errorf("reading on an accepted connection: got %v", err)
+	}
+	g.Go(func() {
+		if _, err := l.Accept(); err == nil {
+			t.Error("a listener that has stopped accepted a connection")
+		}
+	})
+	<-l.stopped
+	_ = l.Close()
+	g.Wait()
+}
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -64,7 +64,7 @@
 	MaxFileDescriptors int
 	// Registry holds the metrics.
 	Registry *prometheus.Registry
-	// Listen opens a listener; net.Listen on TCP by default.
+	// Listen opens a listener; Listen of this package by default.
 	Listen func(address string) (net.Listener, error)
 }
 
@@ -84,11 +84,19 @@
 // NewServer returns a server for a gateway that has not been started.
 func NewServer(g *Gateway, c ServerConfig) *Server {
 	if c.Listen == nil {
-		c.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+		c.Listen = Listen
 	}
 	return &Server{gateway: g, config: c}
 }
 
+// Listen opens a listener on TCP. It is not one of Multipath TCP, which net.Listen opens
+// where it can, because such a socket takes no filter.
+func Listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), "tcp", address)
+}
+
 // Run starts the gateway and serves until stop ends. It then finishes open
 // requests, for at most the grace period.
 func (s *Server) Run(stop context.Context) error {
--- /dev/null
+++ b/comfreyforward/syn_filter_other.go
@@ -0,0 +1,13 @@
+//go:build !linux
+
+package comfreyforward
+
+import (
+	"errors"
+	"net"
+)
+
+// dropSYNs is not supported on this system.
+func dropSYNs(*net.TCPListener) error {
+	return errors.ErrUnsupported
+}
