Report.ShowsReplacement: the decision on a later start, apart from the call

Whether a load report shows that a replica has ended was decided in fetchReport, beside the call. No behaviour changes.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -294,7 +294,7 @@
 	}
 	if !p.IsOf(r) {
 		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonForeignReplica, map[string]any{"replica": r.ID, "born": r.StartMillis, "report-born": p.StartMillis})
-		if p.StartMillis > r.StartMillis {
+		if p.ShowsReplacement(r) {
 			g.observeReplaced(r.Start(), r.Address, "")
 		}
 		return
--- a/comfreyreplica/report.go
+++ b/comfreyreplica/report.go
@@ -35,3 +35,9 @@
 func (p Report) IsOf(r Replica) bool {
 	return r.StartMillis == 0 || p.StartMillis == r.StartMillis
 }
+
+// ShowsReplacement reports whether the report shows that a replica has ended: another one
+// has started later at its address, or under its id.
+func (p Report) ShowsReplacement(r Replica) bool {
+	return !p.IsOf(r) && p.StartMillis > r.StartMillis
+}
