A search for a replica costs what its cell costs, not the fleet

Cause: each search for a replica collected all replicas of the service, sorted them, and asked for each whether it may be called, although most are used by other cells. A departure did the same for each replica that left. While replicas are new, that is after each start, each gateway hashed every replica with every gateway of the cell, with two allocations a hash.

Change: the set keeps the replicas of each service sorted; a search leaves out the replicas of other cells that report no load first; the latest reported loads are collected once for each search; weights of rendezvous hashing are computed without allocation, with xxhash instead of FNV. During an upgrade older gateways choose others for a new replica, for the two seconds in which that matters.

Why it works: the cost of a search follows the replicas of the own cell, whose number does not grow with the fleet; what is left for the others is one hash each.

--- a/comfreyforward/candidates.go
+++ b/comfreyforward/candidates.go
@@ -57,19 +57,26 @@
 	layout := g.config.Layout()
 	others := layout.LiveMembers()
 	load, summarized := g.estimator.Loads(now), g.estimator.SummarizedLoads(now)
-	for _, r := range g.replicas.ByService(s.Name) {
+	for r := range g.replicas.InService(s.Name) {
+		// Most replicas of a large fleet are of other cells, which report the loads of few.
+		isOtherCell := r.ID != permit.Replica && !layout.IsHome(r.ID, r.DataCentre)
+		var reported comfreyoccupancy.Load
+		if isOtherCell {
+			var ok bool
+			if reported, ok = summarized(r.ID); !ok {
+				continue
+			}
+		}
 		if !g.replicas.CanPlaceWith(now, r.ID, permit) || q.excluded[r.ID] || !g.isHome(q.homes, r) {
 			continue
 		}
 		if r.ID == permit.Replica {
 			return []comfreyplacement.Candidate{g.candidate(now, s, r, load)}
 		}
-		if !layout.IsHome(r.ID, r.DataCentre) {
-			if p, ok := summarized(r.ID); ok {
-				c := g.candidate(now, s, r, func(string) comfreyoccupancy.Load { return p })
-				c.IsOtherCell = true
-				remote = append(remote, c)
-			}
+		if isOtherCell {
+			c := g.candidate(now, s, r, func(string) comfreyoccupancy.Load { return reported })
+			c.IsOtherCell = true
+			remote = append(remote, c)
 			continue
 		}
 		c := g.candidate(now, s, r, load)
@@ -89,7 +96,7 @@
 // chosen. The mutex must be held.
 func (g *Gateway) unaryCandidates(now time.Time, q search) []comfreyplacement.Candidate {
 	var l []comfreyplacement.Candidate
-	for _, r := range g.replicas.ByService(q.service.Name) {
+	for r := range g.replicas.InService(q.service.Name) {
 		if !g.replicas.CanPlaceWith(now, r.ID, q.permit) || q.excluded[r.ID] || !g.isHome(q.homes, r) {
 			continue
 		}
--- a/comfreyforward/patience.go
+++ b/comfreyforward/patience.go
@@ -170,7 +170,7 @@
 			g.departures[c.Replica.Service] = d
 		}
 		accepting := 1
-		for _, r := range g.replicas.ByService(c.Replica.Service) {
+		for r := range g.replicas.InService(c.Replica.Service) {
 			if g.replicas.Accepts(r) {
 				accepting++
 			}
--- a/comfreyoccupancy/estimator.go
+++ b/comfreyoccupancy/estimator.go
@@ -295,17 +295,27 @@
 // estimator is next changed.
 func (e *Estimator) SummarizedLoads(now time.Time) func(replica string) (Load, bool) {
 	generations := e.byReplica()
-	return func(replica string) (Load, bool) {
-		var l Load
-		var at time.Time
-		for _, c := range e.cells {
-			if s, ok := c.loads[replica]; ok && c.receivedAt.After(at) {
-				l, at = s, c.receivedAt
+	type summary struct {
+		load Load
+		at   time.Time
+	}
+	latest := map[string]summary{}
+	for _, c := range e.cells {
+		if now.Sub(c.receivedAt) > cellRetention {
+			continue
+		}
+		for replica, l := range c.loads {
+			if s, ok := latest[replica]; !ok || c.receivedAt.After(s.at) {
+				latest[replica] = summary{l, c.receivedAt}
 			}
 		}
-		if now.Sub(at) > cellRetention {
+	}
+	return func(replica string) (Load, bool) {
+		s, ok := latest[replica]
+		if !ok {
 			return Load{}, false
 		}
+		l, at := s.load, s.at
 		l.Age = now.Sub(at)
 		for _, r := range generations[replica] {
 			if r.KnownSince.After(at.Add(-summaryLag)) {
--- a/comfreyplacement/new_replica.go
+++ b/comfreyplacement/new_replica.go
@@ -1,10 +1,10 @@
 package comfreyplacement
 
 import (
-	"hash/fnv"
-	"io"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 )
 
@@ -47,11 +47,14 @@
 	before := 0
 	mine := rendezvousWeight(replica, own)
 	for _, o := range others {
-		if rendezvousWeight(replica, o) < mine {
-			before++
+		if rendezvousWeight(replica, o) >= mine {
+			continue
+		}
+		if before++; before >= allowed {
+			return false
 		}
 	}
-	return before < allowed
+	return true
 }
 
 // OpeningAge returns the age of a replica that counts for MayUseNewReplica where the
@@ -78,8 +81,10 @@
 // rendezvousWeight returns the weight of a gateway for a replica; the gateways
 // of the lowest weights use the replica.
 func rendezvousWeight(replica, gateway string) uint64 {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, replica+" "+gateway) // A hash never fails.
-	// FNV hardly spreads the last bytes of similar addresses to the upper bits.
-	return h.Sum64() * 0x9e3779b97f4a7c15
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(replica) // A hash never fails.
+	_, _ = d.WriteString(" ")
+	_, _ = d.WriteString(gateway)
+	return d.Sum64()
 }
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -223,7 +223,7 @@
 	c := s.MarkLeaving(now, id, 0)
 	for i := range c {
 		c[i].Replica.IsAnnounced = true
-		s.replicas[id] = c[i].Replica
+		s.put(c[i].Replica)
 	}
 	return c
 }
--- a/comfreyreplica/evacuation.go
+++ b/comfreyreplica/evacuation.go
@@ -55,10 +55,10 @@
 		return false
 	}
 	delete(s.evacuations, dataCentre)
-	for id, r := range s.replicas {
+	for _, r := range s.replicas {
 		if r.DataCentre == dataCentre && r.IsAccepting() {
 			r.Since = now
-			s.replicas[id] = s.withWarmUp(r, now.Add(s.warmUps[r.Service].Duration))
+			s.put(s.withWarmUp(r, now.Add(s.warmUps[r.Service].Duration)))
 		}
 	}
 	return true
--- a/comfreyreplica/set.go
+++ b/comfreyreplica/set.go
@@ -1,7 +1,6 @@
 package comfreyreplica
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -49,6 +48,7 @@
 type Set struct {
 	config   Config
 	replicas map[string]Replica
+	services serviceIndex
 	// reachableAt is when the platform became reachable again after its last
 	// outage; the zero time if there was none.
 	reachableAt   time.Time
@@ -77,7 +77,7 @@
 // NewSet returns an empty set.
 func NewSet(c Config) *Set {
 	return &Set{
-		config: c.withDefaults(), replicas: map[string]Replica{}, restored: map[string]Registration{}, pauses: startMap[*pause]{},
+		config: c.withDefaults(), replicas: map[string]Replica{}, services: serviceIndex{}, restored: map[string]Registration{}, pauses: startMap[*pause]{},
 		unlisted: map[string]unlistedStart{}, owners: map[string]string{},
 		limits: startMap[RateLimit]{}, full: startMap[time.Time]{}, hints: map[string]time.Time{}, evacuations: map[string]evacuation{},
 	}
@@ -116,7 +116,7 @@
 	s.full.learn(l.start())
 	if isSameStart && old.State == StateLeaving && !old.IsRemoved {
 		old.StartMillis = l.StartMillis
-		s.replicas[l.ID] = old
+		s.put(old)
 		return nil // A leaving replica does not become ready again.
 	}
 	r := Replica{Registration: l, Since: now, WarmAt: now.Add(min(l.WarmUpTime, maxWarmUp))}
@@ -130,10 +130,10 @@
 	if l.IsDraining {
 		r.State, r.EndsAt = StateLeaving, now.Add(s.config.DrainPeriod)
 	}
-	s.replicas[l.ID] = r
+	s.put(r)
 	if isSameStart && old.State == r.State && old.Address == l.Address && old.Service == l.Service {
 		r.Since = old.Since
-		s.replicas[l.ID] = r
+		s.put(r)
 		return nil
 	}
 	return []Change{{Replica: r, IsNew: !known, IsRestarted: known && !isSameStart}}
@@ -179,7 +179,7 @@
 	}
 	if r.State == StateReady && s.inOutageGrace(now) {
 		r.State, r.Since = StateLapsed, now
-		s.replicas[id] = r
+		s.put(r)
 		return []Change{{Replica: r}}
 	}
 	r.IsRemoved = true
@@ -197,7 +197,7 @@
 	if r.State == StateLeaving {
 		if e := now.Add(in); in > 0 && e.Before(r.EndsAt) {
 			r.EndsAt = e
-			s.replicas[id] = r
+			s.put(r)
 		}
 		return nil
 	}
@@ -205,7 +205,8 @@
 	if in > 0 {
 		r = c[0].Replica
 		r.EndsAt = now.Add(in)
-		s.replicas[id], c[0].Replica = r, r
+		s.put(r)
+		c[0].Replica = r
 	}
 	return c
 }
@@ -226,7 +227,7 @@
 	if r.State != StateLeaving {
 		r.State, r.Since, r.EndsAt = StateLeaving, now, now.Add(s.config.DrainPeriod)
 	}
-	s.replicas[r.ID] = r
+	s.put(r)
 	return []Change{{Replica: r}}
 }
 
@@ -270,7 +271,7 @@
 			c = append(c, s.setLeaving(now, r)...)
 		}
 		if r.State == StateLeaving && now.Sub(r.EndsAt) > leavingRetention {
-			delete(s.replicas, id)
+			s.drop(r)
 			if s.owners[r.Address] == id {
 				delete(s.owners, r.Address)
 			}
@@ -287,14 +288,7 @@
 
 // ByService returns the replicas of a service, sorted by id.
 func (s *Set) ByService(name string) []Replica {
-	var l []Replica
-	for _, r := range s.replicas {
-		if r.Service == name {
-			l = append(l, r)
-		}
-	}
-	slices.SortFunc(l, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
-	return l
+	return slices.Collect(s.InService(name))
 }
 
 // All returns every replica, in no order.
--- a/comfreyreplica/warm_up.go
+++ b/comfreyreplica/warm_up.go
@@ -27,7 +27,7 @@
 func (s *Set) ObserveWarmUp(now time.Time, id string, d time.Duration) {
 	if r, ok := s.replicas[id]; ok {
 		r.WarmAt = now.Add(min(max(d, 0), maxWarmUp))
-		s.replicas[id] = r
+		s.put(r)
 	}
 }
 
@@ -37,7 +37,7 @@
 func (s *Set) ObserveConnectionLost(now time.Time, id string) {
 	r, ok := s.replicas[id]
 	if w := s.warmUps[r.Service]; ok && w.PerSecond > 0 {
-		s.replicas[id] = s.withWarmUp(r, now.Add(w.Duration))
+		s.put(s.withWarmUp(r, now.Add(w.Duration)))
 	}
 }
 
