A gateway that starts ignores SIGHUP until it handles it

What callers saw: the platform changes a settings file just after a host has started its gateway, and sends SIGHUP; the gateway ends without a line in its log, and refuses connections until it is started again.

Cause: the signal has its default effect until Reloader.Start, which comes after the command line and the settings are read.

Change: the command ignores SIGHUP first; signal.Notify ends that.

--- a/cmd/comfreyridge/main.go
+++ b/cmd/comfreyridge/main.go
@@ -47,6 +47,10 @@
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "forward" {
+		// The platform may send SIGHUP before the gateway handles it.
+		signal.Ignore(syscall.SIGHUP)
+	}
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
