Test of sidecar faults: a busy host does not count as a silent sidecar

Cause: the test's gateway takes a connection for silent after 60 ms. The sidecar's frames came later, so the connection was given up and the stream resumed at the next one, which is complete.

Change: cases whose sidecar is not silent have a timeout of 10 s, so that only what the case is about can end a connection. The three silent cases keep 60 ms; there an early timeout has the same result. The checks are the same.

--- a/comfreygateway/sidecar_fault_test.go
+++ b/comfreygateway/sidecar_fault_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,12 +27,16 @@
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
-// silenceTimeout is the silence timeout of the gateways in these tests.
-const silenceTimeout = 60 * time.Millisecond
+// silenceTimeout is the silence timeout of the gateways in tests of silent sidecars, and
+// patientTimeout that in the others, in which a busy host must not count as silent.
+const (
+	silenceTimeout = 60 * time.Millisecond
+	patientTimeout = 10 * time.Second
+)
 
 // startGateway runs a gateway with one upstream for each sidecar address. On
 // cleanup it checks that every request has ended.
-func startGateway(t *testing.T, addresses ...string) string {
+func startGateway(t *testing.T, silence time.Duration, addresses ...string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -41,7 +46,7 @@
 	logger.SetOutput(io.Discard)
 	settings := comfreydemo.EmbeddedSettings()
 	g := comfreygateway.New(t.Context(), comfreygateway.Config{
-		Host: "gateway", DataCentre: "north", Key: comfreyrpc.Key(fakeSidecarKey), Listener: l, SilenceTimeout: silenceTimeout,
+		Host: "gateway", DataCentre: "north", Key: comfreyrpc.Key(fakeSidecarKey), Listener: l, SilenceTimeout: silence,
 		Settings: func() comfreyconfig.Settings { return settings },
 		Recorder: comfreydecision.New(comfreydecision.Config{Process: "gateway", Logger: logger}),
 	})
@@ -151,7 +156,7 @@
 		scriptFor := func(prompt string) script { return scripts[prompt] }
 		_, first := newFakeSidecar(t, scriptFor)
 		_, second := newFakeSidecar(t, scriptFor)
-		url := startGateway(t, first, second)
+		url := startGateway(t, silenceTimeout, first, second)
 		var wg sync.WaitGroup
 		for i := range cases {
 			wg.Go(func() {
@@ -238,11 +243,16 @@
 			return []step{send(acceptedFrame(c)), send(tokenFrame(c, 1)), send(x)}
 		}, false, "engine-failed"},
 	}
+	silent := []string{"silent", "no-first-frame", "no-headers"}
 	for name, x := range cases {
 		for _, stream := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s/stream=%t", name, stream), func(t *testing.T) {
 				_, address := newFakeSidecar(t, func(string) script { return resumableScript(2, x.firstConnection) })
-				r := sendRequest(t, startGateway(t, address), name, stream)
+				silence := patientTimeout
+				if slices.Contains(silent, name) {
+					silence = silenceTimeout
+				}
+				r := sendRequest(t, startGateway(t, silence, address), name, stream)
 				checkResult(t, name, r, 2)
 				if r.Complete != x.complete || !x.complete && string(r.Error.Reason) != x.reason {
 					t.Errorf("got %+v", r)
