A planned stop answers each request that it reads

What callers saw: a request was sent to a gateway that stops, and its connection closed: no answer, no refusal. An order may not be sent again then. The gateway's log had no line.

Cause: http.Server.Shutdown marks the server. From then on its goroutines return after they have read the header of a request, before the handler is called, on every connection that was new or idle when it began. The gateway called it about 2.6 s after SIGTERM, right after the accept queue was emptied. A connection of which a part of a header had been read was closed, too, since its state is idle until the header is complete.

Change: comfreyserver owns the connections. Shutdown is never called before the end. An idle connection is ended by a read deadline in the past, so that the goroutine that reads decides: it has read bytes, and serves them, or it has not, and closes. Bytes that have arrived or were read since the last response keep a connection open. The listeners that accept their queue before they close have moved there. What is read and not handled is counted by comfrey_forward_unanswered_total and has a line in the log; the line of the end counts requests that were cut off.

--- a/comfreyforward/metrics.go
+++ b/comfreyforward/metrics.go
@@ -4,6 +4,10 @@
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreyserver"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
 // latencyBuckets cover responses of applications (tens of milliseconds) and
@@ -31,7 +35,10 @@
 	// returns counts callers who have returned after a refusal, by what became of
 	// their request.
 	returns *prometheus.CounterVec
-	gauges  []prometheus.Collector
+	// unanswered counts connections that ended after a request was read, at least in
+	// part, that the gateway did not handle, by cause.
+	unanswered *prometheus.CounterVec
+	gauges     []prometheus.Collector
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -57,6 +64,9 @@
 		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfrey_forward_returns_total", Help: "Callers who have returned after a refusal, by outcome.",
 		}, []string{"outcome"}),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfrey_forward_unanswered_total", Help: "Connections that ended after at least a part of a request was read that was not handled, by cause.",
+		}, []string{"cause"}),
 		leftBehind:    prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_left_behind_total", Help: "Generations that could not be moved out of an evacuated data centre."}),
 		pauses:        prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_pauses_total", Help: "Responses of replicas that asked for a pause."}),
 		announcements: prometheus.NewCounter(prometheus.CounterOpts{Name: "comfrey_forward_leaving_announced_total", Help: "Replicas that announced in a response that they leave."}),
@@ -87,7 +97,7 @@
 // Collectors returns the collectors of the gateway's metrics.
 func (g *Gateway) Collectors() []prometheus.Collector {
 	m := g.metrics
-	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.replaced, m.rateLimits, m.evacuations, m.leftBehind, m.returns}, m.gauges...)
+	return append([]prometheus.Collector{m.responses, m.firstEvent, m.longestPause, m.connections, m.storeCalls, m.pauses, m.announcements, m.replaced, m.rateLimits, m.evacuations, m.leftBehind, m.returns, m.unanswered}, m.gauges...)
 }
 
 // CountConnection counts a connection that was opened to a replica or the
@@ -101,6 +111,18 @@
 	g.metrics.storeCalls.Inc()
 }
 
+// observeUnanswered records a connection that has ended without a response to what was
+// read from it. Callers that leave are counted only.
+func (g *Gateway) observeUnanswered(u comfreyserver.Unanswered) {
+	g.metrics.unanswered.WithLabelValues(u.Cause).Inc()
+	if u.Cause == comfreyserver.CauseCaller {
+		return
+	}
+	g.record("", comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, map[string]any{
+		"detail": "connection ended before its request was handled", "cause": u.Cause, "read-bytes": u.Bytes, "after-ms": u.After.Milliseconds(), "age-ms": u.Age.Milliseconds(), "was-used": u.WasUsed, "stopping": g.isDraining.Load(),
+	})
+}
+
 // observeResponse records the latency of a completed response.
 func (g *Gateway) observeResponse(x *exchange, status int) {
 	g.metrics.responses.WithLabelValues(x.route.Kind.String(), strconv.Itoa(status)).Observe(g.config.Now().Sub(x.started).Seconds())
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -15,6 +15,7 @@
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyroute"
+	"comfreyridge.example/comfreyridge/comfreyserver"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
@@ -64,7 +65,7 @@
 	MaxFileDescriptors int
 	// Registry holds the metrics.
 	Registry *prometheus.Registry
-	// Listen opens a listener; Listen of this package by default.
+	// Listen opens a listener; comfreyserver.Listen by default.
 	Listen func(address string) (net.Listener, error)
 }
 
@@ -72,31 +73,16 @@
 type Server struct {
 	gateway *Gateway
 	config  ServerConfig
-	// callers accepts the connections of callers; nil if its listener is not one on
-	// TCP.
-	callers *stoppableListener
-	// limited bounds the connections of callers; nil if they have no bound.
-	limited *limitedListener
-	// idle are the connections of callers without a request.
-	idle idleConnections
 }
 
 // NewServer returns a server for a gateway that has not been started.
 func NewServer(g *Gateway, c ServerConfig) *Server {
 	if c.Listen == nil {
-		c.Listen = Listen
+		c.Listen = comfreyserver.Listen
 	}
 	return &Server{gateway: g, config: c}
 }
 
-// Listen opens a listener on TCP. It is not one of Multipath TCP, which net.Listen opens
-// where it can, because a planned stop attaches a filter, which such a socket does not take.
-func Listen(address string) (net.Listener, error) {
-	var c net.ListenConfig
-	c.SetMultipathTCP(false)
-	return c.Listen(context.Background(), "tcp", address)
-}
-
 // Run starts the gateway and serves until stop ends. It then finishes open
 // requests, for at most the grace period.
 func (s *Server) Run(stop context.Context) error {
@@ -129,7 +115,7 @@
 // drain marks the gateway as not ready and finishes open requests. Of those that are
 // open near the end of the grace period, the ones whose response has not begun get a
 // final one, and the others are aborted.
-func (s *Server) drain(callers *http.Server) error {
+func (s *Server) drain(callers *comfreyserver.Server) error {
 	g := s.gateway
 	began := g.config.Now()
 	limit := s.config.GracePeriod - gracePeriodMargin
@@ -140,48 +126,18 @@
 	comfreygroup.Sleep(ctx, deregistrationDelay)
 	serving, cancelServing := context.WithDeadline(ctx, began.Add(limit-finalResponseMargin))
 	defer cancelServing()
-	s.stopListening(serving)
-	err := callers.Shutdown(serving)
-	if errors.Is(err, context.DeadlineExceeded) {
-		g.EndUnanswered()
-		err = callers.Shutdown(ctx)
+	if err := callers.StopListening(serving); err != nil {
+		g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "accepting-until-closed", "error": err.Error()})
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = callers.Close()
+	if callers.Drain(serving) != nil {
+		g.EndUnanswered()
+		_ = callers.Drain(ctx) // What is left is closed.
 	}
-	g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonAccepted, map[string]any{"state": "stopped", "streams": g.streamCount(), "after-ms": g.config.Now().Sub(began).Milliseconds()})
+	cut, err := callers.Close()
+	g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonAccepted, map[string]any{"state": "stopped", "streams": g.streamCount(), "cut": cut, "after-ms": g.config.Now().Sub(began).Milliseconds()})
 	return err
 }
 
-// stopListening closes the listener for callers, once all connections that wait there are
-// accepted, and the idle connections.
-func (s *Server) stopListening(ctx context.Context) {
-	s.makeRoom()
-	if s.callers != nil {
-		if err := s.callers.DropNew(); err != nil {
-			s.gateway.record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "accepting-until-closed", "error": err.Error()})
-		}
-		s.callers.Stop(ctx, s.makeRoom)
-	}
-	ctx, cancel := context.WithTimeout(ctx, maxStopDelay)
-	defer cancel()
-	for s.idle.closeUnused() > 0 {
-		if !comfreygroup.Sleep(ctx, acceptQuiet) {
-			return
-		}
-	}
-}
-
-// makeRoom closes idle connections if there was no place for further ones, and reports
-// whether that was so.
-func (s *Server) makeRoom() bool {
-	if s.limited == nil || !s.limited.hasBeenFull() {
-		return false
-	}
-	s.idle.closeUnused()
-	return true
-}
-
 func (g *Gateway) streamCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -201,31 +157,34 @@
 }
 
 // serveCallers serves callers within the limits of the configuration.
-func (s *Server) serveCallers() (*http.Server, error) {
+func (s *Server) serveCallers() (*comfreyserver.Server, error) {
 	var l comfreyroute.Limits
 	if t := s.gateway.table.Load(); t != nil {
 		l = t.Limits()
 	}
-	h := &http.Server{
-		Handler:           s.gateway,
-		MaxHeaderBytes:    positiveOr(l.HeaderSizeBytes, defaultMaxHeaderBytes),
-		ReadHeaderTimeout: positiveOr(l.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       positiveOr(l.IdleTimeout, defaultIdleTimeout) + idleTimeoutMargin,
-		ConnState:         s.idle.observe,
-	}
 	k, err := s.config.Listen(s.config.CallerAddress)
 	if err != nil {
 		return nil, fmt.Errorf("comfreyforward: listening for callers: %w", err)
 	}
-	if tcp, ok := k.(*net.TCPListener); ok {
-		s.callers = newStoppableListener(tcp)
-		k = s.callers
-	}
-	if n := maxCallerConnections(s.config.MaxFileDescriptors); n > 0 {
-		s.limited = newLimitedListener(k, n)
-		k = s.limited
-	}
-	s.serve("callers", k, h)
+	h := comfreyserver.New(k, comfreyserver.Config{
+		Handler:           s.gateway,
+		MaxHeaderBytes:    positiveOr(l.HeaderSizeBytes, defaultMaxHeaderBytes),
+		ReadHeaderTimeout: positiveOr(l.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       positiveOr(l.IdleTimeout, defaultIdleTimeout) + idleTimeoutMargin,
+		MaxConnections:    maxCallerConnections(s.config.MaxFileDescriptors),
+		OnUnanswered:      s.gateway.observeUnanswered,
+	})
+	s.gateway.config.Group.Go("callers", func(context.Context) error {
+		if err := h.Serve(); err != nil {
+			return fmt.Errorf("comfreyforward: serving callers: %w", err)
+		}
+		return nil
+	})
+	s.gateway.config.Group.Go("callers end", func(ctx context.Context) error {
+		<-ctx.Done()
+		_, err := h.Close()
+		return err
+	})
 	return h, nil
 }
 
--- /dev/null
+++ b/comfreyserver/connection.go
@@ -0,0 +1,222 @@
+package comfreyserver
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The reasons why a connection has ended whose request the handler did not get.
+const (
+	// CauseCaller means that the caller has closed the connection.
+	CauseCaller = "caller"
+	// CauseTimeout means that a timeout has passed.
+	CauseTimeout = "timeout"
+	// CauseStop means that the server was closed.
+	CauseStop = "stop"
+	// CauseServer means that the server has ended the connection by itself.
+	CauseServer = "server"
+)
+
+// Unanswered describes a request that was read, at least in part, and did not reach the
+// handler.
+type Unanswered struct {
+	// Cause is one of the causes above.
+	Cause string
+	// Bytes is how many bytes were read, and After how long ago the first one.
+	Bytes int
+	After time.Duration
+	// Age is how long the connection was open.
+	Age time.Duration
+	// WasUsed means that the connection had a request before.
+	WasUsed bool
+}
+
+// connection is the connection of a caller. It tells whether a part of a request was read
+// or has arrived, which http.Server does not.
+type connection struct {
+	net.Conn
+	server     *Server
+	acceptedAt time.Time
+
+	mu    sync.Mutex
+	state http.ConnState
+	// read counts the bytes that were read since the connection was last idle, and
+	// firstReadAt is when the first of them were read.
+	read        int
+	firstReadAt time.Time
+	// isHandled means that the handler got the request, and wasUsed that it got one
+	// before.
+	isHandled, wasUsed bool
+	// deadline is the read deadline that the server has set, and idleDeadlines how many
+	// it has set since the connection was last idle: one while it waits for a request,
+	// and another one for the request, of which it may have read a part with the
+	// request before.
+	deadline      time.Time
+	idleDeadlines int
+	// isEnding means that the deadline in force is in the past, so that the server
+	// closes the connection unless bytes have arrived.
+	isEnding  bool
+	cause     string
+	closeOnce sync.Once
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		if c.read == 0 {
+			c.firstReadAt = time.Now()
+		}
+		c.read += n
+		if c.isEnding {
+			c.isEnding = false
+			_ = c.Conn.SetReadDeadline(c.deadline)
+		}
+	}
+	switch {
+	case err == nil || c.cause != "":
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if !c.isAbort() {
+			c.cause = CauseTimeout
+		}
+	case errors.Is(err, io.EOF) || !errors.Is(err, net.ErrClosed):
+		c.cause = CauseCaller
+	}
+	return n, err
+}
+
+// isAbort reports whether the deadline is one that the server has set in the past to
+// interrupt a read. The mutex must be held.
+func (c *connection) isAbort() bool {
+	return !c.deadline.IsZero() && c.deadline.Before(c.acceptedAt)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	c.idleDeadlines++
+	if c.isEnding {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	err := c.Conn.Close()
+	c.closeOnce.Do(func() {
+		c.server.remove(c)
+		c.reportUnanswered()
+	})
+	return err
+}
+
+func (c *connection) reportUnanswered() {
+	c.mu.Lock()
+	u := Unanswered{Cause: c.cause, Bytes: c.read, After: time.Since(c.firstReadAt), Age: time.Since(c.acceptedAt), WasUsed: c.wasUsed}
+	isHandled := c.isHandled
+	c.mu.Unlock()
+	if u.Cause == "" {
+		u.Cause = CauseServer
+	}
+	if f := c.server.config.OnUnanswered; f != nil && u.Bytes > 0 && !isHandled {
+		f(u)
+	}
+}
+
+// setState records the state in the view of the server.
+func (c *connection) setState(s http.ConnState) {
+	c.mu.Lock()
+	c.state = s
+	if s == http.StateIdle {
+		c.read, c.isHandled, c.wasUsed, c.idleDeadlines = 0, false, true, 0
+	}
+	c.mu.Unlock()
+	if s == http.StateIdle {
+		c.server.notify()
+	}
+}
+
+// setHandled records that the handler got the request.
+func (c *connection) setHandled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHandled = true
+}
+
+// endIfIdle ends the connection if it has had a request and waits for the next one.
+func (c *connection) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == http.StateIdle {
+		c.end()
+	}
+}
+
+// endIfUnused is endIfIdle, and also ends connections that have been open for some time
+// without a request.
+func (c *connection) endIfUnused(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.acceptedAt) >= unusedTimeout {
+		c.end()
+	}
+}
+
+// end makes the server close the connection unless a part of a request was read or has
+// arrived. It does not close the connection itself, since only the goroutine that reads
+// knows what it has read. The mutex must be held.
+func (c *connection) end() {
+	hasRequest := c.read > 0 || c.state == http.StateIdle && c.idleDeadlines > 1 || c.hasArrived()
+	if c.isEnding || hasRequest {
+		return
+	}
+	c.isEnding = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
+}
+
+// cut records that the server is closed, and reports whether a request is in the handler.
+func (c *connection) cut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause == "" {
+		c.cause = CauseStop
+	}
+	return c.state == http.StateActive && c.isHandled
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *connection) SyscallConn() (syscall.RawConn, error) {
+	return rawConn(c.Conn)
+}
+
+// hasArrived reports whether bytes, or the end, have arrived that were not read.
+func (c *connection) hasArrived() bool {
+	k, ok := c.Conn.(syscall.Conn)
+	return ok && isReadable(k)
+}
+
+// isReadable reports whether bytes, or the end, have arrived on a connection, or whether a
+// connection is in the queue of a listener.
+func isReadable(c syscall.Conn) bool {
+	r, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = r.Control(func(descriptor uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0) // A signal may interrupt it.
+	})
+	return err == nil && n > 0
+}
--- /dev/null
+++ b/comfreyserver/connection_test.go
@@ -0,0 +1,212 @@
+package comfreyserver
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	testTimeout = 5 * time.Second
+	testRequest = "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+)
+
+// testCaller is a caller and its connection at a server that is not running.
+type testCaller struct {
+	net.Conn
+	accepted *connection
+}
+
+// newTestCaller connects to a listener and accepts the connection.
+func newTestCaller(t *testing.T, s *Server) testCaller {
+	t.Helper()
+	c := dial(t, s)
+	k, err := s.listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = k.Close() })
+	return testCaller{Conn: c, accepted: k.(*connection)}
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func newTestServer(t *testing.T, c Config) *Server {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(l, c)
+	t.Cleanup(func() { _, _ = s.Close() })
+	return s
+}
+
+// send writes bytes and waits until they have arrived.
+func (c testCaller) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(testTimeout); !c.accepted.hasArrived(); {
+		if time.Now().After(end) {
+			t.Fatal("the bytes of a caller did not arrive")
+		}
+	}
+}
+
+// TestIdleConnectionWithRequestStaysOpen ends idle connections, of which one has a request
+// that the server has not read. It guards against requests that are read, and run, although
+// their connection has been closed.
+func TestIdleConnectionWithRequestStaysOpen(t *testing.T) {
+	s := newTestServer(t, Config{MaxConnections: 4})
+	unused, used := newTestCaller(t, s), newTestCaller(t, s)
+	used.send(t, testRequest)
+	for _, c := range []testCaller{unused, used} {
+		c.accepted.setState(http.StateIdle)
+		c.accepted.endIfIdle()
+	}
+	if _, err := unused.accepted.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("connection without a request: expected its end, got %v", err)
+	}
+	if _, err := used.accepted.Read(make([]byte, 1)); err != nil {
+		t.Errorf("connection with a request: got %v", err)
+	}
+}
+
+// TestConnectionWithPartOfRequestStaysOpen ends an idle connection of whose next request a
+// part was read. It guards against taking it for unused because its state is still idle.
+func TestConnectionWithPartOfRequestStaysOpen(t *testing.T) {
+	s := newTestServer(t, Config{})
+	c := newTestCaller(t, s)
+	c.accepted.setState(http.StateIdle)
+	c.send(t, testRequest[:10])
+	b := make([]byte, len(testRequest))
+	if n, err := c.accepted.Read(b); n != 10 || err != nil {
+		t.Fatalf("got %d bytes, %v", n, err)
+	}
+	c.accepted.endIfIdle()
+	c.send(t, testRequest[10:])
+	if _, err := c.accepted.Read(b); err != nil {
+		t.Errorf("reading the rest of a request: got %v", err)
+	}
+}
+
+// TestEndedConnectionHasAnswerOrWasNotRead ends kept connections while their callers send the
+// next request. It guards against a connection that is closed after a request was read
+// from it.
+func TestEndedConnectionHasAnswerOrWasNotRead(t *testing.T) {
+	const callers, rounds = 8, 50
+	var handled, answered, unanswered atomic.Int64
+	s := newTestServer(t, Config{
+		Handler:      http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }),
+		OnUnanswered: func(Unanswered) { unanswered.Add(1) },
+	})
+	var serving, running sync.WaitGroup
+	serving.Go(func() {
+		if err := s.Serve(); err != nil {
+			t.Error(err)
+		}
+	})
+	for range callers {
+		running.Go(func() {
+			for range rounds {
+				c, err := net.Dial("tcp", s.listener.Addr().String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_ = c.SetDeadline(time.Now().Add(testTimeout))
+				r := bufio.NewReader(c)
+				for range 2 {
+					if _, err := io.WriteString(c, testRequest); err != nil {
+						break
+					}
+					if _, err := http.ReadResponse(r, nil); err != nil {
+						break
+					}
+					answered.Add(1)
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	done := make(chan struct{})
+	serving.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			for _, c := range s.open() {
+				c.endIfIdle()
+			}
+		}
+	})
+	running.Wait()
+	close(done)
+	_, _ = s.Close()
+	serving.Wait()
+	if handled.Load() != answered.Load() || unanswered.Load() > 0 {
+		t.Errorf("%d requests were handled, and %d read only, but %d callers have an answer", handled.Load(), unanswered.Load(), answered.Load())
+	}
+}
+
+// TestUnansweredRequestsAreReported ends connections on which a part of a request was read,
+// each for another reason.
+func TestUnansweredRequestsAreReported(t *testing.T) {
+	for cause, end := range map[string]func(c net.Conn, s *Server){
+		CauseCaller:  func(c net.Conn, _ *Server) { _ = c.Close() },
+		CauseStop:    func(_ net.Conn, s *Server) { _, _ = s.Close() },
+		CauseTimeout: func(net.Conn, *Server) {},
+	} {
+		t.Run(cause, func(t *testing.T) {
+			reported := make(chan Unanswered, 1)
+			k := Config{OnUnanswered: func(u Unanswered) { reported <- u }}
+			if cause == CauseTimeout {
+				k.ReadHeaderTimeout = 20 * time.Millisecond
+			}
+			s := newTestServer(t, k)
+			var serving sync.WaitGroup
+			serving.Go(func() { _ = s.Serve() })
+			c := dial(t, s)
+			if _, err := io.WriteString(c, testRequest[:10]); err != nil {
+				t.Fatal(err)
+			}
+			for hasRead := false; !hasRead && cause != CauseTimeout; {
+				for _, k := range s.open() {
+					k.mu.Lock()
+					hasRead = k.read > 0
+					k.mu.Unlock()
+				}
+			}
+			end(c, s)
+			select {
+			case u := <-reported:
+				if u.Cause != cause || u.Bytes != 10 || u.WasUsed {
+					t.Errorf("got %+v, want cause %s and 10 bytes of a first request", u, cause)
+				}
+			case <-time.After(testTimeout):
+				t.Error("a connection with a part of a request ended without a report")
+			}
+			_, _ = s.Close()
+			serving.Wait()
+		})
+	}
+}
--- a/comfreyforward/listener.go
+++ b/comfreyserver/listener.go
@@ -1,4 +1,4 @@
-package comfreyforward
+package comfreyserver
 
 import (
 	"context"
@@ -38,6 +38,14 @@
 	stoppedOnce, closedOnce sync.Once
 }
 
+// Listen opens a listener on TCP. It is not one of Multipath TCP, which net.Listen opens
+// where it can, because a planned stop attaches a filter, which such a socket does not take.
+func Listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), "tcp", address)
+}
+
 func newStoppableListener(l *net.TCPListener) *stoppableListener {
 	return &stoppableListener{
 		TCPListener: l, quiet: acceptQuiet, closeSocket: l.Close, stopped: make(chan struct{}), closed: make(chan struct{}),
--- a/comfreyforward/listener_test.go
+++ b/comfreyserver/listener_test.go
@@ -1,4 +1,4 @@
-package comfreyforward
+package comfreyserver
 
 import (
 	"context"
--- /dev/null
+++ b/comfreyserver/server.go
@@ -0,0 +1,231 @@
+package comfreyserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// unusedTimeout is how long after it was accepted a connection is kept during a
+	// stop on which nothing has arrived; its caller may be about to send a request.
+	unusedTimeout = 5 * time.Second
+	// drainInterval is how often connections are checked during a stop. A change of
+	// their states is noticed at once.
+	drainInterval = 50 * time.Millisecond
+)
+
+// Config holds the handler and the limits of a Server.
+type Config struct {
+	Handler http.Handler
+	// The limits of http.Server.
+	MaxHeaderBytes                              int
+	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
+	// MaxConnections bounds the open connections; further ones wait in the accept
+	// queue. Zero means no bound.
+	MaxConnections int
+	// OnUnanswered is called when a connection has ended on which bytes of a request
+	// were read that the handler did not get; it may be nil.
+	OnUnanswered func(Unanswered)
+}
+
+// Server is an HTTP server on one listener. It is safe for concurrent use.
+type Server struct {
+	config Config
+	http   *http.Server
+	// callers accepts connections; nil if the listener is not one on TCP. limited
+	// bounds them; nil if they have no bound.
+	callers *stoppableListener
+	limited *limitedListener
+
+	mu          sync.Mutex
+	listener    net.Listener
+	connections map[*connection]struct{}
+	isStopped   bool
+	isClosed    bool
+	// changed receives a value after a connection has changed its state.
+	changed chan struct{}
+}
+
+// New returns a server for a listener.
+func New(l net.Listener, c Config) *Server {
+	s := &Server{config: c, connections: map[*connection]struct{}{}, changed: make(chan struct{}, 1)}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(s.serveHTTP), MaxHeaderBytes: c.MaxHeaderBytes,
+		ReadHeaderTimeout: c.ReadHeaderTimeout, ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout,
+		ConnState: observeState, ConnContext: withConnection,
+	}
+	if tcp, ok := l.(*net.TCPListener); ok {
+		s.callers = newStoppableListener(tcp)
+		l = s.callers
+	}
+	if c.MaxConnections > 0 {
+		s.limited = newLimitedListener(l, c.MaxConnections)
+		l = s.limited
+	}
+	s.listener = &trackingListener{Listener: l, server: s}
+	return s
+}
+
+// Serve serves until the server is closed, and returns nil then.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || s.hasStopped() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) hasStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isStopped || s.isClosed
+}
+
+// StopListening closes the listener once all connections that wait there are accepted, or
+// when ctx ends. It returns an error if connections can arrive until the listener is
+// closed, because new ones cannot be dropped before.
+func (s *Server) StopListening(ctx context.Context) error {
+	s.mu.Lock()
+	s.isStopped = true
+	s.mu.Unlock()
+	s.makeRoom()
+	if s.callers == nil {
+		return s.listener.Close()
+	}
+	err := s.callers.DropNew()
+	s.callers.Stop(ctx, s.makeRoom)
+	return err
+}
+
+// makeRoom ends idle connections if there was no place for further ones, and reports
+// whether that was so.
+func (s *Server) makeRoom() bool {
+	if s.limited == nil || !s.limited.hasBeenFull() {
+		return false
+	}
+	for _, c := range s.open() {
+		c.endIfIdle()
+	}
+	return true
+}
+
+// Drain ends connections as they become idle, and returns once there are none, or the
+// error of ctx when that ends. Connections on which a part of a request has arrived are
+// served. The handler has to make its responses the last ones of their connections.
+func (s *Server) Drain(ctx context.Context) error {
+	t := time.NewTicker(drainInterval)
+	defer t.Stop()
+	for {
+		l := s.open()
+		if len(l) == 0 {
+			return nil
+		}
+		now := time.Now()
+		for _, c := range l {
+			c.endIfUnused(now)
+		}
+		select {
+		case <-s.changed:
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Close closes the listener and all connections. It returns how many of these had a
+// request in the handler.
+func (s *Server) Close() (cut int, err error) {
+	s.mu.Lock()
+	s.isClosed = true
+	s.mu.Unlock()
+	for _, c := range s.open() {
+		if c.cut() {
+			cut++
+		}
+	}
+	return cut, s.http.Close()
+}
+
+// open returns the open connections.
+func (s *Server) open() []*connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := make([]*connection, 0, len(s.connections))
+	for c := range s.connections {
+		l = append(l, c)
+	}
+	return l
+}
+
+func (s *Server) add(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections[c] = struct{}{}
+}
+
+func (s *Server) remove(c *connection) {
+	s.mu.Lock()
+	delete(s.connections, c)
+	s.mu.Unlock()
+	s.notify()
+}
+
+// notify wakes up Drain.
+func (s *Server) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// observeState implements http.Server.ConnState.
+func observeState(c net.Conn, s http.ConnState) {
+	if k, ok := c.(*connection); ok {
+		k.setState(s)
+	}
+}
+
+func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		c.setHandled()
+	}
+	s.config.Handler.ServeHTTP(w, r)
+}
+
+// trackingListener adds the connections that it accepts to its server.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	k := &connection{Conn: c, server: l.server, acceptedAt: time.Now()}
+	l.server.add(k)
+	return k, nil
+}
+
+// Close implements net.Listener.
+func (l *trackingListener) Close() error {
+	if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/comfreyserver/server_test.go
@@ -0,0 +1,110 @@
+package comfreyserver
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestRequestReadDuringStopGetsResponse completes requests during a stop on connections of
+// each kind that had none when it began. http.Server.Shutdown closes them without a
+// response.
+func TestRequestReadDuringStopGetsResponse(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/kept" {
+			w.Header().Set("Connection", "close")
+		}
+	})})
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		if err := s.Serve(); err != nil {
+			t.Error(err)
+		}
+	})
+	const (
+		keptRequest = "GET /kept HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+		sent        = 10
+	)
+	unused, begun, kept := dial(t, s), dial(t, s), dial(t, s)
+	for c, text := range map[io.Writer]string{begun: testRequest[:sent], kept: keptRequest + testRequest[:sent]} {
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fromKept := bufio.NewReader(kept)
+	if _, err := http.ReadResponse(fromKept, nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	if err := s.StopListening(ctx); err != nil {
+		t.Error(err)
+	}
+	drained := make(chan error, 1)
+	serving.Go(func() { drained <- s.Drain(ctx) })
+	time.Sleep(2 * drainInterval)
+	for name, c := range map[string]struct {
+		io.Writer
+		responses *bufio.Reader
+		rest      string
+	}{
+		"without a request":             {unused, bufio.NewReader(unused), testRequest},
+		"with a part of a request":      {begun, bufio.NewReader(begun), testRequest[sent:]},
+		"with a part of a next request": {kept, fromKept, testRequest[sent:]},
+	} {
+		if _, err := io.WriteString(c, c.rest); err != nil {
+			t.Errorf("connection %s: %v", name, err)
+		}
+		if _, err := http.ReadResponse(c.responses, nil); err != nil {
+			t.Errorf("connection %s: expected a response, got %v", name, err)
+		}
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("expected that all connections end, got %v", err)
+	}
+	if cut, err := s.Close(); cut > 0 || err != nil {
+		t.Errorf("got %d cut requests, %v", cut, err)
+	}
+	serving.Wait()
+}
+
+// TestStopEndsUnusedConnections stops a server with idle connections, and with one that has
+// had no request for long.
+func TestStopEndsUnusedConnections(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve() })
+	idle, unused := dial(t, s), dial(t, s)
+	if _, err := io.WriteString(idle, testRequest); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.ReadResponse(bufio.NewReader(idle), nil); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(testTimeout); len(s.open()) < 2 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	for _, c := range s.open() {
+		c.mu.Lock()
+		c.acceptedAt = c.acceptedAt.Add(-unusedTimeout)
+		c.mu.Unlock()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	if err := s.StopListening(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := s.Drain(ctx); err != nil {
+		t.Errorf("expected that all connections end, got %v", err)
+	}
+	_ = unused.SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := unused.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("unused connection: got %v, want its end", err)
+	}
+	_, _ = s.Close()
+	serving.Wait()
+}
--- a/comfreyforward/syn_filter_linux.go
+++ b/comfreyserver/syn_filter_linux.go
@@ -1,4 +1,4 @@
-package comfreyforward
+package comfreyserver
 
 import (
 	"fmt"
@@ -26,7 +26,7 @@
 	}
 	r, err := l.SyscallConn()
 	if err != nil {
-		return fmt.Errorf("comfreyforward: expected an open listener: %w", err)
+		return fmt.Errorf("comfreyserver: expected an open listener: %w", err)
 	}
 	var attachErr error
 	err = r.Control(func(descriptor uintptr) {
@@ -37,7 +37,7 @@
 		err = attachErr
 	}
 	if err != nil {
-		return fmt.Errorf("comfreyforward: attaching a filter to a listener: %w", err)
+		return fmt.Errorf("comfreyserver: attaching a filter to a listener: %w", err)
 	}
 	return nil
 }
--- a/comfreyforward/syn_filter_other.go
+++ b/comfreyserver/syn_filter_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package comfreyforward
+package comfreyserver
 
 import (
 	"errors"
