A timeout does not close a connection on which bytes have arrived

What callers saw: a connection is closed although their request has arrived; if it may run once only, they may not know whether to send it again.

Cause: when a process runs late, by a small share of a core or a suspension, its runtime handles the expired timer before it looks at the sockets. The idle timeout and that of the header count the time in which the process did not read.

Change: when a read deadline passes, the connection looks once more whether bytes have arrived, and goes on for a second at the most, once a request, so that a caller who sends a header slowly is still closed.

Class: what a process has not read yet counts as nothing.

--- a/comfreyserver/connection.go
+++ b/comfreyserver/connection.go
@@ -13,6 +13,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// arrivedTimeout is how long reading goes on after a timeout that has passed although bytes
+// had arrived: the process was too late to read them.
+const arrivedTimeout = time.Second
+
 // The reasons why a connection has ended whose request the handler did not get.
 const (
 	// CauseCaller means that the caller has closed the connection.
@@ -63,14 +67,20 @@
 	idleDeadlines int
 	// isEnding means that the deadline in force is in the past, so that the server
 	// closes the connection unless bytes have arrived.
-	isEnding  bool
-	cause     string
-	closeOnce sync.Once
+	isEnding bool
+	// hasExtended means that the timeout of the request has been extended.
+	hasExtended bool
+	cause       string
+	closeOnce   sync.Once
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A deadline does not end it if bytes have arrived before the
+// process looked.
 func (c *connection) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendForArrived() {
+		n, err = c.Conn.Read(b)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -101,6 +111,21 @@
 	return !c.deadline.IsZero() && c.deadline.Before(c.acceptedAt)
 }
 
+// extendForArrived extends a read deadline that has passed if bytes have arrived, and reports
+// whether it did. A timeout of the server is extended once a request.
+//
+// It is built for this load: a process with a small share of a core, or one that was
+// suspended, wakes up for a timeout before it has read what arrived meanwhile.
+func (c *connection) extendForArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hasExtended && !c.isEnding || c.isAbort() || !c.hasArrived() {
+		return false
+	}
+	c.isEnding, c.hasExtended = false, true
+	return c.Conn.SetReadDeadline(time.Now().Add(arrivedTimeout)) == nil
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -141,7 +166,7 @@
 	c.mu.Lock()
 	c.state = s
 	if s == http.StateIdle {
-		c.read, c.isHandled, c.wasUsed, c.idleDeadlines = 0, false, true, 0
+		c.read, c.isHandled, c.wasUsed, c.hasExtended, c.idleDeadlines = 0, false, true, false, 0
 	}
 	c.mu.Unlock()
 	if s == http.StateIdle {
--- a/comfreyserver/connection_test.go
+++ b/comfreyserver/connection_test.go
@@ -107,6 +107,33 @@
 	}
 }
 
+// TestLateProcessReadsWhatHasArrived lets a read deadline pass after bytes have arrived. It
+// guards against a process that takes a connection for silent because it runs late.
+func TestLateProcessReadsWhatHasArrived(t *testing.T) {
+	s := newTestServer(t, Config{})
+	c := newTestCaller(t, s)
+	b := make([]byte, 1)
+	expire := func() {
+		_ = c.accepted.SetReadDeadline(c.accepted.acceptedAt.Add(time.Nanosecond))
+	}
+	expire()
+	if _, err := c.accepted.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("nothing has arrived: got %v, want a timeout", err)
+	}
+	c.send(t, "GET")
+	if _, err := c.accepted.Read(b); err != nil {
+		t.Errorf("bytes have arrived: got %v", err)
+	}
+	expire()
+	if _, err := c.accepted.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a second timeout of a request: got %v, want a timeout", err)
+	}
+	c.accepted.setState(http.StateIdle)
+	if _, err := c.accepted.Read(b); err != nil {
+		t.Errorf("the timeout of the next request: got %v", err)
+	}
+}
+
 // TestEndedConnectionHasAnswerOrWasNotRead ends kept connections while their callers send the
 // next request. It guards against a connection that is closed after a request was read
 // from it.
