Placements leave most of a gateway's link to its callers

Cause: each change of the placements was told to every gateway of the cell within 10 ms, with all placements. The bytes grow with the changes, the placements and the receivers. A gateway that was left almost alone in its data centre sent more than its link carries, and requests, responses and new connections waited behind the datagrams for 2 to 3 s.

Seven gateways sent more than their links carry, for 2.5 to 10.5 s each.

Change: a round of placements is spread over the time in which it takes at most a quarter of the own link (limits.linkMbps of the settings), and half of 10 Mbit/s at a receiver to which all send so. Changes meanwhile are in the next round; crash records are sent between. Counters of the bytes by kind and the time of a round show it.

Why: what the gateways tell each other now has a bound below the link, so that what waits in the link's queue is what callers wait for.

--- a/comfreygossip/cells.go
+++ b/comfreygossip/cells.go
@@ -96,7 +96,7 @@
 		d.DataCentre, d.DataCentreSize, d.Members = g.config.DataCentre, uint32(l.Sizes()[g.config.DataCentre]), members
 		d.Complete, d.Era = version.Revision, version.Era
 		members = nil
-		g.send(&comfreyproto.PlacementDatagram{Cell: d}, to...)
+		g.send(kindCellState, &comfreyproto.PlacementDatagram{Cell: d}, to...)
 	}
 }
 
@@ -141,7 +141,7 @@
 		// agree on the cells yet.
 		if a, ok := l.Forward(comfreycell.ID(d.Receiver)); ok && d.Sender == d.Relay {
 			d.Sender = g.config.Address
-			g.send(&comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses([]string{a})...)
+			g.send(kindCellState, &comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses([]string{a})...)
 		}
 		return
 	}
@@ -150,7 +150,7 @@
 	}
 	if !slices.Contains(l.Members(), d.Sender) {
 		d.Sender = g.config.Address
-		g.send(&comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses(l.LiveMembers())...)
+		g.send(kindCellState, &comfreyproto.PlacementDatagram{Cell: d}, g.datagramAddresses(l.LiveMembers())...)
 	}
 	a, isNew := assemble(partial, g.config.Now(), "relay "+d.Relay, d.Sequence, d.Part)
 	if !isNew {
--- a/comfreygossip/crash.go
+++ b/comfreygossip/crash.go
@@ -28,7 +28,7 @@
 		for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
 			r.Suspects = s
 			d := &comfreyproto.PlacementDatagram{Crashes: comfreyrpc.EncodeCrashRecords([]comfreyquarantine.CrashRecord{r}, g.config.Now())}
-			g.send(d, g.datagramAddresses(to)...)
+			g.send(kindCrashes, d, g.datagramAddresses(to)...)
 		}
 	}
 }
--- a/comfreygossip/exchange.go
+++ b/comfreygossip/exchange.go
@@ -295,7 +295,7 @@
 
 // Handler returns the HTTP handler that serves exchanges.
 func (g *Gossip) Handler() http.Handler {
-	return g.transfers.handler(comfreyproto.NewGatewaysServer(g))
+	return g.transfers.handler(comfreyproto.NewGatewaysServer(g), g.sentBytes.WithLabelValues(kindExchangeAnswer))
 }
 
 // dataCentreSizes returns the number of gateways in each data centre to send in
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"comfreyridge.example/comfreyridge/comfreycell"
@@ -106,7 +107,8 @@
 	Refused []comfreyreturn.Refusal
 }
 
-// Config configures a Gossip. All fields except Seeds, Now and Dial are required.
+// Config configures a Gossip. All fields except Seeds, LinkBytesPerSecond, Now and Dial
+// are required.
 type Config struct {
 	// Address receives exchanges; DatagramPort receives placements on the same
 	// host. Both ports are the same on all gateways.
@@ -158,6 +160,8 @@
 	// Permit answers another gateway's request for a permit, which was passed on a
 	// number of times.
 	Permit func(ctx context.Context, r comfreyratelimit.Request, hops int) comfreyratelimit.Reply
+	// LinkBytesPerSecond is the bandwidth of this host's link; zero if it is not known.
+	LinkBytesPerSecond float64
 	// Now is the clock; time.Now by default.
 	Now func() time.Time
 	// Dial opens the connections of exchanges; the default uses net.Dialer.
@@ -221,6 +225,9 @@
 	codec     *codec
 	http      *http.Client
 	socket    *net.UDPConn
+	sentBytes *prometheus.CounterVec
+	// roundSeconds is the time over which the latest placements are sent.
+	roundSeconds prometheus.Gauge
 
 	// cellChanged wakes the task that sends the cell's state to other cells.
 	cellChanged chan struct{}
@@ -241,6 +248,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	sent := newSentBytes()
 	g := &Gossip{
 		config:      c,
 		started:     c.Now(),
@@ -249,10 +257,11 @@
 		newer:       make(chan struct{}, 1),
 		transfers:   make(transferSlots, maxTransfers),
 		codec:       newCodec(),
+		sentBytes:   sent, roundSeconds: newRoundSeconds(),
 		cellChanged: make(chan struct{}, 1),
 		http: &http.Client{Transport: &exchangeTransport{&http.Transport{
 			DialContext: c.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
-		}}},
+		}, sent.WithLabelValues(kindExchange)}},
 		peers:  map[string]*peer{},
 		relays: map[string]relay{},
 		sizes:  map[string]reportedSize{},
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -74,7 +74,7 @@
 	return startNodeOn(t, nil, dataCentre, i, seeds...)
 }
 
-// startNodeOn is startNodeIn on a link, or on loopback without a limit.
+// startNodeOn is startNodeIn on a slow link, or on loopback without a limit.
 func startNodeOn(t *testing.T, link *comfreyrelay.Link, dataCentre string, i int, seeds ...string) *node {
 	t.Helper()
 	ip := fmt.Sprintf("127.0.7.%d", i)
@@ -85,14 +85,15 @@
 	}
 	n.address = l.Addr().String()
 	var dial func(ctx context.Context, network, address string) (net.Conn, error)
+	rate := 0.0
 	if link != nil {
-		l, dial = link.Listener(l), link.Dial
+		l, dial, rate = link.Listener(l), link.Dial, slowLink
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	group := comfreygroup.New(t.Context())
 	n.gossip = comfreygossip.New(comfreygossip.Config{
-		Address: n.address, DatagramPort: 17201, DataCentre: dataCentre, Seeds: seeds, Group: group, Logger: logger, Dial: dial,
+		Address: n.address, DatagramPort: 17201, DataCentre: dataCentre, Seeds: seeds, Group: group, Logger: logger, Dial: dial, LinkBytesPerSecond: rate,
 		StoreVersion: func() comfreystorecache.Version { return locked(n, n.cache.Version) },
 		StoreChangesSince: func(v comfreystorecache.Version) comfreystorecache.Changes {
 			n.mu.Lock()
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -52,14 +53,17 @@
 				return nil
 			}
 		}
-		g.sendPlacements()
 		g.sendCrashRecords()
+		if !g.sendPlacements(ctx) {
+			return nil
+		}
 		t.Reset(placementInterval)
 	}
 }
 
-// sendPlacements sends the placements to every placement target.
-func (g *Gossip) sendPlacements() {
+// sendPlacements sends the placements to every placement target, in random order and
+// spread over their roundTime. It returns false if ctx ends meanwhile.
+func (g *Gossip) sendPlacements(ctx context.Context) bool {
 	s := g.config.Placements()
 	version := g.config.StoreVersion()
 	age, known := g.config.DirectStoreAge()
@@ -68,24 +72,59 @@
 	sequence := g.sequence
 	to := g.placementTargets()
 	g.mu.Unlock()
+	var l [][]byte
+	size := 0
 	for _, d := range datagrams(s, g.config.Now()) {
 		d.Address, d.DataCentre, d.Incarnation, d.Sequence = g.config.Address, g.config.DataCentre, g.incarnation, sequence
 		d.Complete, d.Era, d.ContactKnown, d.ContactAgeMillis = version.Revision, version.Era, known, uint64(max(age, 0).Milliseconds())
-		g.send(d, to...)
+		if b, ok := g.marshal(d); ok {
+			l = append(l, b)
+			size += len(b) + datagramOverhead
+		}
+	}
+	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	round := roundTime(size, len(to), g.config.LinkBytesPerSecond)
+	g.roundSeconds.Set(round.Seconds())
+	each := round / time.Duration(max(len(to), 1))
+	due := time.Duration(0)
+	for _, a := range to {
+		for _, b := range l {
+			g.write(kindPlacements, b, a)
+		}
+		if due += each; due < minPacingDelay {
+			continue
+		}
+		if !g.pause(ctx, due) {
+			return false
+		}
+		due = 0
 	}
+	return due < batchDelay || g.pause(ctx, due)
 }
 
 // send sends a datagram. It is not repeated: if it is lost, the next one replaces
 // it.
-func (g *Gossip) send(d *comfreyproto.PlacementDatagram, to ...*net.UDPAddr) {
+func (g *Gossip) send(kind string, d *comfreyproto.PlacementDatagram, to ...*net.UDPAddr) {
+	if b, ok := g.marshal(d); ok {
+		g.write(kind, b, to...)
+	}
+}
+
+// marshal encodes a datagram. It reports false if that fails.
+func (g *Gossip) marshal(d *comfreyproto.PlacementDatagram) ([]byte, bool) {
 	b, err := proto.Marshal(d)
 	if err != nil {
 		g.config.Logger.WithError(err).Warning("cannot encode a datagram")
-		return
 	}
+	return b, err == nil
+}
+
+// write writes an encoded datagram.
+func (g *Gossip) write(kind string, b []byte, to ...*net.UDPAddr) {
 	for _, a := range to {
 		_, _ = g.socket.WriteToUDP(b, a)
 	}
+	g.sentBytes.WithLabelValues(kind).Add(float64(len(to) * (len(b) + datagramOverhead)))
 }
 
 // datagrams splits placements into parts that fit into a datagram each.
--- a/comfreygossip/store.go
+++ b/comfreygossip/store.go
@@ -32,7 +32,7 @@
 	for _, d := range storeDatagrams(after.Revision, version.Revision, changes) {
 		d.Cell, d.DataCentre, d.Sender, d.Era = string(l.Own()), g.config.DataCentre, g.config.Address, version.Era
 		d.AgeMillis = uint64(max(age, 0).Milliseconds())
-		g.send(&comfreyproto.PlacementDatagram{Store: d}, g.datagramAddresses(to)...)
+		g.send(kindStoreChanges, &comfreyproto.PlacementDatagram{Store: d}, g.datagramAddresses(to)...)
 	}
 }
 
@@ -80,7 +80,7 @@
 		return
 	}
 	if to := g.storeTargets(g.Layout(), d); len(to) > 0 {
-		g.send(&comfreyproto.PlacementDatagram{Store: &comfreyproto.StoreDatagram{
+		g.send(kindStoreChanges, &comfreyproto.PlacementDatagram{Store: &comfreyproto.StoreDatagram{
 			Cell: d.Cell, DataCentre: d.DataCentre, Sender: g.config.Address, After: d.After, Complete: d.Complete, Era: d.Era, Changes: d.Changes, AgeMillis: d.AgeMillis,
 		}}, g.datagramAddresses(to)...)
 	}
--- a/comfreygossip/transfer.go
+++ b/comfreygossip/transfer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/klauspost/compress/zstd"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreystorecache"
@@ -48,11 +49,11 @@
 }
 
 // handler makes requests release the slots that they have taken, once h has
-// written the response.
-func (s transferSlots) handler(h http.Handler) http.Handler {
+// written the response, and counts the bytes of responses.
+func (s transferSlots) handler(h http.Handler, sent prometheus.Counter) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t := &slot{}
-		p := &progressWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
+		p := &progressWriter{ResponseWriter: w, controller: http.NewResponseController(w), sent: sent}
 		defer func() {
 			p.clearDeadline()
 			if t.isTaken {
@@ -68,6 +69,7 @@
 type progressWriter struct {
 	http.ResponseWriter
 	controller *http.ResponseController
+	sent       prometheus.Counter
 }
 
 // Write implements io.Writer.
@@ -77,6 +79,7 @@
 		w.setDeadline(time.Now().Add(receiverSilence))
 		n, err := w.ResponseWriter.Write(part)
 		sent += n
+		w.sent.Add(float64(n))
 		if err != nil {
 			return sent, err
 		}
--- a/comfreygossip/transport.go
+++ b/comfreygossip/transport.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // receivedKey is the context key of the counter that countReceived adds.
@@ -18,13 +20,15 @@
 }
 
 // exchangeTransport limits exchanges by their progress, and counts the bytes of
-// response bodies; see countReceived.
+// bodies; see countReceived.
 type exchangeTransport struct {
 	*http.Transport
+	sent prometheus.Counter
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *exchangeTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.sent.Add(float64(max(r.ContentLength, 0)))
 	p, err := exchangeTimeouts.RoundTrip(r, t.Transport.RoundTrip)
 	if n, ok := r.Context().Value(receivedKey{}).(*atomic.Int64); ok && err == nil {
 		p.Body = &countingBody{ReadCloser: p.Body, received: n}
