Final responses at the end of a planned stop have time for their number

What callers saw: a gateway that stops on a slow host closes their connection while its final response is still to be written. An order may have run then.

Cause: 0.3 s for all final responses, whatever their number, and all connections closed 0.4 s before the kill, also those that only wait for their final response.

Change: PlannedStop.MustRespond ends the requests without a response 2 ms earlier for each of them, by at most the last sixth of the grace period, so that replicas keep the time in which they may not be cut off. At 7.6 s of 8 only the responses that have begun are cut off; the other connections stay open until 0.15 s before the kill.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -65,6 +65,8 @@
 	unanswered    context.Context
 	endUnanswered context.CancelFunc
 	metrics       *metrics
+	// open are the requests in the handler.
+	open openRequests
 
 	mu           sync.Mutex
 	storeCache   *comfreystorecache.Cache
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -78,11 +78,15 @@
 	cancel context.CancelCauseFunc
 	// response tells whether the response of a replica has begun; see beginResponse.
 	response atomic.Int32
+	// offeredTo is the replica of the latest attempt, for other goroutines.
+	offeredTo atomic.Pointer[string]
 }
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{w: w, r: r, started: g.config.Now(), call: g.config.Protocol.ParseRequestHeaders(r.Header), tried: map[string]bool{}}
+	g.open.add(x)
+	defer g.open.remove(x)
 	if !g.resolve(x) {
 		return
 	}
@@ -96,6 +100,7 @@
 	defer stop()
 	ctx, x.cancel = context.WithCancelCause(ctx)
 	defer x.cancel(nil)
+	x.response.Store(responsePending)
 	defer context.AfterFunc(g.unanswered, x.endUnanswered)()
 	if x.route.Kind == comfreyroute.KindStreaming {
 		g.forwardStream(ctx, x)
--- a/comfreyforward/planned_stop.go
+++ b/comfreyforward/planned_stop.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreydecision"
+	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -30,9 +35,20 @@
 	return errors.Is(context.Cause(ctx), errStopEnds)
 }
 
+// errStopCuts is why a response that has begun is cut off: the gateway has to close its
+// connections.
+var errStopCuts = errors.New("comfreyforward: the gateway closes its connections")
+
+// isCutByStop reports whether a response was cut off by the end of a planned stop.
+func isCutByStop(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errStopCuts)
+}
+
 // The states of the response of a replica.
 const (
-	responsePending int32 = iota
+	// responseUnread means that the request was not read whole.
+	responseUnread int32 = iota
+	responsePending
 	responseBegun
 	// responseEnded means that the gateway responds in place of a replica.
 	responseEnded
@@ -55,6 +71,77 @@
 	}
 }
 
+// cutResponse ends the request if the response of a replica has begun.
+func (x *exchange) cutResponse() {
+	if x.response.Load() == responseBegun {
+		x.cancel(errStopCuts)
+	}
+}
+
+// endUnansweredInTime ends the requests without a response once their final responses need
+// the rest of the time of a stop. It returns when ctx ends.
+func (g *Gateway) endUnansweredInTime(ctx context.Context, began time.Time, gracePeriod time.Duration) {
+	t := g.stopTimes.Load()
+	for {
+		now := g.config.Now()
+		s := comfreyplacement.PlannedStop{EndsIn: t.end.Sub(now), GracePeriod: gracePeriod, KilledIn: began.Add(gracePeriod).Sub(now)}
+		if n := g.open.unanswered(); s.MustRespond(n) {
+			g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "responding", "unanswered": n, "after-ms": now.Sub(began).Milliseconds()})
+			g.EndUnanswered()
+			return
+		}
+		if !comfreygroup.Sleep(ctx, finalResponseInterval) {
+			return
+		}
+	}
+}
+
+// cutResponses ends the requests whose response has begun, so that each has a line in the
+// log.
+func (g *Gateway) cutResponses() {
+	for _, x := range g.open.all() {
+		x.cutResponse()
+	}
+}
+
+// openRequests are the requests in the handler. It is safe for concurrent use.
+type openRequests struct {
+	mu        sync.Mutex
+	exchanges map[*http.Request]*exchange
+}
+
+func (o *openRequests) add(x *exchange) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.exchanges == nil {
+		o.exchanges = map[*http.Request]*exchange{}
+	}
+	o.exchanges[x.r] = x
+}
+
+func (o *openRequests) remove(x *exchange) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.exchanges, x.r)
+}
+
+func (o *openRequests) all() []*exchange {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Values(o.exchanges))
+}
+
+// unanswered returns how many requests were read whole and have no response.
+func (o *openRequests) unanswered() int {
+	n := 0
+	for _, x := range o.all() {
+		if x.response.Load() == responsePending {
+			n++
+		}
+	}
+	return n
+}
+
 // respondToStop sends the final response to a request that the end of a planned stop has
 // ended.
 func (g *Gateway) respondToStop(x *exchange) {
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -41,9 +41,12 @@
 	// gracePeriodMargin is how long before the end of the grace period, when
 	// the process is killed, the gateway stops by itself.
 	gracePeriodMargin = 400 * time.Millisecond
-	// finalResponseMargin is how long before it closes all connections a gateway
-	// responds to the requests whose response has not begun.
-	finalResponseMargin = 300 * time.Millisecond
+	// exitMargin is how long before the end of the grace period a gateway exits whose
+	// final responses are still being written.
+	exitMargin = 150 * time.Millisecond
+	// finalResponseInterval is how often a stopping gateway checks whether the requests
+	// without a response have to get a final one.
+	finalResponseInterval = 50 * time.Millisecond
 )
 
 // ServerConfig holds the addresses and limits of a Server.
@@ -114,7 +117,8 @@
 
 // drain marks the gateway as not ready and finishes open requests. Of those that are
 // open near the end of the grace period, the ones whose response has not begun get a
-// final one, and the others are aborted.
+// final one, and the others are aborted. A slow host goes on writing final responses after
+// that until the process is about to be killed.
 func (s *Server) drain(callers *comfreyserver.Server) error {
 	g := s.gateway
 	began := g.config.Now()
@@ -124,14 +128,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	comfreygroup.Sleep(ctx, deregistrationDelay)
-	serving, cancelServing := context.WithDeadline(ctx, began.Add(limit-finalResponseMargin))
-	defer cancelServing()
-	if err := callers.StopListening(serving); err != nil {
+	g.config.Group.Go("final responses", func(context.Context) error {
+		g.endUnansweredInTime(ctx, began, s.config.GracePeriod)
+		return nil
+	})
+	if err := callers.StopListening(ctx); err != nil {
 		g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "accepting-until-closed", "error": err.Error()})
 	}
-	if callers.Drain(serving) != nil {
+	if callers.Drain(ctx) != nil {
 		g.EndUnanswered()
-		_ = callers.Drain(ctx) // What is left is closed.
+		g.cutResponses()
+		exiting, cancelExiting := context.WithTimeout(context.Background(), began.Add(s.config.GracePeriod-exitMargin).Sub(g.config.Now()))
+		defer cancelExiting()
+		_ = callers.Drain(exiting) // What is left is closed.
 	}
 	cut, err := callers.Close()
 	g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonAccepted, map[string]any{"state": "stopped", "streams": g.streamCount(), "cut": cut, "after-ms": g.config.Now().Sub(began).Milliseconds()})
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -204,6 +204,8 @@
 		reason = comfreyverdict.ReasonDeadline
 	case isHeldBack(ctx):
 		reason, err = comfreyverdict.ReasonSuspectRequest, errHeldBack
+	case isCutByStop(ctx):
+		reason, err = comfreyverdict.ReasonLeaving, errStopCuts
 	case ctx.Err() != nil || o.isBroken:
 		reason = comfreyverdict.ReasonCallerGone
 	}
--- a/comfreyforward/suspect.go
+++ b/comfreyforward/suspect.go
@@ -115,7 +115,7 @@
 
 // isCallerGone reports whether the caller of a request has disconnected.
 func isCallerGone(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !isHeldBack(ctx) && !isEndedByStop(ctx)
+	return errors.Is(ctx.Err(), context.Canceled) && !isHeldBack(ctx) && !isEndedByStop(ctx) && !isCutByStop(ctx)
 }
 
 // cancelSuspects ends the requests in flight that are held back by what was learnt
--- a/comfreyplacement/planned_stop.go
+++ b/comfreyplacement/planned_stop.go
@@ -17,6 +17,14 @@
 	// maxStopRetryShare is the part of its caller's remaining time that a caller waits
 	// before it returns.
 	maxStopRetryShare = 1.0 / 3
+	// minFinalMargin is how long before the connections are closed the requests without a
+	// response get a final one, and finalResponseTime what each of them adds to it: twice
+	// what a response takes at a gateway with a seventh of a core.
+	minFinalMargin    = 300 * time.Millisecond
+	finalResponseTime = 2 * time.Millisecond
+	// maxFinalShare is the part of the grace period before its end in which final responses
+	// are written, so that replicas have the rest of it.
+	maxFinalShare = 1.0 / 6
 )
 
 // PlannedStop is the planned stop of a gateway as it stands at one moment.
@@ -29,6 +37,8 @@
 	// EndsIn is the time until the gateway closes all connections, and DeregisteredIn
 	// that until the load balancer sends no new ones.
 	EndsIn, DeregisteredIn time.Duration
+	// GracePeriod is how long the stop may take, and KilledIn the time until it is over.
+	GracePeriod, KilledIn time.Duration
 }
 
 // MinChance returns the probability with which a generation has to end before the stop so
@@ -47,6 +57,17 @@
 	return s.EndsIn-stopRefusalMargin > expected
 }
 
+// MustRespond reports whether the requests without a response, given their number, have to
+// get a final one now, so that the last is written before the end of the stop.
+//
+// It is built for this load: hundreds of requests are at replicas that do not respond, and
+// the gateway has a small share of a core.
+func (s PlannedStop) MustRespond(unanswered int) bool {
+	longest := time.Duration(maxFinalShare*float64(s.GracePeriod)) - (s.KilledIn - s.EndsIn)
+	margin := min(time.Duration(unanswered)*finalResponseTime, longest)
+	return s.EndsIn <= max(margin, minFinalMargin)
+}
+
 // RetryAfter returns when the caller of a refused request may return and reach another
 // gateway, given the time that the caller has left.
 func (s PlannedStop) RetryAfter(left time.Duration) time.Duration {
--- a/comfreyplacement/planned_stop_test.go
+++ b/comfreyplacement/planned_stop_test.go
@@ -56,3 +56,22 @@
 		}
 	}
 }
+
+// TestManyFinalResponsesBeginEarlier replays the end of a stop of 8 s. It guards against
+// hundreds of final responses that a slow host cannot write in the time that suffices for a
+// few, and against an end of the work of replicas in more than a sixth of the grace period.
+func TestManyFinalResponsesBeginEarlier(t *testing.T) {
+	const gracePeriod, end = 8 * time.Second, 7600 * time.Millisecond
+	for _, c := range []struct {
+		unanswered int
+		want       time.Duration
+	}{{0, 7300 * time.Millisecond}, {100, 7300 * time.Millisecond}, {300, 7000 * time.Millisecond}, {600, 6670 * time.Millisecond}, {4000, 6670 * time.Millisecond}} {
+		now := time.Duration(0)
+		for !(comfreyplacement.PlannedStop{EndsIn: end - now, GracePeriod: gracePeriod, KilledIn: gracePeriod - now}).MustRespond(c.unanswered) {
+			now += 10 * time.Millisecond
+		}
+		if now != c.want {
+			t.Errorf("%d requests get their final responses after %v, want %v", c.unanswered, now, c.want)
+		}
+	}
+}
