A request that is cut off by a planned stop has a line that says so

What operators saw: the line of the end of a stop counts requests that were cut off, but not which. A stream's line said caller-gone; a request whose body was not complete was logged as answered with 400, which was not written; the lines were written after the connections were closed, while the process exits, so that they could be missing.

What is still in the handler when the connections are closed gets a line first (finish, answer-cut: request, state, replica).

--- a/comfreyforward/planned_stop.go
+++ b/comfreyforward/planned_stop.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// observeCut records a request whose connection is closed while it is in the handler.
+func (g *Gateway) observeCut(r *http.Request) {
+	f := map[string]any{"detail": "connection closed by the end of the stop", "state": "responded", "stopping": g.isDraining.Load()}
+	if x := g.open.get(r); x != nil {
+		f["state"] = [...]string{"unread", "pending", "begun", "ended"}[x.response.Load()]
+		f["after-ms"] = g.config.Now().Sub(x.started).Milliseconds()
+		if p := x.offeredTo.Load(); p != nil {
+			f["replica"] = *p
+		}
+	}
+	g.record(g.config.Protocol.ParseRequestHeaders(r.Header).ID, comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, f)
+}
+
 // openRequests are the requests in the handler. It is safe for concurrent use.
 type openRequests struct {
 	mu        sync.Mutex
@@ -125,6 +138,13 @@
 	delete(o.exchanges, x.r)
 }
 
+// get returns the exchange of a request; nil if the handler has returned.
+func (o *openRequests) get(r *http.Request) *exchange {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.exchanges[r]
+}
+
 func (o *openRequests) all() []*exchange {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -182,6 +182,7 @@
 		IdleTimeout:       positiveOr(l.IdleTimeout, defaultIdleTimeout) + idleTimeoutMargin,
 		MaxConnections:    maxCallerConnections(s.config.MaxFileDescriptors),
 		OnUnanswered:      s.gateway.observeUnanswered,
+		OnCut:             s.gateway.observeCut,
 	})
 	s.gateway.config.Group.Go("callers", func(context.Context) error {
 		if err := h.Serve(); err != nil {
--- a/comfreyserver/connection.go
+++ b/comfreyserver/connection.go
@@ -56,9 +56,10 @@
 	// firstReadAt is when the first of them were read.
 	read        int
 	firstReadAt time.Time
-	// isHandled means that the handler got the request, and wasUsed that it got one
-	// before.
-	isHandled, wasUsed bool
+	// handled is the request that the handler got; nil if there is none. wasUsed means that
+	// it got one before.
+	handled *http.Request
+	wasUsed bool
 	// deadline is the read deadline that the server has set, and idleDeadlines how many
 	// it has set since the connection was last idle: one while it waits for a request,
 	// and another one for the request, of which it may have read a part with the
@@ -151,7 +152,7 @@
 func (c *connection) reportUnanswered() {
 	c.mu.Lock()
 	u := Unanswered{Cause: c.cause, Bytes: c.read, After: time.Since(c.firstReadAt), Age: time.Since(c.acceptedAt), WasUsed: c.wasUsed}
-	isHandled := c.isHandled
+	isHandled := c.handled != nil
 	c.mu.Unlock()
 	if u.Cause == "" {
 		u.Cause = CauseServer
@@ -166,7 +167,7 @@
 	c.mu.Lock()
 	c.state = s
 	if s == http.StateIdle {
-		c.read, c.isHandled, c.wasUsed, c.hasExtended, c.idleDeadlines = 0, false, true, false, 0
+		c.read, c.handled, c.wasUsed, c.hasExtended, c.idleDeadlines = 0, nil, true, false, 0
 	}
 	c.mu.Unlock()
 	if s == http.StateIdle {
@@ -175,10 +176,10 @@
 }
 
 // setHandled records that the handler got the request.
-func (c *connection) setHandled() {
+func (c *connection) setHandled(r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isHandled = true
+	c.handled = r
 }
 
 // endIfIdle ends the connection if it has had a request and waits for the next one.
@@ -211,14 +212,18 @@
 	c.isEnding = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
-// cut records that the server is closed, and reports whether a request is in the handler.
-func (c *connection) cut() bool {
+// cut records that the server is closed, and returns the request that is in the handler, if
+// there is one.
+func (c *connection) cut() *http.Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause == "" {
 		c.cause = CauseStop
 	}
-	return c.state == http.StateActive && c.isHandled
+	if c.state != http.StateActive {
+		return nil
+	}
+	return c.handled
 }
 
 // SyscallConn implements syscall.Conn.
--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -31,6 +31,9 @@
 	// OnUnanswered is called when a connection has ended on which bytes of a request
 	// were read that the handler did not get; it may be nil.
 	OnUnanswered func(Unanswered)
+	// OnCut is called when the server is closed while a request is in the handler; it may
+	// be nil.
+	OnCut func(*http.Request)
 }
 
 // Server is an HTTP server on one listener. It is safe for concurrent use.
@@ -145,8 +148,13 @@
 	s.isClosed = true
 	s.mu.Unlock()
 	for _, c := range s.open() {
-		if c.cut() {
-			cut++
+		r := c.cut()
+		if r == nil {
+			continue
+		}
+		cut++
+		if f := s.config.OnCut; f != nil {
+			f(r)
 		}
 	}
 	return cut, s.http.Close()
@@ -200,7 +208,7 @@
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
-		c.setHandled()
+		c.setHandled(r)
 	}
 	s.config.Handler.ServeHTTP(w, r)
 }
