A generation that was stopped to be moved returns to its source

What callers saw: a stream that was broken off in the middle, although no replica had broken off: its generation had been stopped at a replica that leaves, or is too full, and the destination then refused it or could not be reached.

Cause: the resumption was tried at the destination only. The source keeps the KV cache of a generation that it has stopped and takes the same request with Kv-From and Last-Event-Id (PROTOCOL.md), but was not asked.

Change: resumeState.next decides apart from I/O what comes next. The source is asked once, and only if the replica that was asked has surely not begun or has ended the run: it refused, was another replica, gave a complete failure, or could not be reached. A connection that breaks after the request was sent is still the end, as the destination may work on it. The gateway waits until the call that stops the generation has returned. From the source it is moved again as any other.

TestRefusedContinuationIsNotRetried expects the same as before.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -23,6 +23,10 @@
 	// generatedTokens is how many output tokens there were when the first copy
 	// began.
 	generatedTokens int
+	// former is the replica that executed the generation before, and stop the call that
+	// stopped it there; nil if there was none. Both are set when the copy is taken.
+	former comfreyplacement.Candidate
+	stop   *stopCall
 }
 
 // generation is one caller's stream while it is executed. The mutex of the
@@ -188,6 +192,7 @@
 	n.continuation = nil
 	if next != nil {
 		n.moves++
+		next.former, next.stop = n.replica, n.stop
 		next.LastEvent, next.HasProgress = n.lastEvent, n.events > 0
 		g.trackPlacement(n, next.destination)
 		g.estimator.Finish(g.config.Now(), kvCopyID(n)) // The generation now occupies the memory of its copy.
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -358,6 +358,12 @@
 	g.mu.Lock()
 	s := n.stop
 	g.mu.Unlock()
+	return g.awaitStopCall(ctx, s)
+}
+
+// awaitStopCall waits until a call that stops a generation, which may be nil, has
+// returned, and reports whether the generation may have been stopped.
+func (g *Gateway) awaitStopCall(ctx context.Context, s *stopCall) bool {
 	if s == nil {
 		return false
 	}
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -11,7 +11,6 @@
 	"comfreyridge.example/comfreyridge/comfreycall"
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
-	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreylength"
 	"comfreyridge.example/comfreyridge/comfreyplacement"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
@@ -100,37 +99,6 @@
 	}
 }
 
-// resume resumes a generation from its copy, after its stream has ended early. ok is
-// false if there was no copy.
-func (g *Gateway) resume(ctx context.Context, x *exchange, n *generation) (a *comfreyconnection.Response, e *attemptError, ok bool) {
-	for next := g.takeContinuation(n); next != nil; next = g.takeContinuation(n) {
-		ok = true
-		a, _, e = g.send(ctx, x, next.destination, newAttempt(next.destination, next))
-		if e == nil && a.Status >= 300 {
-			a.Close()
-			e = &attemptError{reason: comfreyverdict.ReasonEngineRefused}
-		}
-		f := map[string]any{"replica": next.destination.ID, "from": next.Source, "handle": next.Handle, "last-event": next.LastEvent, "copy-age-ms": g.config.Now().Sub(next.completedAt).Milliseconds()}
-		if e == nil {
-			g.record(n.request, comfreydecision.KindResume, comfreyverdict.ReasonAccepted, f)
-			g.config.Group.Go("move", func(ctx context.Context) error {
-				// The destination may have started to leave during the move.
-				if comfreygroup.Sleep(ctx, copyRetryDelay) {
-					g.moveRemaining(next.destination.ID)
-				}
-				return nil
-			})
-			return a, nil, true
-		}
-		f["error"] = e.Error()
-		g.record(n.request, comfreydecision.KindResume, e.reason, f)
-		if !e.isLost {
-			break
-		}
-	}
-	return nil, e, ok
-}
-
 // priority returns the priority of a request; that of the customer takes
 // precedence over that of the route.
 func (x *exchange) priority() int {
