A stream that the end of a planned stop cuts off is logged as such

What operators saw: "event=finish reason=caller-gone" for streams whose callers had not left: 7.6 s after SIGTERM the gateway had closed their connections itself. The two could be told apart only by the time.

Change: the gateway notes that it is about to close what is left; ends from then on have the reason "leaving". The count in the line "state=stopped" remains.

--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -64,7 +64,10 @@
 	// their connections are about to be closed.
 	unanswered    context.Context
 	endUnanswered context.CancelFunc
-	metrics       *metrics
+	// isClosing means that a planned stop is about to close the connections that are
+	// still open.
+	isClosing atomic.Bool
+	metrics   *metrics
 
 	mu           sync.Mutex
 	storeCache   *comfreystorecache.Cache
--- a/comfreyforward/planned_stop.go
+++ b/comfreyforward/planned_stop.go
@@ -30,6 +30,15 @@
 	return errors.Is(context.Cause(ctx), errStopEnds)
 }
 
+// cutReason returns why a response ends whose connection was closed: reason, unless the
+// gateway closes its connections at the end of a planned stop.
+func (g *Gateway) cutReason(reason comfreyverdict.Reason) comfreyverdict.Reason {
+	if g.isClosing.Load() {
+		return comfreyverdict.ReasonLeaving
+	}
+	return reason
+}
+
 // The states of the response of a replica.
 const (
 	responsePending int32 = iota
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -133,6 +133,7 @@
 		g.EndUnanswered()
 		_ = callers.Drain(ctx) // What is left is closed.
 	}
+	g.isClosing.Store(true)
 	cut, err := callers.Close()
 	g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonAccepted, map[string]any{"state": "stopped", "streams": g.streamCount(), "cut": cut, "after-ms": g.config.Now().Sub(began).Milliseconds()})
 	return err
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -173,7 +173,7 @@
 	case isHeldBack(ctx):
 		reason, err = comfreyverdict.ReasonSuspectRequest, errHeldBack
 	case ctx.Err() != nil || o.isBroken:
-		reason = comfreyverdict.ReasonCallerGone
+		reason = g.cutReason(comfreyverdict.ReasonCallerGone)
 	}
 	if !o.isHeaderSent && !o.isBroken && !isCallerGone(ctx) {
 		status := http.StatusBadGateway
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -161,7 +161,7 @@
 	case isHeldBack(ctx) && x.sent > 0:
 		g.fail(x, http.StatusBadGateway, comfreyverdict.ReasonSuspectRequest, errHeldBack)
 	case isCallerGone(ctx):
-		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonCallerGone, x.logFields(g.config.Now()))
+		g.record(x.call.ID, comfreydecision.KindFinish, g.cutReason(comfreyverdict.ReasonCallerGone), x.logFields(g.config.Now()))
 		panic(http.ErrAbortHandler)
 	case x.sent > 0 && ctx.Err() != nil:
 		g.fail(x, http.StatusGatewayTimeout, comfreyverdict.ReasonDeadline, cause)
@@ -334,7 +334,7 @@
 	f["status"], f["sealed"] = a.Status, r.IsSigned
 	if err != nil {
 		f["error"] = err.Error()
-		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, f)
+		g.record(x.call.ID, comfreydecision.KindFinish, g.cutReason(comfreyverdict.ReasonAnswerCut), f)
 		panic(http.ErrAbortHandler)
 	}
 	g.completeAttempt(x, a.Status)
