An idle connection is ended only while the server waits on it

What callers saw: two requests are sent at once on a connection to a server that stops; the second fails with 502, as if its caller had left.

Cause: the end of an idle connection set a read deadline in the past also while the next request was in the buffer of http.Server. Nothing was read for it, so the deadline stayed in force, and the background read that notices callers who leave ended the request's context.

Change: the deadline is set only while the server's goroutine is in Read with an empty buffer; otherwise once it is. The size of the read tells whether the buffer has a part of the next request; a byte that was read in the background counts for the next request too. This replaces the count of deadlines.

--- a/comfreyserver/connection.go
+++ b/comfreyserver/connection.go
@@ -59,12 +59,17 @@
 	// isHandled means that the handler got the request, and wasUsed that it got one
 	// before.
 	isHandled, wasUsed bool
-	// deadline is the read deadline that the server has set, and idleDeadlines how many
-	// it has set since the connection was last idle: one while it waits for a request,
-	// and another one for the request, of which it may have read a part with the
-	// request before.
-	deadline      time.Time
-	idleDeadlines int
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
+	// bufferSize is the size of the server's read buffer, and isWaiting is true while the
+	// server reads, has no part of a request in that buffer, and none is in the handler.
+	bufferSize int
+	isWaiting  bool
+	// endsWhenWaiting means that the connection is ended once the server waits.
+	endsWhenWaiting bool
+	// hasNext means that the first byte of the next request was read while the handler had
+	// a request.
+	hasNext bool
 	// isEnding means that the deadline in force is in the past, so that the server
 	// closes the connection unless bytes have arrived.
 	isEnding bool
@@ -77,21 +82,16 @@
 // Read implements net.Conn. A deadline does not end it if bytes have arrived before the
 // process looked.
 func (c *connection) Read(b []byte) (int, error) {
+	c.beginRead(len(b))
 	n, err := c.Conn.Read(b)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendForArrived() {
 		n, err = c.Conn.Read(b)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isWaiting = false
 	if n > 0 {
-		if c.read == 0 {
-			c.firstReadAt = time.Now()
-		}
-		c.read += n
-		if c.isEnding {
-			c.isEnding = false
-			_ = c.Conn.SetReadDeadline(c.deadline)
-		}
+		c.observeRead(n, len(b))
 	}
 	switch {
 	case err == nil || c.cause != "":
@@ -105,6 +105,40 @@
 	return n, err
 }
 
+// beginRead records that the server reads up to size bytes, and ends the connection if that
+// is due and the server waits for a request. http.Server fills the rest of a buffer, which is
+// smaller than the first time if the buffer has a part of the next request already.
+func (c *connection) beginRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bufferSize = max(c.bufferSize, size)
+	if c.state != http.StateNew && c.state != http.StateIdle {
+		return
+	}
+	if c.read == 0 && size < c.bufferSize {
+		c.read, c.firstReadAt = c.bufferSize-size, time.Now()
+	}
+	c.isWaiting = c.read == 0
+	if c.isWaiting && c.endsWhenWaiting {
+		c.end()
+	}
+}
+
+// observeRead records that n bytes were read, of size at the most. The mutex must be held.
+func (c *connection) observeRead(n, size int) {
+	if c.read == 0 {
+		c.firstReadAt = time.Now()
+	}
+	c.read += n
+	if c.isHandled && size == 1 {
+		c.hasNext = true // http.Server reads one byte beyond the body to notice a caller that leaves.
+	}
+	if c.isEnding {
+		c.isEnding = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
 // isAbort reports whether the deadline is one that the server has set in the past to
 // interrupt a read. The mutex must be held.
 func (c *connection) isAbort() bool {
@@ -122,7 +156,10 @@
 	if c.hasExtended && !c.isEnding || c.isAbort() || !c.hasArrived() {
 		return false
 	}
-	c.isEnding, c.hasExtended = false, true
+	if !c.isEnding {
+		c.hasExtended = true
+	}
+	c.isEnding = false
 	return c.Conn.SetReadDeadline(time.Now().Add(arrivedTimeout)) == nil
 }
 
@@ -131,10 +168,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	c.idleDeadlines++
-	if c.isEnding {
-		return nil
-	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -164,13 +197,15 @@
 // setState records the state in the view of the server.
 func (c *connection) setState(s http.ConnState) {
 	c.mu.Lock()
-	c.state = s
-	if s == http.StateIdle {
-		c.read, c.isHandled, c.wasUsed, c.hasExtended, c.idleDeadlines = 0, false, true, false, 0
+	defer c.mu.Unlock()
+	c.state, c.endsWhenWaiting = s, false
+	if s != http.StateIdle {
+		return
 	}
-	c.mu.Unlock()
-	if s == http.StateIdle {
-		c.server.notify()
+	c.server.notify()
+	c.read, c.isHandled, c.wasUsed, c.hasExtended = 0, false, true, false
+	if c.hasNext {
+		c.read, c.firstReadAt, c.hasNext = 1, time.Now(), false
 	}
 }
 
@@ -200,15 +235,15 @@
 	}
 }
 
-// end makes the server close the connection unless a part of a request was read or has
-// arrived. It does not close the connection itself, since only the goroutine that reads
-// knows what it has read. The mutex must be held.
+// end makes the server close the connection if it waits for a request and nothing has
+// arrived, or does so once it waits. It does not close the connection itself, since only the
+// goroutine that reads knows what it has read. Until that waits, a request may be in its
+// buffer. The mutex must be held.
 func (c *connection) end() {
-	hasRequest := c.read > 0 || c.state == http.StateIdle && c.idleDeadlines > 1 || c.hasArrived()
-	if c.isEnding || hasRequest {
-		return
+	c.endsWhenWaiting = !c.isWaiting
+	if c.isWaiting && !c.isEnding && !c.hasArrived() {
+		c.isEnding = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 	}
-	c.isEnding = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
 // cut records that the server is closed, and reports whether a request is in the handler.
--- a/comfreyserver/connection_test.go
+++ b/comfreyserver/connection_test.go
@@ -237,3 +237,77 @@
 		})
 	}
 }
+
+// TestBufferedRequestOutlivesEndOfIdleConnection ends an idle connection whose next request
+// is in the buffer of http.Server, so that nothing is read for it. It guards against a
+// deadline that passes while the request is handled, by which its context ends as if the
+// caller had left.
+func TestBufferedRequestOutlivesEndOfIdleConnection(t *testing.T) {
+	s := newTestServer(t, Config{})
+	c := newTestCaller(t, s)
+	c.accepted.setState(http.StateIdle)
+	c.accepted.endIfIdle()
+	_ = c.accepted.SetReadDeadline(time.Now().Add(testTimeout)) // Idle.
+	_ = c.accepted.SetReadDeadline(time.Now().Add(testTimeout)) // The header.
+	c.accepted.setState(http.StateActive)
+	c.accepted.setHandled()
+	_ = c.accepted.SetReadDeadline(time.Time{})
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, "G")
+	}()
+	if _, err := c.accepted.Read(make([]byte, 1)); err != nil {
+		t.Errorf("reading while a request is handled: got %v", err)
+	}
+}
+
+// TestPipelinedRequestsAreHandledDuringStop ends idle connections in a loop while callers
+// send two requests at once. It guards against the context of the second ending before its
+// response.
+func TestPipelinedRequestsAreHandledDuringStop(t *testing.T) {
+	const rounds = 100
+	s := newTestServer(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		case <-time.After(2 * time.Millisecond):
+		}
+	})})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve() })
+	done := make(chan struct{})
+	serving.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			for _, c := range s.open() {
+				c.endIfIdle()
+			}
+		}
+	})
+	for range rounds {
+		c := dial(t, s)
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
+		r := bufio.NewReader(c)
+		if _, err := io.WriteString(c, testRequest+testRequest); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 2 {
+			a, err := http.ReadResponse(r, nil)
+			if err != nil || a.StatusCode != http.StatusOK {
+				t.Errorf("response %d of two: got %v, %v", i+1, a, err)
+				break
+			}
+		}
+		_ = c.Close()
+		if t.Failed() {
+			break
+		}
+	}
+	close(done)
+	_, _ = s.Close()
+	serving.Wait()
+}
