An accept that fails for a moment does not end a planned stop

Cause: each error of Accept marked the listener as stopped, also those after which the server accepts again. The stop then returned without emptying the queue.

Evidence: TestFailedAcceptDoesNotEndStop, failing before.

Change: only the end of the listener marks it.

--- a/comfreyserver/listener.go
+++ b/comfreyserver/listener.go
@@ -30,7 +30,9 @@
 	quiet time.Duration
 	// dropsNew is whether the listener drops new connections.
 	dropsNew bool
-	// closeSocket closes the socket; TCPListener.Close by default.
+	// accept accepts a connection and closeSocket closes the socket; TCPListener.Accept
+	// and TCPListener.Close by default.
+	accept      func() (net.Conn, error)
 	closeSocket func() error
 	// stopped is closed when the listener accepts no more, and closed when it is
 	// closed.
@@ -48,7 +50,8 @@
 
 func newStoppableListener(l *net.TCPListener) *stoppableListener {
 	return &stoppableListener{
-		TCPListener: l, quiet: acceptQuiet, closeSocket: l.Close, stopped: make(chan struct{}), closed: make(chan struct{}),
+		TCPListener: l, quiet: acceptQuiet, accept: l.Accept, closeSocket: l.Close,
+		stopped: make(chan struct{}), closed: make(chan struct{}),
 	}
 }
 
@@ -57,11 +60,11 @@
 	if l.isStopping.Load() {
 		_ = l.SetDeadline(time.Now().Add(l.quiet)) // It fails only if the listener is closed.
 	}
-	c, err := l.TCPListener.Accept()
+	c, err := l.accept()
 	for errors.Is(err, os.ErrDeadlineExceeded) && l.hasPending() {
 		// The deadline can pass before the first look at the queue if the host is slow.
 		_ = l.SetDeadline(time.Now().Add(maxStopDelay))
-		c, err = l.TCPListener.Accept()
+		c, err = l.accept()
 	}
 	if err == nil {
 		return c, nil
@@ -70,7 +73,9 @@
 	if isStopped {
 		err = errors.Join(net.ErrClosed, l.closeSocket())
 	}
-	l.stoppedOnce.Do(func() { close(l.stopped) })
+	if errors.Is(err, net.ErrClosed) { // Else the server accepts again, as when it has no descriptors.
+		l.stoppedOnce.Do(func() { close(l.stopped) })
+	}
 	if isStopped {
 		<-l.closed // The server takes an earlier error for a failure.
 	}
--- a/comfreyserver/listener_test.go
+++ b/comfreyserver/listener_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -129,3 +131,22 @@
 	_ = l.Close()
 	g.Wait()
 }
+
+// TestFailedAcceptDoesNotEndStop lets a listener run out of descriptors before it is
+// stopped. It guards against a stop that takes the listener for closed, and resets the
+// connections in its queue.
+func TestFailedAcceptDoesNotEndStop(t *testing.T) {
+	l := newTestListener(t)
+	accept := l.accept
+	l.accept = func() (net.Conn, error) { return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE} }
+	if _, err := l.Accept(); !errors.Is(err, syscall.EMFILE) {
+		t.Fatalf("got %v", err)
+	}
+	select {
+	case <-l.stopped:
+		t.Error("a listener that has no descriptors counts as stopped")
+	default:
+	}
+	l.accept = accept
+	_ = l.Close()
+}
