Serve goes on until the server is closed on every kind of listener

What callers would see: a process whose listener is not one on TCP, or wraps one, takes its server for failed as a planned stop begins, and ends open requests.

Cause: StopListening closed such a listener; http.Server returned the error of Accept, and Serve passed it on unless it was net.ErrClosed.

Evidence: TestStoppedForeignListenerIsNoFailure, which got EOF before.

Change: an Accept that fails after the stop blocks until Close, as it did on TCP, and Serve returns nil after a stop.

--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -43,7 +43,7 @@
 	limited *limitedListener
 
 	mu          sync.Mutex
-	listener    net.Listener
+	listener    *trackingListener
 	connections map[*connection]struct{}
 	isStopped   bool
 	isClosed    bool
@@ -67,14 +67,14 @@
 		s.limited = newLimitedListener(l, c.MaxConnections)
 		l = s.limited
 	}
-	s.listener = &trackingListener{Listener: l, server: s}
+	s.listener = &trackingListener{Listener: l, server: s, closed: make(chan struct{})}
 	return s
 }
 
 // Serve serves until the server is closed, and returns nil then.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) || s.hasStopped() && errors.Is(err, net.ErrClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.hasStopped() {
 		return nil
 	}
 	return err
@@ -95,7 +95,7 @@
 	s.mu.Unlock()
 	s.makeRoom()
 	if s.callers == nil {
-		return s.listener.Close()
+		return s.listener.stop()
 	}
 	err := s.callers.DropNew()
 	s.callers.Stop(ctx, s.makeRoom)
@@ -209,12 +209,19 @@
 type trackingListener struct {
 	net.Listener
 	server *Server
+	// closed is closed when the server is closed.
+	closed              chan struct{}
+	closeOnce, stopOnce sync.Once
+	stopErr             error
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Once the listener has stopped, it blocks until Close.
 func (l *trackingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
+		if l.server.hasStopped() {
+			<-l.closed // The server takes an earlier error for a failure.
+		}
 		return nil, err
 	}
 	k := &connection{Conn: c, server: l.server, acceptedAt: time.Now()}
@@ -222,10 +229,18 @@
 	return k, nil
 }
 
+// stop closes the listener beneath.
+func (l *trackingListener) stop() error {
+	l.stopOnce.Do(func() {
+		if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrClosed) {
+			l.stopErr = err
+		}
+	})
+	return l.stopErr
+}
+
 // Close implements net.Listener.
 func (l *trackingListener) Close() error {
-	if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrClosed) {
-		return err
-	}
-	return nil
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.stop()
 }
--- a/comfreyserver/server_test.go
+++ b/comfreyserver/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -108,3 +109,56 @@
 	_, _ = s.Close()
 	serving.Wait()
 }
+
+// foreignListener is a listener that is not one on TCP, and whose Accept ends with an error
+// of its own.
+type foreignListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+	once        sync.Once
+}
+
+func newForeignListener() *foreignListener {
+	return &foreignListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *foreignListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, io.EOF
+	}
+}
+
+func (l *foreignListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (*foreignListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestStoppedForeignListenerIsNoFailure stops a server whose listener is not one on TCP. It
+// guards against an error, or an end, of Serve by which a process takes its server for
+// failed, and ends open requests.
+func TestStoppedForeignListenerIsNoFailure(t *testing.T) {
+	s := New(newForeignListener(), Config{Handler: http.NotFoundHandler()})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	time.Sleep(10 * time.Millisecond)
+	if err := s.StopListening(t.Context()); err != nil {
+		t.Error(err)
+	}
+	select {
+	case err := <-served:
+		t.Errorf("Serve ended before the server was closed: %v", err)
+		return
+	case <-time.After(50 * time.Millisecond):
+	}
+	if _, err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-served; err != nil {
+		t.Errorf("got %v, want nil", err)
+	}
+}
