A server can be closed before it serves, and stopped twice

Close left a listener open that did not serve yet, since http.Server knows its listener only from then on: callers were connected to nobody. A second planned stop, or one of a closed server, attached its filter again, with a false error ("accepting-until-closed" in the log), and wrote fields that Accept reads.

Evidence: TestCloseBeforeServeClosesListener and TestSecondStopIsNoFailure, both failing before.

Change: Close closes the listener itself, too; the filter is attached once, and a listener that is closed needs none.

--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -47,6 +47,9 @@
 	connections map[*connection]struct{}
 	isStopped   bool
 	isClosed    bool
+	// dropErr is the result of dropping new connections.
+	dropOnce sync.Once
+	dropErr  error
 	// changed receives a value after a connection has changed its state.
 	changed chan struct{}
 }
@@ -97,9 +100,12 @@
 	if s.callers == nil {
 		return s.listener.stop()
 	}
-	err := s.callers.DropNew()
+	s.dropOnce.Do(func() { s.dropErr = s.callers.DropNew() })
 	s.callers.Stop(ctx, s.makeRoom)
-	return err
+	if errors.Is(s.dropErr, net.ErrClosed) {
+		return nil
+	}
+	return s.dropErr
 }
 
 // makeRoom ends idle connections if there was no place for further ones, and reports
@@ -149,7 +155,7 @@
 			cut++
 		}
 	}
-	return cut, s.http.Close()
+	return cut, errors.Join(s.http.Close(), s.listener.Close()) // http.Server knows its listener once it serves.
 }
 
 // open returns the open connections.
@@ -219,7 +225,7 @@
 func (l *trackingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		if l.server.hasStopped() {
+		if l.server.callers == nil && l.server.hasStopped() {
 			<-l.closed // The server takes an earlier error for a failure.
 		}
 		return nil, err
--- a/comfreyserver/server_test.go
+++ b/comfreyserver/server_test.go
@@ -162,3 +162,44 @@
 		t.Errorf("got %v, want nil", err)
 	}
 }
+
+// TestCloseBeforeServeClosesListener closes a server that has not begun to serve. It guards
+// against callers who are connected to a listener that nobody accepts from.
+func TestCloseBeforeServeClosesListener(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.NotFoundHandler()})
+	address := s.listener.Addr().String()
+	if _, err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		_ = c.Close()
+		t.Error("a caller was connected to a closed server")
+	}
+	if err := s.Serve(); err != nil {
+		t.Errorf("serving a closed server: got %v, want nil", err)
+	}
+}
+
+// TestSecondStopIsNoFailure stops a server twice at once, and again when it has stopped.
+func TestSecondStopIsNoFailure(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.NotFoundHandler()})
+	var running sync.WaitGroup
+	running.Go(func() { _ = s.Serve() })
+	var stopping sync.WaitGroup
+	for range 2 {
+		stopping.Go(func() {
+			if err := s.StopListening(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	stopping.Wait()
+	if err := s.StopListening(t.Context()); err != nil {
+		t.Errorf("stopping a stopped server: %v", err)
+	}
+	_, _ = s.Close()
+	if err := s.StopListening(t.Context()); err != nil {
+		t.Errorf("stopping a closed server: %v", err)
+	}
+	running.Wait()
+}
