--- a/comfreyserver/connection_test.go
+++ b/comfreyserver/connection_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -237,3 +240,108 @@
 		})
 	}
 }
+
+// TestBufferedRequestOutlivesEndOfIdleConnection ends an idle connection whose next request
+// is in the buffer of http.Server, so that nothing is read for it. It guards against a
+// deadline that passes while the request is handled, by which its context ends as if the
+// caller had left.
+func TestBufferedRequestOutlivesEndOfIdleConnection(t *testing.T) {
+	s := newTestServer(t, Config{})
+	c := newTestCaller(t, s)
+	c.accepted.setState(http.StateIdle)
+	c.accepted.endIfIdle()
+	_ = c.accepted.SetReadDeadline(time.Now().Add(testTimeout)) // Idle.
+	_ = c.accepted.SetReadDeadline(time.Now().Add(testTimeout)) // The header.
+	c.accepted.setState(http.StateActive)
+	c.accepted.setHandled(&http.Request{})
+	_ = c.accepted.SetReadDeadline(time.Time{})
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, "G")
+	}()
+	if _, err := c.accepted.Read(make([]byte, 1)); err != nil {
+		t.Errorf("reading while a request is handled: got %v", err)
+	}
+}
+
+// TestPipelinedRequestsAreHandledDuringStop ends idle connections in a loop while callers
+// send two requests at once. It guards against the context of the second ending before its
+// response.
+func TestPipelinedRequestsAreHandledDuringStop(t *testing.T) {
+	const rounds = 100
+	s := newTestServer(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		case <-time.After(2 * time.Millisecond):
+		}
+	})})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve() })
+	done := make(chan struct{})
+	serving.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			for _, c := range s.open() {
+				c.endIfIdle()
+			}
+		}
+	})
+	for range rounds {
+		c := dial(t, s)
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
+		r := bufio.NewReader(c)
+		if _, err := io.WriteString(c, testRequest+testRequest); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 2 {
+			a, err := http.ReadResponse(r, nil)
+			if err != nil || a.StatusCode != http.StatusOK {
+				t.Errorf("response %d of two: got %v, %v", i+1, a, err)
+				break
+			}
+		}
+		_ = c.Close()
+		if t.Failed() {
+			break
+		}
+	}
+	close(done)
+	_, _ = s.Close()
+	serving.Wait()
+}
+
+// TestConnectionIsIdleAfterLargeBody stops a server after a request whose body was read in
+// parts that are larger than the server's buffer. It guards against taking the rest of the
+// buffer for a part of the next request, so that the stop takes all its time.
+func TestConnectionIsIdleAfterLargeBody(t *testing.T) {
+	const size = 100_000
+	s := newTestServer(t, Config{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if n, err := io.Copy(io.Discard, r.Body); n != size || err != nil {
+			t.Errorf("got %d bytes, %v", n, err)
+		}
+	})})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve() })
+	c := dial(t, s)
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: shop.example\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("x", size)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout/2)
+	defer cancel()
+	if err := s.StopListening(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := s.Drain(ctx); err != nil {
+		t.Errorf("expected the end of the idle connection, got %v", err)
+	}
+	_, _ = s.Close()
+	serving.Wait()
+}
--- a/comfreyserver/server_test.go
+++ b/comfreyserver/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -108,3 +109,97 @@
 	_, _ = s.Close()
 	serving.Wait()
 }
+
+// foreignListener is a listener that is not one on TCP, and whose Accept ends with an error
+// of its own.
+type foreignListener struct {
+	connections chan net.Conn
+	closed      chan struct{}
+	once        sync.Once
+}
+
+func newForeignListener() *foreignListener {
+	return &foreignListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *foreignListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, io.EOF
+	}
+}
+
+func (l *foreignListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (*foreignListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestStoppedForeignListenerIsNoFailure stops a server whose listener is not one on TCP. It
+// guards against an error, or an end, of Serve by which a process takes its server for
+// failed, and ends open requests.
+func TestStoppedForeignListenerIsNoFailure(t *testing.T) {
+	s := New(newForeignListener(), Config{Handler: http.NotFoundHandler()})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	time.Sleep(10 * time.Millisecond)
+	if err := s.StopListening(t.Context()); err != nil {
+		t.Error(err)
+	}
+	select {
+	case err := <-served:
+		t.Errorf("Serve ended before the server was closed: %v", err)
+		return
+	case <-time.After(50 * time.Millisecond):
+	}
+	if _, err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-served; err != nil {
+		t.Errorf("got %v, want nil", err)
+	}
+}
+
+// TestCloseBeforeServeClosesListener closes a server that has not begun to serve. It guards
+// against callers who are connected to a listener that nobody accepts from.
+func TestCloseBeforeServeClosesListener(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.NotFoundHandler()})
+	address := s.listener.Addr().String()
+	if _, err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		_ = c.Close()
+		t.Error("a caller was connected to a closed server")
+	}
+	if err := s.Serve(); err != nil {
+		t.Errorf("serving a closed server: got %v, want nil", err)
+	}
+}
+
+// TestSecondStopIsNoFailure stops a server twice at once, and again when it has stopped.
+func TestSecondStopIsNoFailure(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.NotFoundHandler()})
+	var running sync.WaitGroup
+	running.Go(func() { _ = s.Serve() })
+	var stopping sync.WaitGroup
+	for range 2 {
+		stopping.Go(func() {
+			if err := s.StopListening(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	stopping.Wait()
+	if err := s.StopListening(t.Context()); err != nil {
+		t.Errorf("stopping a stopped server: %v", err)
+	}
+	_, _ = s.Close()
+	if err := s.StopListening(t.Context()); err != nil {
+		t.Errorf("stopping a closed server: %v", err)
+	}
+	running.Wait()
+}
