A generation returns to its source within the drain period, and is not stopped for the same destination again

What callers would have seen: a request that is resumed at a leaving replica 4 s after the gateway knew that it leaves (the drain period is 2 s), and a stream that is copied, stopped and returned 22 times within 2 s for one destination that refuses it, with a pause each time.

Cause: the return to the source had no bound of its own.

Change: no generation is resumed at a replica that has been leaving for more than three quarters of the drain period, wherever its copy came from; the rest is for the time that the announcement took. A replica that did not resume a generation is no destination for it again.

--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -58,6 +58,8 @@
 	// needsRoomUntil is until when the generation counts as one that has to move and for
 	// which no replica has room.
 	needsRoomUntil time.Time
+	// refusedBy are the replicas that did not resume the generation from a copy.
+	refusedBy map[string]bool
 	// destination is the destination of a move for rebalancing; nil if the move
 	// has to choose it.
 	destination *comfreyplacement.Candidate
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -223,8 +224,9 @@
 // destination that has memory for it. It returns nil if there is none or the
 // copy fails.
 func (g *Gateway) copyToDestination(ctx context.Context, n *generation, r comfreyreplica.Replica) *continuation {
-	tried := map[string]bool{r.ID: true}
-	for len(tried) <= maxDestinations {
+	tried := g.refusedBy(n)
+	tried[r.ID] = true
+	for last := len(tried) + maxDestinations; len(tried) < last; {
 		d, ok := g.chooseDestination(n, r, tried)
 		if !ok {
 			g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonAdmissionFull, map[string]any{"replica": r.ID, "tried": len(tried) - 1})
@@ -251,6 +253,15 @@
 	return nil
 }
 
+// refusedBy returns a copy of the replicas that did not resume a generation.
+func (g *Gateway) refusedBy(n *generation) map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := map[string]bool{}
+	maps.Copy(l, n.refusedBy)
+	return l
+}
+
 // hasStarted reports whether a generation has produced its first event or has
 // ended.
 func (g *Gateway) hasStarted(n *generation) bool {
--- a/comfreyforward/resume.go
+++ b/comfreyforward/resume.go
@@ -113,6 +113,10 @@
 func (g *Gateway) returnToSource(n *generation, c *continuation) *continuation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if n.refusedBy == nil {
+		n.refusedBy = map[string]bool{}
+	}
+	n.refusedBy[c.destination.ID] = true // A further move to it would stop the generation again for nothing.
 	next := *c
 	next.destination, next.stop = c.former, nil
 	g.trackPlacement(n, next.destination)
--- a/comfreyreplica/access.go
+++ b/comfreyreplica/access.go
@@ -28,6 +28,10 @@
 	// maxResumesInPause is how many generations may be resumed at a replica during
 	// one pause. Their KV caches have been copied there already.
 	maxResumesInPause = 2
+	// resumeShare is the part of the drain period in which generations can be resumed at a
+	// replica that leaves. The period begins when the store has accepted the announcement,
+	// before this process knows of it.
+	resumeShare = 0.75
 	// maxOpening is the number of requests in flight up to which a replica opens
 	// gradually after a pause.
 	maxOpening = 32
@@ -96,6 +100,9 @@
 	if p == PurposeWork && (!ok || !r.IsAccepting()) {
 		return ErrLeaving
 	}
+	if p == PurposeResume && r.State == StateLeaving && now.Sub(r.Since) > s.resumePeriod() {
+		return ErrLeaving
+	}
 	if err := s.checkEvacuation(now, r, p); err != nil {
 		return err
 	}
@@ -113,6 +120,11 @@
 	return nil
 }
 
+// resumePeriod is how long generations can be resumed at a replica that leaves.
+func (s *Set) resumePeriod() time.Duration {
+	return time.Duration(resumeShare * float64(s.config.DrainPeriod))
+}
+
 // CanPlace reports whether a replica can be chosen for new work: it may be called,
 // and if it opens after a pause, not too many requests of this process are in
 // flight there. One with a rate limit can be chosen unless it is full.
