A drain ends only when the queue of the stopped listener is empty

What callers saw (by a test): with the bound on connections reached, a connection waits in the queue; the last open connection ends, the drain with it, and the close resets the one in the queue, whose request had arrived.

Cause: Drain counted open connections only. Between the end of one and the next accept there is none.

Evidence: TestDrainWaitsForQueue, reset in its first round before.

Change: Drain also waits until the listener accepts no more.

--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -45,6 +45,7 @@
 	mu          sync.Mutex
 	listener    *trackingListener
 	connections map[*connection]struct{}
+	isServing   bool
 	isStopped   bool
 	isClosed    bool
 	// dropErr is the result of dropping new connections.
@@ -76,6 +77,8 @@
 
 // Serve serves until the server is closed, and returns nil then.
 func (s *Server) Serve() error {
+	s.setServing(true)
+	defer s.setServing(false)
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || s.hasStopped() {
 		return nil
@@ -83,6 +86,12 @@
 	return err
 }
 
+func (s *Server) setServing(v bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isServing = v
+}
+
 func (s *Server) hasStopped() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +129,8 @@
 	return true
 }
 
-// Drain ends connections as they become idle, and returns once there are none, or the
+// Drain ends connections as they become idle, and returns once there are none and none is in
+// the queue of a stopped listener, or the
 // error of ctx when that ends. Connections on which a part of a request has arrived are
 // served. The handler has to make its responses the last ones of their connections.
 func (s *Server) Drain(ctx context.Context) error {
@@ -128,7 +138,7 @@
 	defer t.Stop()
 	for {
 		l := s.open()
-		if len(l) == 0 {
+		if len(l) == 0 && !s.isAccepting() {
 			return nil
 		}
 		now := time.Now()
@@ -144,6 +154,22 @@
 	}
 }
 
+// isAccepting reports whether a stopped listener may have connections in its queue that
+// are being accepted.
+func (s *Server) isAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.callers == nil || !s.isStopped || !s.isServing {
+		return false
+	}
+	select {
+	case <-s.callers.stopped:
+		return false
+	default:
+		return true
+	}
+}
+
 // Close closes the listener and all connections. It returns how many of these had a
 // request in the handler.
 func (s *Server) Close() (cut int, err error) {
--- a/comfreyserver/server_test.go
+++ b/comfreyserver/server_test.go
@@ -203,3 +203,45 @@
 	}
 	running.Wait()
 }
+
+// TestDrainWaitsForQueue drains a server that stopped listening too soon, with a connection
+// in the queue for which there was no place. It guards against a drain that ends between the
+// end of the last connection and the next one of the queue, which is then reset.
+func TestDrainWaitsForQueue(t *testing.T) {
+	const rounds = 20
+	for range rounds {
+		release := make(chan struct{})
+		entered := make(chan struct{}, 2)
+		s := newTestServer(t, Config{MaxConnections: 1, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			entered <- struct{}{}
+			<-release
+			w.Header().Set("Connection", "close")
+		})})
+		var serving sync.WaitGroup
+		serving.Go(func() { _ = s.Serve() })
+		first := dial(t, s)
+		if _, err := io.WriteString(first, testRequest); err != nil {
+			t.Fatal(err)
+		}
+		<-entered
+		queued := dial(t, s)
+		if _, err := io.WriteString(queued, testRequest); err != nil {
+			t.Fatal(err)
+		}
+		short, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		_ = s.StopListening(short)
+		cancel()
+		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+		close(release)
+		if err := s.Drain(ctx); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		_, _ = s.Close()
+		serving.Wait()
+		_ = queued.SetReadDeadline(time.Now().Add(testTimeout))
+		if _, err := http.ReadResponse(bufio.NewReader(queued), nil); err != nil {
+			t.Fatalf("a connection in the queue: expected a response, got %v", err)
+		}
+	}
+}
