comfreygateway answers each request that it reads in a planned stop

The listener was closed at once, which resets what is in its queue (read, not measured here).

Change: comfreyserver is used, on a listener that takes its filter. EndsConnections makes responses that begin during a stop the last ones of their connections, as Shutdown did. Requests that were read and not handled have a line in the log, unless their caller left; so has the number that the end cuts off. A kill still stops at once.

--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"comfreyridge.example/comfreyridge/comfreyfleet"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreyserver"
 	"comfreyridge.example/comfreyridge/comfreystream"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -34,7 +34,7 @@
 	requestTracker comfreystream.RequestTracker
 	metrics        *metrics
 	group          *comfreygroup.Group
-	server         *http.Server
+	server         *comfreyserver.Server
 	draining       atomic.Bool
 	// stopped is cancelled when the drain limit passes or the gateway stops. Its
 	// cause is the error that open requests fail with.
@@ -72,7 +72,10 @@
 	}
 	g.stopped, g.stop = context.WithCancelCause(context.Background())
 	g.metrics = newMetrics(c.Registry, g)
-	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeaderBytes}
+	g.server = comfreyserver.New(c.Listener, comfreyserver.Config{
+		Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: defaultMaxHeaderBytes, EndsConnections: true, OnUnanswered: g.observeUnanswered,
+	})
 	return g
 }
 
@@ -128,13 +131,7 @@
 // check, waits until the load balancer has noticed, and lets open requests end
 // within the drain limit. Cancelling kill stops it at once.
 func (g *Gateway) Run(ctx, kill context.Context) error {
-	g.group.Go("serve", func(context.Context) error {
-		err := g.server.Serve(g.config.Listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
+	g.group.Go("serve", func(context.Context) error { return g.server.Serve() })
 	g.startReporting()
 	select {
 	case <-ctx.Done():
@@ -143,7 +140,9 @@
 	case <-g.group.Context().Done():
 	}
 	g.stop(comfreyverdict.MayHaveRun(comfreyverdict.ReasonDrainLimit, "the gateway stopped"))
-	_ = g.server.Close()
+	if cut, _ := g.server.Close(); cut > 0 {
+		g.recorder.Record("", comfreydecision.KindDrain, comfreyverdict.ReasonConnectionLost, map[string]any{"state": "stopped", "cut": cut})
+	}
 	g.group.Stop()
 	err := g.group.Wait()
 	g.client.Close()
@@ -162,7 +161,10 @@
 	comfreygroup.Sleep(kill, g.config.DrainDelay)
 	ctx, cancel := context.WithTimeout(kill, g.config.DrainLimit)
 	defer cancel()
-	if g.server.Shutdown(ctx) == nil {
+	if err := g.server.StopListening(ctx); err != nil {
+		g.recorder.Record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "accepting-until-closed", "error": err.Error()})
+	}
+	if g.server.Drain(ctx) == nil {
 		g.recorder.Record("", comfreydecision.KindDrain, comfreyverdict.ReasonAccepted, map[string]any{"detail": "all requests have ended"})
 		return
 	}
@@ -170,5 +172,15 @@
 	g.stop(comfreyverdict.MayHaveRun(comfreyverdict.ReasonDrainLimit, "the gateway stops and the answer has not ended"))
 	ctx, cancel = context.WithTimeout(kill, errorDeliveryTimeout)
 	defer cancel()
-	_ = g.server.Shutdown(ctx)
+	_ = g.server.Drain(ctx) // What is left is closed.
+}
+
+// observeUnanswered records a request that was read at least in part, and whose connection
+// ended before the handler got it, unless its caller ended it.
+func (g *Gateway) observeUnanswered(u comfreyserver.Unanswered) {
+	if u.Cause != comfreyserver.CauseCaller {
+		g.recorder.Record("", comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, map[string]any{
+			"detail": "connection ended before its request was handled", "cause": u.Cause, "read-bytes": u.Bytes, "after-ms": u.After.Milliseconds(), "age-ms": u.Age.Milliseconds(),
+		})
+	}
 }
--- a/comfreyprocess/process.go
+++ b/comfreyprocess/process.go
@@ -27,6 +27,7 @@
 	"comfreyridge.example/comfreyridge/comfreyplatform"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreyserver"
 	"comfreyridge.example/comfreyridge/comfreysettings"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -36,7 +37,7 @@
 type Options struct {
 	// Log receives the log lines; the default drops them.
 	Log io.Writer
-	// Listen opens a listener on an address; the default is net.Listen on TCP.
+	// Listen opens a listener on an address; the default is comfreyserver.Listen.
 	Listen func(address string) (net.Listener, error)
 }
 
@@ -44,7 +45,7 @@
 	if o.Listen != nil {
 		return o.Listen(address)
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := comfreyserver.Listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("comfreyprocess: %w", err)
 	}
--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -28,6 +28,9 @@
 	// MaxConnections bounds the open connections; further ones wait in the accept
 	// queue. Zero means no bound.
 	MaxConnections int
+	// EndsConnections makes the responses that begin during a stop the last ones of their
+	// connections; otherwise the handler has to.
+	EndsConnections bool
 	// OnUnanswered is called when a connection has ended on which bytes of a request
 	// were read that the handler did not get; it may be nil.
 	OnUnanswered func(Unanswered)
@@ -130,9 +133,9 @@
 }
 
 // Drain ends connections as they become idle, and returns once there are none and none is in
-// the queue of a stopped listener, or the
-// error of ctx when that ends. Connections on which a part of a request has arrived are
-// served. The handler has to make its responses the last ones of their connections.
+// the queue of a stopped listener, or the error of ctx when that ends. Connections on which a
+// part of a request has arrived are served. The handler has to make its responses the last
+// ones of their connections, unless EndsConnections is set.
 func (s *Server) Drain(ctx context.Context) error {
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
@@ -234,7 +237,13 @@
 	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
 		c.setHandled()
 	}
-	s.config.Handler.ServeHTTP(w, r)
+	if !s.config.EndsConnections {
+		s.config.Handler.ServeHTTP(w, r)
+		return
+	}
+	e := &endingWriter{ResponseWriter: w, server: s}
+	s.config.Handler.ServeHTTP(e, r)
+	e.end()
 }
 
 // trackingListener adds the connections that it accepts to its server.
