comfreysidecar refuses what it reads while it stops, and then closes

What callers saw: the drain waits until no work is open, and the server was closed at once. A request of which a part was read, or one in the accept queue, lost its connection. A gateway has to take it for one that may have run, so an order fails with 502 although it never ran.

Evidence: TestRequestReadInPlannedStopGetsRefusal, 2 of 2 connections closed before.

Change: once no work is open the listener accepts its queue and closes, and the connections end as they become idle, for 5 s at the most. All new work is refused by then, as not run.

Result: 2 of 2 refused with reason leaving and Connection: close.

--- a/comfreysidecar/drain.go
+++ b/comfreysidecar/drain.go
@@ -41,6 +41,18 @@
 	s.waitUntil(kill, deliveryTimeout, s.isIdle)
 }
 
+// endConnections refuses what still arrives after a drain, and returns when all connections
+// have ended, or after deliveryTimeout. A gateway whose request is read and dropped has to
+// take it for one that may have run.
+func (s *Sidecar) endConnections(kill context.Context) {
+	ctx, cancel := context.WithTimeout(kill, deliveryTimeout)
+	defer cancel()
+	if err := s.server.StopListening(ctx); err != nil {
+		s.recorder.Record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "accepting-until-closed", "error": err.Error()})
+	}
+	_ = s.server.Drain(ctx) // What is left is closed.
+}
+
 // stopAccepting makes all load reports ask gateways to send no new work. New
 // work that still arrives is accepted.
 func (s *Sidecar) stopAccepting() {
--- a/comfreysidecar/sidecar.go
+++ b/comfreysidecar/sidecar.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strings"
 	"sync"
@@ -22,6 +21,7 @@
 	"comfreyridge.example/comfreyridge/comfreyorder"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
+	"comfreyridge.example/comfreyridge/comfreyserver"
 	"comfreyridge.example/comfreyridge/comfreystream"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
@@ -40,7 +40,7 @@
 	peers      *comfreyrpc.Client
 	metrics    *metrics
 	group      *comfreygroup.Group
-	server     *http.Server
+	server     *comfreyserver.Server
 
 	// down reports whether the last health check of the upstream, or the last
 	// generation that lost the engine, found the upstream unreachable.
@@ -68,7 +68,10 @@
 	s.admission = newAdmissionLoop(c.admissionConfig(), s)
 	s.orders = newOrders(comfreyorder.Config{Host: c.Host, Incarnation: uint64(c.Incarnation)}, c.Now)
 	s.metrics = newMetrics(c.Registry, s)
-	s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s.server = comfreyserver.New(c.Listener, comfreyserver.Config{
+		Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, EndsConnections: true,
+	})
 	return s
 }
 
@@ -152,20 +155,15 @@
 	if s.config.QueryLatestRevision != nil {
 		s.group.Go("move", s.runReconciler)
 	}
-	s.group.Go("serve", func(context.Context) error {
-		err := s.server.Serve(s.config.Listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
+	s.group.Go("serve", func(context.Context) error { return s.server.Serve() })
 	select {
 	case <-ctx.Done():
 		s.drain(kill)
+		s.endConnections(kill)
 	case <-kill.Done():
 	case <-s.group.Context().Done():
 	}
-	_ = s.server.Close()
+	_, _ = s.server.Close()
 	s.group.Stop()
 	err := s.group.Wait()
 	s.engine.Close()
