Refusals by http.Server reach their callers and are not counted as unanswered

A request that http.Server refuses by itself (400, 431) was counted, and logged, as one without a response. After such a response, or one that a handler wrote before it read the whole body, http.Server closes its side first so that the response is not lost to a reset; it could not, since the connection had no CloseWrite.

Evidence: TestRefusalOfServerIsNotReported (a report before) and TestConnectionClosesWriteSide, both failing before.

--- a/comfreyserver/connection.go
+++ b/comfreyserver/connection.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -77,6 +78,8 @@
 	hasExtended bool
 	cause       string
 	closeOnce   sync.Once
+	// hasWritten means that bytes were written since the connection was last idle.
+	hasWritten atomic.Bool
 }
 
 // Read implements net.Conn. A deadline does not end it if bytes have arrived before the
@@ -171,6 +174,25 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write implements net.Conn.
+func (c *connection) Write(b []byte) (int, error) {
+	c.hasWritten.Store(true)
+	return c.Conn.Write(b)
+}
+
+// CloseWrite closes the side of the connection that the server writes to. http.Server uses
+// it after a response to a request that it has not read to its end.
+func (c *connection) CloseWrite() error {
+	return closeWrite(c.Conn)
+}
+
+func closeWrite(c net.Conn) error {
+	if k, ok := c.(interface{ CloseWrite() error }); ok {
+		return k.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	err := c.Conn.Close()
@@ -188,6 +210,7 @@
 	c.mu.Unlock()
 	if u.Cause == "" {
 		u.Cause = CauseServer
+		isHandled = isHandled || c.hasWritten.Load() // The server has refused the request.
 	}
 	if f := c.server.config.OnUnanswered; f != nil && u.Bytes > 0 && !isHandled {
 		f(u)
@@ -204,6 +227,7 @@
 	}
 	c.server.notify()
 	c.read, c.isHandled, c.wasUsed, c.hasExtended = 0, false, true, false
+	c.hasWritten.Store(false)
 	if c.hasNext {
 		c.read, c.firstReadAt, c.hasNext = 1, time.Now(), false
 	}
--- a/comfreyserver/connection_test.go
+++ b/comfreyserver/connection_test.go
@@ -311,3 +311,47 @@
 	_, _ = s.Close()
 	serving.Wait()
 }
+
+// TestRefusalOfServerIsNotReported sends a request that http.Server refuses by itself. It
+// guards against a count of requests without a response that includes such ones.
+func TestRefusalOfServerIsNotReported(t *testing.T) {
+	reported := make(chan Unanswered, 1)
+	s := newTestServer(t, Config{Handler: http.NotFoundHandler(), OnUnanswered: func(u Unanswered) { reported <- u }})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve() })
+	c := dial(t, s)
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || a.StatusCode != http.StatusBadRequest {
+		t.Fatalf("got %v, %v", a, err)
+	}
+	_, _ = io.Copy(io.Discard, c)
+	_, _ = s.Close()
+	serving.Wait()
+	select {
+	case u := <-reported:
+		t.Errorf("got %+v, want no report", u)
+	default:
+	}
+}
+
+// TestConnectionClosesWriteSide guards against a response that is lost to a reset, because
+// http.Server could not close its side first while the rest of a request arrives.
+func TestConnectionClosesWriteSide(t *testing.T) {
+	s := newTestServer(t, Config{MaxConnections: 2})
+	c := newTestCaller(t, s)
+	k, ok := net.Conn(c.accepted).(interface{ CloseWrite() error })
+	if !ok {
+		t.Fatal("expected a connection that can close its write side")
+	}
+	if err := k.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v, want the end", err)
+	}
+	c.send(t, "x")
+}
--- a/comfreyserver/limit.go
+++ b/comfreyserver/limit.go
@@ -82,6 +82,11 @@
 	return k.SyscallConn()
 }
 
+// CloseWrite closes the side of the connection that the server writes to.
+func (c *limitedConn) CloseWrite() error {
+	return closeWrite(c.Conn)
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.once.Do(func() { <-c.listener.slots })
