--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -28,6 +28,9 @@
 	// MaxConnections bounds the open connections; further ones wait in the accept
 	// queue. Zero means no bound.
 	MaxConnections int
+	// EndsConnections makes the responses that begin during a stop the last ones of their
+	// connections; otherwise the handler has to.
+	EndsConnections bool
 	// OnUnanswered is called when a connection has ended on which bytes of a request
 	// were read that the handler did not get; it may be nil.
 	OnUnanswered func(Unanswered)
@@ -48,6 +51,7 @@
 	mu          sync.Mutex
 	listener    *trackingListener
 	connections map[*connection]struct{}
+	isServing   bool
 	isStopped   bool
 	isClosed    bool
 	// dropErr is the result of dropping new connections.
@@ -79,6 +83,8 @@
 
 // Serve serves until the server is closed, and returns nil then.
 func (s *Server) Serve() error {
+	s.setServing(true)
+	defer s.setServing(false)
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || s.hasStopped() {
 		return nil
@@ -86,6 +92,12 @@
 	return err
 }
 
+func (s *Server) setServing(v bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isServing = v
+}
+
 func (s *Server) hasStopped() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,15 +135,16 @@
 	return true
 }
 
-// Drain ends connections as they become idle, and returns once there are none, or the
-// error of ctx when that ends. Connections on which a part of a request has arrived are
-// served. The handler has to make its responses the last ones of their connections.
+// Drain ends connections as they become idle, and returns once there are none and none is in
+// the queue of a stopped listener, or the error of ctx when that ends. Connections on which a
+// part of a request has arrived are served. The handler has to make its responses the last
+// ones of their connections, unless EndsConnections is set.
 func (s *Server) Drain(ctx context.Context) error {
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
 	for {
 		l := s.open()
-		if len(l) == 0 {
+		if len(l) == 0 && !s.isAccepting() {
 			return nil
 		}
 		now := time.Now()
@@ -147,6 +160,22 @@
 	}
 }
 
+// isAccepting reports whether a stopped listener may have connections in its queue that
+// are being accepted.
+func (s *Server) isAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.callers == nil || !s.isStopped || !s.isServing {
+		return false
+	}
+	select {
+	case <-s.callers.stopped:
+		return false
+	default:
+		return true
+	}
+}
+
 // Close closes the listener and all connections. It returns how many of these had a
 // request in the handler.
 func (s *Server) Close() (cut int, err error) {
@@ -216,7 +245,13 @@
 	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
 		c.setHandled(r)
 	}
-	s.config.Handler.ServeHTTP(w, r)
+	if !s.config.EndsConnections {
+		s.config.Handler.ServeHTTP(w, r)
+		return
+	}
+	e := &endingWriter{ResponseWriter: w, server: s}
+	s.config.Handler.ServeHTTP(e, r)
+	e.end()
 }
 
 // trackingListener adds the connections that it accepts to its server.
