The end of a planned stop ends new connections without a request before it closes

What callers could see: a request that is sent on a connection which has had none, in the last moments of a stop, meets the close of the server; read or not, it gets nothing.

Cause: new connections are kept for 5 s, also if the server is closed sooner. A grace period of 8 s and a timeout of the header of 3 s hardly reach it; shorter grace periods do.

Change: in the last part of a stop, when requests without a response get a final one, Drain ends unused connections however new they are.

Result: TestEndOfStopEndsNewConnections fails without the change.

--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -136,6 +136,7 @@
 		g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonLeaving, map[string]any{"state": "accepting-until-closed", "error": err.Error()})
 	}
 	if callers.Drain(ctx) != nil {
+		callers.EndUnused()
 		g.EndUnanswered()
 		g.cutResponses()
 		exiting, cancelExiting := context.WithTimeout(context.Background(), began.Add(s.config.GracePeriod-exitMargin).Sub(g.config.Now()))
--- a/comfreygateway/gateway.go
+++ b/comfreygateway/gateway.go
@@ -172,6 +172,7 @@
 	g.stop(comfreyverdict.MayHaveRun(comfreyverdict.ReasonDrainLimit, "the gateway stops and the answer has not ended"))
 	ctx, cancel = context.WithTimeout(kill, errorDeliveryTimeout)
 	defer cancel()
+	g.server.EndUnused()
 	_ = g.server.Drain(ctx) // What is left is closed.
 }
 
--- a/comfreyserver/connection.go
+++ b/comfreyserver/connection.go
@@ -250,12 +250,12 @@
 	}
 }
 
-// endIfUnused is endIfIdle, and also ends connections that have been open for some time
-// without a request.
-func (c *connection) endIfUnused(now time.Time) {
+// endIfUnused is endIfIdle, and also ends connections that were accepted before a time and
+// have had no request.
+func (c *connection) endIfUnused(before time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.acceptedAt) >= unusedTimeout {
+	if c.state == http.StateIdle || c.state == http.StateNew && !c.acceptedAt.After(before) {
 		c.end()
 	}
 }
--- a/comfreyserver/connection_test.go
+++ b/comfreyserver/connection_test.go
@@ -389,3 +389,22 @@
 	}
 	c.send(t, "x")
 }
+
+// TestConnectionWithFewBytesOfRequestStaysOpen is
+// TestConnectionWithPartOfRequestStaysOpen with a rest that arrives after the server has
+// looked.
+func TestConnectionWithFewBytesOfRequestStaysOpen(t *testing.T) {
+	s := newTestServer(t, Config{})
+	c := newTestCaller(t, s)
+	c.accepted.setState(http.StateIdle)
+	c.send(t, testRequest[:2])
+	b := make([]byte, len(testRequest))
+	if n, err := c.accepted.Read(b); n != 2 || err != nil {
+		t.Fatalf("got %d bytes, %v", n, err)
+	}
+	c.accepted.endIfIdle()
+	time.AfterFunc(50*time.Millisecond, func() { _, _ = io.WriteString(c, testRequest[2:]) })
+	if _, err := c.accepted.Read(b); err != nil {
+		t.Errorf("reading the rest of a request: got %v", err)
+	}
+}
--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -54,6 +54,8 @@
 	isServing   bool
 	isStopped   bool
 	isClosed    bool
+	// endsUnused means that connections without a request are ended however new they are.
+	endsUnused bool
 	// dropErr is the result of dropping new connections.
 	dropOnce sync.Once
 	dropErr  error
@@ -147,9 +149,9 @@
 		if len(l) == 0 && !s.isAccepting() {
 			return nil
 		}
-		now := time.Now()
+		before := s.unusedBefore()
 		for _, c := range l {
-			c.endIfUnused(now)
+			c.endIfUnused(before)
 		}
 		select {
 		case <-s.changed:
@@ -160,6 +162,26 @@
 	}
 }
 
+// EndUnused makes Drain end connections that have had no request however new they are. It is
+// for the last part of a stop, in which requests on them would meet Close.
+func (s *Server) EndUnused() {
+	s.mu.Lock()
+	s.endsUnused = true
+	s.mu.Unlock()
+	s.notify()
+}
+
+// unusedBefore returns before which time a connection was accepted that is ended if it has
+// had no request.
+func (s *Server) unusedBefore() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endsUnused {
+		return time.Now()
+	}
+	return time.Now().Add(-unusedTimeout)
+}
+
 // isAccepting reports whether a stopped listener may have connections in its queue that
 // are being accepted.
 func (s *Server) isAccepting() bool {
--- a/comfreyserver/server_test.go
+++ b/comfreyserver/server_test.go
@@ -245,3 +245,35 @@
 		}
 	}
 }
+
+// TestEndOfStopEndsNewConnections ends a stop while a connection is open that has had no
+// request yet. It guards against a request that is sent on it and meets the close of the
+// server.
+func TestEndOfStopEndsNewConnections(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.NotFoundHandler()})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve() })
+	c := dial(t, s)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	if err := s.StopListening(ctx); err != nil {
+		t.Error(err)
+	}
+	first, cancelFirst := context.WithTimeout(ctx, 2*drainInterval)
+	defer cancelFirst()
+	if err := s.Drain(first); err == nil {
+		t.Error("expected that a new connection is kept")
+	}
+	s.EndUnused()
+	last, cancelLast := context.WithTimeout(ctx, unusedTimeout/5)
+	defer cancelLast()
+	if err := s.Drain(last); err != nil {
+		t.Errorf("expected the end of the new connection, got %v", err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("got %v, want the end", err)
+	}
+	_, _ = s.Close()
+	serving.Wait()
+}
