A stop ends idle connections whose last request had a large body

What callers would see: nothing; a stop waits for such connections until its limit.

The server's buffer was taken to be as large as the largest read, but pieces of bodies larger than the buffer are read past it. The next read then seemed to have a part of a request in the buffer.

Evidence: found by reading; TestConnectionOfLargeRequestEndsWhenIdle, failing before.

Change: the first read of a connection gives the size of the buffer.

--- a/comfreyserver/connection.go
+++ b/comfreyserver/connection.go
@@ -114,7 +114,9 @@
 func (c *connection) beginRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bufferSize = max(c.bufferSize, size)
+	if c.bufferSize == 0 {
+		c.bufferSize = size // Later, large pieces of bodies are not read through the buffer.
+	}
 	if c.state != http.StateNew && c.state != http.StateIdle {
 		return
 	}
--- a/comfreyserver/server_test.go
+++ b/comfreyserver/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -245,3 +246,30 @@
 		}
 	}
 }
+
+// TestConnectionOfLargeRequestEndsWhenIdle ends an idle connection after a request whose body
+// was read in pieces larger than the server's buffer. It guards against taking the smaller
+// size of the next read for a part of a request in that buffer, so that a stop waits for it.
+func TestConnectionOfLargeRequestEndsWhenIdle(t *testing.T) {
+	s := newTestServer(t, Config{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body) })})
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve() })
+	c := dial(t, s)
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 200000)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := s.StopListening(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := s.Drain(ctx); err != nil {
+		t.Errorf("expected that the connection ends, got %v", err)
+	}
+	_, _ = s.Close()
+	serving.Wait()
+}
