--- a/comfreyplacement/planned_stop.go
+++ b/comfreyplacement/planned_stop.go
@@ -17,9 +17,9 @@
 	// maxStopRetryShare is the part of its caller's remaining time that a caller waits
 	// before it returns.
 	maxStopRetryShare = 1.0 / 3
-	// minFinalMargin is how long before the connections are closed the requests without a
-	// response get a final one, and finalResponseTime what each of them adds to it: twice
-	// what a response takes at a gateway with a seventh of a core.
+	// minFinalMargin is the least time before the connections are closed at which the
+	// requests without a response get a final one, and finalResponseTime what each of them
+	// needs.
 	minFinalMargin    = 300 * time.Millisecond
 	finalResponseTime = 2 * time.Millisecond
 	// maxFinalShare is the part of the grace period before its end in which final responses
