--- a/comfreygossip/pacing_test.go
+++ b/comfreycell/round_test.go
@@ -1,4 +1,4 @@
-package comfreygossip
+package comfreycell
 
 import (
 	"testing"
@@ -16,7 +16,7 @@
 		{10 * mbit, 25, 250}, {10 * mbit, 25, 2600}, {10 * mbit, 25, 10_000}, {10 * mbit, 1, 2600}, {10 * mbit, 40, 7000},
 		{200 * mbit, 25, 2600}, {1000 * mbit, 40, 250}, {1000 * mbit, 3, 5000}, {0, 25, 2600},
 	} {
-		d := roundTime(c.size, c.receivers, c.link)
+		d := RoundTime(c.size, c.receivers, c.link)
 		rate := float64(c.size) / d.Seconds()
 		if own := rate * float64(c.receivers); c.link > 0 && own > 1.001*placementLinkShare*c.link {
 			t.Errorf("%d bytes to %d receivers on a link of %.0f bytes a second: expected at most %.0f a second, got %.0f", c.size, c.receivers, c.link, placementLinkShare*c.link, own)
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"comfreyridge.example/comfreyridge/comfreycell"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
 	"comfreyridge.example/comfreyridge/comfreyproto"
@@ -62,7 +63,7 @@
 }
 
 // sendPlacements sends the placements to every placement target, in random order and
-// spread over their roundTime. It returns false if ctx ends meanwhile.
+// spread over their comfreycell.RoundTime. It returns false if ctx ends meanwhile.
 func (g *Gossip) sendPlacements(ctx context.Context) bool {
 	s := g.config.Placements()
 	version := g.config.StoreVersion()
@@ -83,7 +84,7 @@
 		}
 	}
 	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	round := roundTime(size, len(to), g.config.LinkBytesPerSecond)
+	round := comfreycell.RoundTime(size, len(to), g.config.LinkBytesPerSecond)
 	g.roundSeconds.Set(round.Seconds())
 	each := round / time.Duration(max(len(to), 1))
 	due := time.Duration(0)
