Test of a leaving sidecar waits until it leaves

Cause: the test waited until the sidecar was not ready for any reason. One that has just started may count as paused for a moment; then no probe had told it that it leaves.

--- a/comfreydemo/stop_test.go
+++ b/comfreydemo/stop_test.go
@@ -136,6 +136,12 @@
 	}
 }
 
+// isLeaving reports whether a sidecar is not ready because it leaves. One that has just
+// started may be not ready because it has been paused.
+func isLeaving(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "the sidecar is leaving")
+}
+
 func TestLeavingSidecarRefusesWhileTheGatewayBelievesItLive(t *testing.T) {
 	f := startFleet(t, FleetConfig{Engines: 2, Engine: comfreyfakeengine.Config{StepTime: 10 * time.Microsecond}})
 	c := newCaller(t)
@@ -145,7 +151,7 @@
 		{Host: f.members[0].Host, Address: f.members[0].Address, Service: GenerationService, State: comfreyfleet.StateLeaving},
 		f.members[1],
 	}))
-	for f.Sidecars[0].ready() == nil && t.Context().Err() == nil {
+	for !isLeaving(f.Sidecars[0].ready()) && t.Context().Err() == nil {
 		f.gateways[1].Probe(t.Context(), f.members[0])
 	}
 	before := len(f.Engines[0].Runs())
