--- a/comfreyforward/generation.go
+++ b/comfreyforward/generation.go
@@ -1,6 +1,7 @@
 package comfreyforward
 
 import (
+	"context"
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
@@ -44,7 +45,9 @@
 	// goroutine of its request uses it.
 	sentAt time.Time
 
-	replica comfreyplacement.Candidate
+	// replica executes the generation since placedAt.
+	replica  comfreyplacement.Candidate
+	placedAt time.Time
 	// events is the number of events that were sent to the caller here.
 	events int
 	// lastEvent is the id of the last event that the caller has, also from an earlier
@@ -53,8 +56,14 @@
 	hasEnded  bool
 	// moves counts how often the generation was resumed at another replica.
 	moves int
-	// isMoving is true while a move is in progress.
-	isMoving bool
+	// isMoving is true while a move is in progress. firstCopy is then closed when its
+	// first copy has been made or has failed.
+	isMoving  bool
+	firstCopy chan struct{}
+	// mayBeCopying means that the replica has not confirmed the end of the latest copy.
+	mayBeCopying bool
+	// isInterrupted means that the stream has ended early and was not resumed yet.
+	isInterrupted bool
 	// needsRoomUntil is until when the generation counts as one that has to move and for
 	// which no replica has room.
 	needsRoomUntil time.Time
@@ -73,8 +82,9 @@
 
 // setReplica sets the replica that executes the generation from now on. A stop at the
 // previous one says nothing about it. The mutex must be held.
-func (n *generation) setReplica(c comfreyplacement.Candidate) {
-	n.replica, n.stop = c, nil
+func (n *generation) setReplica(now time.Time, c comfreyplacement.Candidate) {
+	n.replica, n.placedAt, n.stop = c, now, nil
+	n.isInterrupted, n.mayBeCopying = false, false
 }
 
 // generatedTokens returns the number of output tokens so far. The mutex must be
@@ -105,7 +115,7 @@
 // trackPlacement records the replica that executes a generation, and counts its
 // memory there. The mutex must be held.
 func (g *Gateway) trackPlacement(n *generation, c comfreyplacement.Candidate) {
-	n.setReplica(c)
+	n.setReplica(g.config.Now(), c)
 	g.trackLoad(n, c)
 }
 
@@ -184,6 +194,29 @@
 	return n != nil && n.continuation != nil
 }
 
+// awaitFirstCopy waits until the first copy of a move in progress has been made, and reports
+// whether there is a copy from which the generation can be resumed.
+func (g *Gateway) awaitFirstCopy(ctx context.Context, n *generation) bool {
+	g.mu.Lock()
+	n.isInterrupted = true
+	isMoving, copied := n.isMoving, n.firstCopy
+	g.mu.Unlock()
+	if isMoving {
+		ctx, cancel := context.WithTimeout(ctx, endRunTimeout)
+		defer cancel()
+		select {
+		case <-copied:
+		case <-ctx.Done():
+		}
+	}
+	return g.canResume(n)
+}
+
+// beginMoving marks a generation as moving. The mutex must be held.
+func (n *generation) beginMoving() {
+	n.isMoving, n.firstCopy = true, make(chan struct{})
+}
+
 // takeContinuation returns where a generation whose stream ended early is
 // resumed, and makes it the generation's placement. It returns nil if there is
 // no copy.
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycall"
-	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 	"comfreyridge.example/comfreyridge/comfreyoccupancy"
@@ -18,8 +17,6 @@
 )
 
 const (
-	// stopTimeout bounds the call that stops a generation at its source.
-	stopTimeout = 1500 * time.Millisecond
 	// copyRetryDelay is the delay before the copy of a generation is retried,
 	// if the generation had not started or the destinations lacked free
 	// capacity.
@@ -109,7 +106,7 @@
 	var l []*generation
 	for n := range g.generations {
 		if n.replica.ID == replica && !n.isMoving && !n.hasEnded && n.service.Engine.CanMove {
-			n.isMoving = true
+			n.beginMoving()
 			l = append(l, n)
 		}
 	}
@@ -128,6 +125,7 @@
 // the generation can be resumed from the copy. If it reports false, the move has
 // ended.
 func (g *Gateway) beginMove(ctx context.Context, n *generation, r comfreyreplica.Replica) (*continuation, bool) {
+	defer close(n.firstCopy)
 	first := g.copyToDestination(ctx, n, r)
 	if first == nil {
 		g.finishMove(n)
@@ -164,9 +162,10 @@
 		}
 	}
 	refresh := comfreyplacement.Refresh{MissingTokens: n.generatedTokens() - first.generatedTokens, TimeLeft: r.EndsAt.Sub(g.config.Now()), HasWaiting: hasWaiting}
+	isInterrupted := n.isInterrupted
 	g.mu.Unlock()
-	if refresh.IsWorthwhile() {
-		if _, err := g.copyKVCache(ctx, n, r, first.destination, false); err == nil {
+	if !isInterrupted && refresh.IsWorthwhile() {
+		if _, err := g.copyKVCache(ctx, n, r, first.destination, nil); err == nil {
 			g.mu.Lock()
 			first.completedAt = g.config.Now()
 			g.mu.Unlock()
@@ -236,7 +235,7 @@
 		generated := n.generatedTokens()
 		k, _ := g.replicas.Get(d.ID)
 		g.mu.Unlock()
-		c, err := g.copyKVCache(ctx, n, r, d, false)
+		c, err := g.copyKVCache(ctx, n, r, d, nil)
 		switch {
 		case err == nil:
 			return &continuation{source: r.ID, destination: d, holder: k.Start(), completedAt: g.config.Now(), generatedTokens: generated, Continuation: comfreycall.Continuation{Source: r.Address, Handle: c.Handle}}
@@ -263,11 +262,11 @@
 }
 
 // hasStarted reports whether a generation has produced its first event or has
-// ended.
+// ended, or its stream has.
 func (g *Gateway) hasStarted(n *generation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return n.events > 0 || n.hasEnded
+	return n.events > 0 || n.hasEnded || n.isInterrupted
 }
 
 // chooseDestination chooses the destination of a move and counts the memory
@@ -295,16 +294,27 @@
 	return l[i], true
 }
 
-// copyKVCache makes one copy of a generation's KV cache and records the result.
-func (g *Gateway) copyKVCache(ctx context.Context, n *generation, r comfreyreplica.Replica, d comfreyplacement.Candidate, isLast bool) (comfreycall.KVCopy, error) {
-	began := g.config.Now()
+// copyKVCache makes one copy of a generation's KV cache and records the result. The
+// generation is stopped first if stop is not nil.
+func (g *Gateway) copyKVCache(ctx context.Context, n *generation, r comfreyreplica.Replica, d comfreyplacement.Candidate, stop *stopCall) (comfreycall.KVCopy, error) {
+	began, isLast := g.config.Now(), stop != nil
 	limit := r.EndsAt.Add(copyGracePeriod).Sub(began)
 	if isLast {
 		limit = stopTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(limit, stopTimeout))
 	defer cancel()
-	c, err := g.config.Engines.CopyKVCache(ctx, g.target(ctx, r.ID, r.Address, comfreyreplica.PurposeControl), n.request, d.Address, isLast)
+	target := g.target(ctx, r.ID, r.Address, comfreyreplica.PurposeControl)
+	if permit := target.Permit; isLast {
+		target.Permit = func() error {
+			err := permit()
+			if err == nil {
+				g.observeWritten(n, stop)
+			}
+			return err
+		}
+	}
+	c, err := g.config.Engines.CopyKVCache(ctx, target, n.request, d.Address, isLast)
 	f := map[string]any{"replica": r.ID, "to": d.ID, "last": isLast, "handle": c.Handle, "took-ms": g.config.Now().Sub(began).Milliseconds(), "ends-in-ms": r.EndsAt.Sub(began).Milliseconds()}
 	reason := comfreyverdict.ReasonAccepted
 	if err != nil {
@@ -312,6 +322,11 @@
 		f["error"] = err.Error()
 	}
 	g.record(n.request, comfreydecision.KindMove, reason, f)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n.replica.ID == r.ID {
+		n.mayBeCopying = stopResult(err).MayRetry()
+	}
 	return c, err
 }
 
@@ -319,74 +334,6 @@
 // still complete, because some replicas serve longer than expected.
 const copyGracePeriod = time.Second
 
-// stopCall is a call that stops a generation at the replica that executes it. The
-// mutex of the gateway guards mayHaveStopped.
-type stopCall struct {
-	// returned is closed when the call has returned.
-	returned chan struct{}
-	// mayHaveStopped is false if neither this call nor an earlier one at the same
-	// replica can have stopped the generation.
-	mayHaveStopped bool
-}
-
-// stopAtSource stops a generation at its source, which closes the stream; the
-// goroutine that relays the stream then resumes the generation from the copy.
-func (g *Gateway) stopAtSource(ctx context.Context, n *generation, r comfreyreplica.Replica, first *continuation) {
-	s := &stopCall{returned: make(chan struct{}), mayHaveStopped: true}
-	defer close(s.returned)
-	g.mu.Lock()
-	isOver := n.hasEnded || n.replica.ID != r.ID
-	wasInDoubt := n.stop != nil && n.stop.mayHaveStopped
-	if !isOver {
-		n.stop = s
-	}
-	g.mu.Unlock()
-	if isOver {
-		return
-	}
-	_, err := g.copyKVCache(ctx, n, r, first.destination, true)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s.mayHaveStopped = wasInDoubt || mayHaveStopped(err)
-}
-
-// mayHaveStopped reports whether a generation may have been stopped by a call, given
-// the error of the call.
-func mayHaveStopped(err error) bool {
-	if errors.Is(err, comfreycall.ErrUnknownGeneration) || errors.Is(err, comfreycall.ErrCopyInProgress) || errors.Is(err, comfreycall.ErrOtherReplica) {
-		return false
-	}
-	var s *comfreyconnection.SendError
-	return !errors.As(err, &s) || s.MayHaveArrived
-}
-
-// errStopped means that a generation was stopped at its source.
-var errStopped = errors.New("comfreyforward: the generation was stopped to be moved")
-
-// awaitStopped reports whether a stream may have ended because its generation was
-// stopped at the source, which the end of its connection does not tell.
-func (g *Gateway) awaitStopped(ctx context.Context, n *generation) bool {
-	g.mu.Lock()
-	s := n.stop
-	g.mu.Unlock()
-	return g.awaitStopCall(ctx, s)
-}
-
-// awaitStopCall waits until a call that stops a generation, which may be nil, has
-// returned, and reports whether the generation may have been stopped.
-func (g *Gateway) awaitStopCall(ctx context.Context, s *stopCall) bool {
-	if s == nil {
-		return false
-	}
-	select {
-	case <-s.returned:
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return s.mayHaveStopped
-}
-
 // releaseCopy frees a copy that is no longer needed.
 func (g *Gateway) releaseCopy(c *continuation) {
 	g.config.Group.Go("drop", func(ctx context.Context) error {
--- a/comfreyforward/placement.go
+++ b/comfreyforward/placement.go
@@ -220,7 +220,7 @@
 	}
 	if err == nil {
 		p.reservation = id
-		n.setReplica(p.Candidate)
+		n.setReplica(now, p.Candidate)
 		return true
 	}
 	f := x.logFields(now)
--- a/comfreyforward/rebalance.go
+++ b/comfreyforward/rebalance.go
@@ -97,7 +97,8 @@
 	// The source stays, so the timeout bounds the move instead of its expected
 	// end.
 	r.EndsAt = now.Add(rebalanceTimeout)
-	n.isMoving, n.destination = true, &to
+	n.beginMoving()
+	n.destination = &to
 	g.trackCopy(n, to.ID, true)
 	g.record(n.request, comfreydecision.KindMove, comfreyverdict.ReasonLeastLoaded, map[string]any{
 		"replica": from.ID, "to": to.ID, "used-tokens": from.Load.UsedTokens, "to-used-tokens": to.Load.UsedTokens,
--- a/comfreyforward/resume.go
+++ b/comfreyforward/resume.go
@@ -10,17 +10,22 @@
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
-// resume resumes a generation after its stream has ended early: from its copy, or at its
-// source if that fails. ok is false if there was no copy.
+// resume resumes a generation after its stream has ended early, once its replica does not
+// execute it any more: from its copy, or at its source if that fails. ok is false if there
+// was no copy that can be used.
 func (g *Gateway) resume(ctx context.Context, x *exchange, n *generation) (a *comfreyconnection.Response, e *attemptError, ok bool) {
 	var tried *continuation
+	run := comfreyplacement.RunPossible
 	for {
-		s := comfreyplacement.ResumeState{HasCopy: g.canResume(n), WasTried: tried != nil}
+		s := comfreyplacement.ResumeState{HasCopy: g.awaitFirstCopy(ctx, n), WasTried: tried != nil, Run: run}
 		if e != nil {
 			s.MayRun, s.IsHeld = e.isLost || e.reason == comfreyverdict.ReasonUnsealedAnswer, e.isSuspect()
 			s.MayBeStopped = !s.MayRun && g.awaitStopCall(ctx, tried.stop)
 		}
 		switch s.Next() {
+		case comfreyplacement.ResumeAfterStop:
+			run = g.endRun(ctx, n)
+			continue
 		case comfreyplacement.ResumeAtCopy:
 			tried = g.takeContinuation(n)
 		case comfreyplacement.ResumeAtSource:
@@ -31,7 +36,7 @@
 		if tried == nil || ctx.Err() != nil {
 			return nil, e, ok
 		}
-		ok = true
+		ok, run = true, comfreyplacement.RunPossible
 		if a, e = g.resumeAt(ctx, x, n, tried); e == nil {
 			return a, nil, true
 		}
--- a/comfreyplacement/resumption_test.go
+++ b/comfreyplacement/resumption_test.go
@@ -1,6 +1,7 @@
 package comfreyplacement_test
 
 import (
+	"fmt"
 	"testing"
 
 	"comfreyridge.example/comfreyridge/comfreyplacement"
@@ -31,3 +32,37 @@
 		})
 	}
 }
+
+// TestGenerationIsStoppedBeforeItIsResumed guards against a generation that goes on at
+// another replica because its stream has ended, while the one before executes it.
+func TestGenerationIsStoppedBeforeItIsResumed(t *testing.T) {
+	for name, c := range map[string]struct {
+		state comfreyplacement.ResumeState
+		want  comfreyplacement.Resumption
+	}{
+		"a copy, and the stream has ended":     {comfreyplacement.ResumeState{HasCopy: true, Run: comfreyplacement.RunPossible}, comfreyplacement.ResumeAfterStop},
+		"no answer to the stop":                {comfreyplacement.ResumeState{HasCopy: true, Run: comfreyplacement.RunUnclear}, comfreyplacement.ResumeNowhere},
+		"stopped":                              {comfreyplacement.ResumeState{HasCopy: true, Run: comfreyplacement.RunOver}, comfreyplacement.ResumeAtCopy},
+		"lost again after a further copy":      {comfreyplacement.ResumeState{HasCopy: true, WasTried: true, MayRun: true, Run: comfreyplacement.RunPossible}, comfreyplacement.ResumeAfterStop},
+		"refused by the destination":           {comfreyplacement.ResumeState{WasTried: true, MayBeStopped: true, Run: comfreyplacement.RunPossible}, comfreyplacement.ResumeAtSource},
+		"nothing to resume from":               {comfreyplacement.ResumeState{Run: comfreyplacement.RunPossible}, comfreyplacement.ResumeNowhere},
+		"held back, which a stop won't change": {comfreyplacement.ResumeState{HasCopy: true, IsHeld: true, Run: comfreyplacement.RunPossible}, comfreyplacement.ResumeNowhere},
+	} {
+		if got := c.state.Next(); got != c.want {
+			t.Errorf("%s: got %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+// ExampleStopResult_RunState shows after which responses to a stop a generation may be
+// resumed at another replica.
+func ExampleStopResult_RunState() {
+	for _, r := range []comfreyplacement.StopResult{comfreyplacement.StopEnded, comfreyplacement.StopUnreachable, comfreyplacement.StopTooEarly, comfreyplacement.StopUnclear} {
+		fmt.Println(r.RunState() == comfreyplacement.RunOver, r.MayRetry())
+	}
+	// Output:
+	// true false
+	// true false
+	// false true
+	// false true
+}
