--- a/comfreyforward/planned_stop.go
+++ b/comfreyforward/planned_stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -140,9 +141,12 @@
 	return after
 }
 
+// errStopRefuses is why a request is not sent: it may not end before the gateway does.
+var errStopRefuses = errors.New("comfreyforward: the request may outlast the gateway, which stops")
+
 // checkPlannedStop returns an error if the gateway stops before a request that has not
-// begun can be expected to end, given the time that it takes with some probability. The
-// caller returns to another gateway.
+// begun can be expected to end, given the time that it takes with some probability. It ends
+// at its deadline in any case. The caller returns to another gateway.
 func (g *Gateway) checkPlannedStop(x *exchange, duration func(probability float64) time.Duration) *attemptError {
 	t := g.stopTimes.Load()
 	if t == nil {
@@ -152,20 +156,34 @@
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	s := comfreyplacement.PlannedStop{EndsIn: t.end.Sub(now), DeregisteredIn: max(t.deregistered.Sub(now), 0)}
-	if s.CanServe(duration(s.MinChance())) {
+	if s.CanServe(min(duration(s.MinChance()), x.deadline.Sub(now))) {
 		return nil
 	}
 	return &attemptError{reason: comfreyverdict.ReasonLeaving, isNotRun: true, retryAfter: g.returnAfterStop(now, x, s)}
 }
 
+// checkStop is checkPlannedStop for any request.
+func (g *Gateway) checkStop(x *exchange) *attemptError {
+	if x.generation != nil {
+		return g.checkGenerationStop(x, x.generation)
+	}
+	return g.checkUnaryStop(x)
+}
+
 // checkGenerationStop is checkPlannedStop for a generation.
 func (g *Gateway) checkGenerationStop(x *exchange, n *generation) *attemptError {
 	return g.checkPlannedStop(x, func(probability float64) time.Duration { return g.expectedDuration(n, probability) })
 }
 
-// checkUnaryStop is checkPlannedStop for a request that does not stream.
+// checkUnaryStop is checkPlannedStop for a request that does not stream. Nothing but its
+// deadline bounds the time that it takes.
 func (g *Gateway) checkUnaryStop(x *exchange) *attemptError {
-	return g.checkPlannedStop(x, func(float64) time.Duration { return g.responseTime(x).Upper(0) })
+	return g.checkPlannedStop(x, func(probability float64) time.Duration {
+		if probability < 1 {
+			return g.responseTime(x).Upper(0)
+		}
+		return x.deadline.Sub(g.config.Now())
+	})
 }
 
 // responseTime returns how long requests take that do not stream, of the service of one.
@@ -187,9 +205,17 @@
 }
 
 // expectedDuration returns the time within which the rest of a generation ends with some
-// probability, once it has room. The mutex must be held.
+// probability, once it has room. Only the limit of its request makes it sure to end. The
+// mutex must be held.
 func (g *Gateway) expectedDuration(n *generation, probability float64) time.Duration {
 	generated := n.generatedTokens()
+	if probability >= 1 {
+		limit := math.Inf(1)
+		if n.maxTokens > 0 {
+			limit = float64(max(n.maxTokens-generated, 0))
+		}
+		return g.timesOf(n).Bound(limit)
+	}
 	tokens := g.lengthDistribution(n).RemainingQuantile(generated, probability)
 	if n.maxTokens > 0 {
 		tokens = min(tokens, float64(max(n.maxTokens-generated, 0)))
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -222,6 +222,10 @@
 	}
 	q := g.attemptRequest(x, t)
 	q.Permit = func() error {
+		// Choosing a replica, and opening a connection, may have taken long.
+		if t.Continue == nil && g.checkStop(x) != nil {
+			return errStopRefuses
+		}
 		k := &call{replica: c.ID, purpose: purpose, permit: x.permit, key: x.key()}
 		x.permit = comfreyreplica.Permit{}
 		err := g.permitCall(ctx, k)
@@ -269,6 +273,11 @@
 		return &attemptError{reason: comfreyverdict.ReasonConnectionLost, isLost: true, cause: err}
 	}
 	g.finishWork(c, true)
+	if errors.Is(err, errStopRefuses) {
+		g.endAttempt(x)
+		x.offered--
+		return &attemptError{reason: comfreyverdict.ReasonLeaving, isNotRun: true, isUnsent: true, cause: err}
+	}
 	if reason, ok := permitReason(err); ok {
 		g.endAttempt(x)
 		x.offered--
--- a/comfreyplacement/generation_times_test.go
+++ b/comfreyplacement/generation_times_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -39,3 +40,27 @@
 		t.Errorf("%d of 300 tokens took longer than expected, want at most 15", longer)
 	}
 }
+
+// TestBoundOfGenerationNeedsObservations guards against a stopping gateway that takes a
+// generation for a short one because it knows nothing, or because the usual one is short.
+func TestBoundOfGenerationNeedsObservations(t *testing.T) {
+	var g comfreyplacement.GenerationTimes
+	if d := g.Bound(1); d < time.Hour {
+		t.Errorf("nothing is known: got %v, want no bound", d)
+	}
+	g.ObserveFirstEvent(time.Second)
+	if d := g.Bound(1); d < time.Hour {
+		t.Errorf("the time of a token is not known: got %v, want no bound", d)
+	}
+	g.ObserveTokens(1, 20*time.Millisecond)
+	for range 100 {
+		g.ObserveFirstEvent(100 * time.Millisecond)
+		g.ObserveTokens(1, 5*time.Millisecond)
+	}
+	if d := g.Bound(100); d < 2*time.Second || d > 6*time.Second {
+		t.Errorf("got %v for 100 tokens, want at least the longest times seen, and at most twice those", d)
+	}
+	if d := g.Bound(math.Inf(1)); d < time.Hour {
+		t.Errorf("no limit: got %v, want no bound", d)
+	}
+}
--- a/comfreyplacement/planned_stop.go
+++ b/comfreyplacement/planned_stop.go
@@ -9,11 +9,9 @@
 	// minStopRetryAfter is the least time after which a caller returns that a stopping
 	// gateway refuses.
 	minStopRetryAfter = 50 * time.Millisecond
-	// minChanceBeforeRemoval is the probability with which a generation has to end before
-	// the stop while the load balancer may send its caller here again, and
-	// minChanceAfterRemoval that from when another gateway serves the caller at once.
+	// minChanceBeforeRemoval is the probability with which a request has to end before
+	// the stop while the load balancer may send its caller here again.
 	minChanceBeforeRemoval = 0.8
-	minChanceAfterRemoval  = 0.99
 	// maxStopRetryShare is the part of its caller's remaining time that a caller waits
 	// before it returns.
 	maxStopRetryShare = 1.0 / 3
@@ -41,14 +39,16 @@
 	GracePeriod, KilledIn time.Duration
 }
 
-// MinChance returns the probability with which a generation has to end before the stop so
-// that its caller gains by it. A refusal costs little once the load balancer sends its
-// caller elsewhere.
+// MinChance returns the probability with which a request has to end before the stop so
+// that its caller gains by it. It is 1 once the load balancer sends the caller elsewhere: a
+// refusal then costs one short retry, while a request that does not end here has run in vain,
+// and its caller may not know whether it has. What has ended before tells nothing of the next
+// request then, only the request's own limits do.
 func (s PlannedStop) MinChance() float64 {
 	if s.DeregisteredIn > 0 {
 		return minChanceBeforeRemoval
 	}
-	return minChanceAfterRemoval
+	return 1
 }
 
 // CanServe reports whether a response that is expected to take some time from now on is
--- a/comfreyplacement/planned_stop_test.go
+++ b/comfreyplacement/planned_stop_test.go
@@ -26,8 +26,8 @@
 func TestLateGenerationHasToBeSureToEnd(t *testing.T) {
 	early := comfreyplacement.PlannedStop{EndsIn: 7 * time.Second, DeregisteredIn: 2 * time.Second}.MinChance()
 	late := comfreyplacement.PlannedStop{EndsIn: 4 * time.Second}.MinChance()
-	if early <= 0.5 || early >= late || late < 0.99 {
-		t.Errorf("got a chance of %v and %v, want more than even and nearly sure", early, late)
+	if early <= 0.5 || early >= late || late < 1 {
+		t.Errorf("got a chance of %v and %v, want more than even and sure", early, late)
 	}
 }
 
