--- a/comfreyforward/config.go
+++ b/comfreyforward/config.go
@@ -16,6 +16,7 @@
 	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreydecision"
 	"comfreyridge.example/comfreyridge/comfreygroup"
+	"comfreyridge.example/comfreyridge/comfreyquarantine"
 	"comfreyridge.example/comfreyridge/comfreyratelimit"
 	"comfreyridge.example/comfreyridge/comfreyreplica"
 	"comfreyridge.example/comfreyridge/comfreyroute"
@@ -127,6 +128,9 @@
 	// changes after a version and up to another one of the same era, which may be
 	// none. It does nothing by default and must not block.
 	ShareStoreChanges func(after, version comfreystorecache.Version, changes []comfreystorecache.Item)
+	// ShareSilentLosses sends the other gateways requests that have no response when
+	// this gateway ends, by the upstreams at which they were. It does nothing by default.
+	ShareSilentLosses func(l []comfreyquarantine.CrashRecord)
 	// Layout returns the division of the fleet into cells; this gateway alone by
 	// default.
 	Layout func() comfreycell.Layout
@@ -168,6 +172,9 @@
 			return comfreyratelimit.Reply{}, errNoPeers
 		}
 	}
+	if c.ShareSilentLosses == nil {
+		c.ShareSilentLosses = func([]comfreyquarantine.CrashRecord) {}
+	}
 	if c.TriggerGossip == nil {
 		c.TriggerGossip = func() {}
 	}
--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -43,6 +43,14 @@
 	g.replicas.EndWork(g.config.Now(), c.ID, failed)
 }
 
+// observeHeaderOf records that the header of the response to the current attempt of a request
+// has arrived.
+func (g *Gateway) observeHeaderOf(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observer.RecordOutput(g.config.Now(), x.execution)
+}
+
 // upstream returns the present start of a replica. The mutex must be held.
 func (g *Gateway) upstream(replica string) comfreyquarantine.Upstream {
 	r, _ := g.replicas.Get(replica)
@@ -126,6 +134,9 @@
 	r, ok := g.replicas.Get(u.ID)
 	isPlanned := ok && upstreamOf(u.ID, r) == u && r.State == comfreyreplica.StateLeaving && !r.IsRemoved
 	isBusy := g.observer.HasInFlight(u)
+	if isBusy && !isPlanned && evidence == evidenceRegistration {
+		g.observer.Remove(g.config.Now(), u)
+	}
 	if isPlanned || isBusy {
 		hasLosses := g.observer.HasLosses(u)
 		g.mu.Unlock()
@@ -145,25 +156,79 @@
 }
 
 // observeRegistration handles a changed registration: one that was removed without
-// notice, or belongs to a later start of its replica.
+// notice, announces the end of its replica, or belongs to a later start of it.
 func (g *Gateway) observeRegistration(c comfreyreplica.Change) {
 	r := c.Replica
-	if r.IsRemoved {
-		g.observeEnd(upstreamOf(r.ID, r), "registration")
+	u := upstreamOf(r.ID, r)
+	switch {
+	case r.IsRemoved:
+		g.observeEnd(u, evidenceRegistration)
 		return
-	}
-	if !c.IsRestarted {
+	case r.State == comfreyreplica.StateLeaving:
+		g.mu.Lock()
+		g.observer.Leave(g.config.Now(), u)
+		g.mu.Unlock()
+		return
+	case !c.IsRestarted:
+		g.retractCrash(u)
 		return
 	}
 	g.mu.Lock()
 	g.health.Forget(r.ID)
-	l := g.observer.Restart(g.config.Now(), upstreamOf(r.ID, r))
+	l := g.observer.Restart(g.config.Now(), u)
 	g.mu.Unlock()
 	for _, e := range l {
 		g.addCrashRecord(e, "restart")
 	}
 }
 
+// evidenceRegistration means that the registration of a replica was removed without notice.
+const evidenceRegistration = "registration"
+
+// retractCrash clears what was in flight at a replica that counts as crashed and is registered
+// with the same start: it was only cut off for a time.
+func (g *Gateway) retractCrash(u comfreyquarantine.Upstream) {
+	g.mu.Lock()
+	isRetracted := g.observer.Revive(u) && g.quarantine.Retract(comfreyquarantine.CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1})
+	g.mu.Unlock()
+	if isRetracted {
+		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonAccepted, map[string]any{"replica": u.ID, "born": u.Incarnation, "state": "not-crashed"})
+		g.config.TriggerGossip()
+	}
+}
+
+// addSilentCrashes adds the records of replicas that were removed without notice and have
+// been silent since.
+func (g *Gateway) addSilentCrashes() {
+	g.mu.Lock()
+	l := g.observer.Removed(g.config.Now())
+	g.mu.Unlock()
+	for _, r := range l {
+		g.addCrashRecord(r, "silence")
+	}
+}
+
+// shareSilentLosses sends the other gateways what has no response here, since this gateway
+// ends before the crash of its replica may be known.
+func (g *Gateway) shareSilentLosses() {
+	g.mu.Lock()
+	l := g.observer.Silent(g.config.Now())
+	g.mu.Unlock()
+	if len(l) > 0 {
+		g.config.ShareSilentLosses(l)
+	}
+}
+
+// MergeSilentLosses adds what has no response at another gateway, which has ended.
+func (g *Gateway) MergeSilentLosses(l []comfreyquarantine.CrashRecord) {
+	g.mu.Lock()
+	crashes := g.observer.MergeSilent(g.config.Now(), l)
+	g.mu.Unlock()
+	for _, r := range crashes {
+		g.addCrashRecord(r, "earlier")
+	}
+}
+
 // addCrashRecord adds the record of a crash that this gateway has observed, and
 // sends it to the other gateways.
 func (g *Gateway) addCrashRecord(r comfreyquarantine.CrashRecord, evidence string) {
@@ -185,6 +250,13 @@
 	g.config.TriggerGossip()
 }
 
+// Suspicion returns the suspicion against a feature of requests.
+func (g *Gateway) Suspicion(f comfreyquarantine.Fingerprint) comfreyquarantine.Suspicion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Suspicion(g.config.Now(), f)
+}
+
 // CrashRecords returns the crash records to send to the other gateways now.
 func (g *Gateway) CrashRecords() []comfreyquarantine.CrashRecord {
 	g.mu.Lock()
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -206,6 +206,7 @@
 		}
 		g.mu.Unlock()
 		g.handleReplicaChanges(changes)
+		g.addSilentCrashes()
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			g.config.Pool.Sweep()
--- a/comfreyforward/handler.go
+++ b/comfreyforward/handler.go
@@ -93,7 +93,7 @@
 		g.refuse(x, e.reason, e.retryAfter)
 		return
 	}
-	defer g.endAttempt(x)
+	defer g.abandonAttempt(x)
 	ctx, stop := context.WithDeadline(r.Context(), x.deadline)
 	defer stop()
 	ctx, x.cancel = context.WithCancelCause(ctx)
--- a/comfreyforward/server.go
+++ b/comfreyforward/server.go
@@ -143,6 +143,7 @@
 		defer cancelExiting()
 		_ = callers.Drain(exiting) // What is left is closed.
 	}
+	g.shareSilentLosses()
 	cut, err := callers.Close()
 	g.record("", comfreydecision.KindDrain, comfreyverdict.ReasonAccepted, map[string]any{"state": "stopped", "streams": g.streamCount(), "cut": cut, "after-ms": g.config.Now().Sub(began).Milliseconds()})
 	return err
--- a/comfreyforward/suspect.go
+++ b/comfreyforward/suspect.go
@@ -98,6 +98,19 @@
 	g.finishAttempt(x)
 }
 
+// abandonAttempt records that a request has ended, whose current attempt may have no response
+// of its replica. The replica may be silent because it has crashed, which is known only
+// later.
+func (g *Gateway) abandonAttempt(x *exchange) {
+	g.mu.Lock()
+	r, isKnown := g.observer.Abandon(g.config.Now(), x.execution)
+	delete(g.cancels, x.execution)
+	g.mu.Unlock()
+	if isKnown {
+		g.addCrashRecord(r, "silence")
+	}
+}
+
 // finishAttempt is endAttempt. The mutex must be held.
 func (g *Gateway) finishAttempt(x *exchange) {
 	g.observer.Finish(x.execution)
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -255,6 +255,7 @@
 		return nil, r, &attemptError{reason: comfreyverdict.ReasonEngineRefused, isNotRun: true}
 	}
 	x.sent++
+	g.observeHeaderOf(x)
 	g.recordOutcome(c.ID, a.Status >= http.StatusInternalServerError)
 	if a.Status < 300 && !r.IsSigned {
 		a.Close()
@@ -286,7 +287,8 @@
 		}
 		return &attemptError{reason: reason, isNotRun: true, isUnsent: true, cause: err}
 	}
-	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	// A replica at which a likely cause of crashes was in flight may be silent from now on.
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) || isHeldBack(ctx) {
 		g.recordOutcome(c.ID, true)
 	}
 	if ctx.Err() == nil {
--- a/comfreygossip/crash.go
+++ b/comfreygossip/crash.go
@@ -1,6 +1,7 @@
 package comfreygossip
 
 import (
+	"net"
 	"slices"
 
 	"comfreyridge.example/comfreyridge/comfreyproto"
@@ -19,16 +20,39 @@
 	if len(l) == 0 {
 		return
 	}
+	to := g.crashReceivers()
+	for _, r := range l {
+		for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
+			r.Suspects = s
+			d := &comfreyproto.PlacementDatagram{Crashes: comfreyrpc.EncodeCrashRecords([]comfreyquarantine.CrashRecord{r}, g.config.Now())}
+			g.send(kindCrashes, d, to...)
+		}
+	}
+}
+
+// crashReceivers returns the gateways of the own cell, and of the other cells if this gateway
+// is a relay.
+func (g *Gossip) crashReceivers() []*net.UDPAddr {
 	layout := g.Layout()
 	to := layout.Members()
 	for _, t := range layout.RelayTargets() {
 		to = append(to, t.Address)
 	}
-	for _, r := range l {
-		for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
-			r.Suspects = s
-			d := &comfreyproto.PlacementDatagram{Crashes: comfreyrpc.EncodeCrashRecords([]comfreyquarantine.CrashRecord{r}, g.config.Now())}
-			g.send(kindCrashes, d, g.datagramAddresses(to)...)
+	return g.datagramAddresses(to)
+}
+
+// ShareSilentLosses sends the own cell, and other cells if this gateway is a relay, the
+// requests that have no response as this gateway ends. A datagram may be lost, so each is
+// sent twice.
+func (g *Gossip) ShareSilentLosses(l []comfreyquarantine.CrashRecord) {
+	to := g.crashReceivers()
+	for range 2 {
+		for _, r := range l {
+			for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
+				r.Suspects = s
+				d := &comfreyproto.PlacementDatagram{SilentLosses: comfreyrpc.EncodeCrashRecords([]comfreyquarantine.CrashRecord{r}, g.config.Now())}
+				g.send(kindCrashes, d, to...)
+			}
 		}
 	}
 }
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -149,6 +149,9 @@
 	// MergeCrashRecords adds those of another gateway.
 	CrashRecords, RepeatedSuspects func() []comfreyquarantine.CrashRecord
 	MergeCrashRecords              func(l []comfreyquarantine.CrashRecord)
+	// MergeSilentLosses adds the requests without a response of another gateway, which
+	// has ended.
+	MergeSilentLosses func(l []comfreyquarantine.CrashRecord)
 	// KnownRateLimits returns the rate limits of replicas for a gateway that starts,
 	// and MergeRateLimits adds those of another gateway.
 	KnownRateLimits func() []comfreyreplica.RateLimit
--- a/comfreygossip/gossip_test.go
+++ b/comfreygossip/gossip_test.go
@@ -44,6 +44,8 @@
 	// leaving are the replicas that leave for all that the node knows, and
 	// receivedLeaving those of exchanges.
 	leaving, receivedLeaving []comfreyreplica.Start
+	// silentLosses are those of gateways that have ended.
+	silentLosses []comfreyquarantine.CrashRecord
 	// storeCurrentAt is when another gateway last sent a store age.
 	storeCurrentAt time.Time
 }
@@ -54,6 +56,12 @@
 	n.receivedLeaving = l
 }
 
+func (n *node) mergeSilentLosses(l []comfreyquarantine.CrashRecord) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silentLosses = append(n.silentLosses, l...)
+}
+
 // mergeRateLimits keeps the limits of the first exchange.
 func (n *node) mergeRateLimits(l []comfreyreplica.RateLimit) {
 	n.mu.Lock()
@@ -141,7 +149,7 @@
 			return locked(n, func() []comfreyreplica.Start { return n.leaving })
 		},
 		MergeLeaving: n.mergeLeaving, MergeRateLimits: n.mergeRateLimits,
-		MergeCrashRecords: func([]comfreyquarantine.CrashRecord) {},
+		MergeCrashRecords: func([]comfreyquarantine.CrashRecord) {}, MergeSilentLosses: n.mergeSilentLosses,
 		ApplyCellState: func(c comfreycell.ID, s comfreygossip.CellState) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -257,6 +265,31 @@
 	await(t, "a knows both other gateways", func() bool { return len(a.gossip.Layout().LiveMembers()) == 2 })
 }
 
+// TestSilentLossesReachOtherGateways guards against a request that is forgotten with the
+// gateway that ends before the crash of its replica is known.
+func TestSilentLossesReachOtherGateways(t *testing.T) {
+	a := startNode(t, 1)
+	b := startNode(t, 2, a.address)
+	await(t, "a knows b", func() bool { return len(a.gossip.Layout().LiveMembers()) == 1 })
+	l := comfreyquarantine.CrashRecord{Crash: comfreyquarantine.CrashID{Host: "i-1", Incarnation: 7}, Expiry: time.Now().Add(time.Hour)}
+	const suspects = 100 // More than fit into one datagram.
+	for i := range suspects {
+		l.Suspects = append(l.Suspects, comfreyquarantine.Suspect{Fingerprint: comfreyquarantine.NewPartFingerprint("service", fmt.Sprint(i))})
+	}
+	a.gossip.ShareSilentLosses([]comfreyquarantine.CrashRecord{l})
+	await(t, "b has all of them", func() bool {
+		return locked(b, func() bool {
+			found := map[comfreyquarantine.Fingerprint]bool{}
+			for _, r := range b.silentLosses {
+				for _, s := range r.Suspects {
+					found[s.Fingerprint] = r.Crash == l.Crash
+				}
+			}
+			return len(found) == suspects
+		})
+	})
+}
+
 // TestStateReachesOtherCells checks that a fleet which is too large for one cell
 // divides itself by data centre, that each gateway receives the states of the
 // other cells, and that a change which one gateway received from the store
--- a/comfreygossip/placements.go
+++ b/comfreygossip/placements.go
@@ -244,6 +244,8 @@
 			g.receiveStoreChanges(d.Store)
 		case len(d.Crashes) > 0:
 			g.config.MergeCrashRecords(comfreyrpc.DecodeCrashRecords(d.Crashes, g.config.Now()))
+		case len(d.SilentLosses) > 0:
+			g.config.MergeSilentLosses(comfreyrpc.DecodeCrashRecords(d.SilentLosses, g.config.Now()))
 		default:
 			g.receive(partial, &d)
 		}
--- a/comfreyquarantine/crash_record.go
+++ b/comfreyquarantine/crash_record.go
@@ -44,6 +44,9 @@
 	Expiry time.Time
 	// Suspects are the distinct requests, sorted by fingerprint.
 	Suspects []Suspect
+	// IsSilent means that no connection broke, so that the crash was recorded some time
+	// after it happened.
+	IsSilent bool
 }
 
 // Weight returns the weight of the suspicion against each request of the
@@ -101,6 +104,7 @@
 func (r CrashRecord) merge(q CrashRecord) CrashRecord {
 	s := append(slices.Clone(r.Suspects), q.Suspects...)
 	r.Suspects = mergeSuspects(s)
+	r.IsSilent = r.IsSilent && q.IsSilent
 	if q.Expiry.After(r.Expiry) {
 		r.Expiry = q.Expiry
 	}
--- a/comfreyquarantine/observer.go
+++ b/comfreyquarantine/observer.go
@@ -11,6 +11,16 @@
 	// suspect. It exceeds the time after which the registration of an upstream that
 	// crashed lapses.
 	lossRetention = 10 * time.Second
+	// silentLossRetention is the same for a request at an upstream that was silent. The
+	// crash of one is known only when its registration lapses, or when it starts again.
+	silentLossRetention = 20 * time.Second
+	// maxSilentLosses bounds these requests of one upstream.
+	maxSilentLosses = 64
+	// silentEndPeriod is how long an upstream that was removed without notice has to be
+	// silent, with requests in flight, until it counts as crashed. Others go on for a time.
+	silentEndPeriod = 2 * time.Second
+	// outputDelay is how long output of an upstream that has crashed may be on its way.
+	outputDelay = 500 * time.Millisecond
 	// crashRetention is how long an upstream counts as crashed, so that connections
 	// which break later belong to the same crash.
 	crashRetention = time.Minute
@@ -37,13 +47,22 @@
 //
 // It is built for this load: a replica crashes with dozens of requests of several
 // gateways, one of which is the cause and is sent again at once, through other
-// gateways.
+// gateways. Some hosts go dark as they crash: no connection breaks, and their requests end
+// by their timeouts, or because their callers leave.
 type Observer struct {
 	retention time.Duration
 	inFlight  map[ExecutionID]observation
 	losses    map[Upstream][]loss
 	crashedAt map[Upstream]time.Time
 	last      ExecutionID
+	// removedAt holds when upstreams with requests in flight were removed without
+	// notice, leaving those that have announced their end, and starts the latest start
+	// of each upstream that has started again.
+	removedAt, leaving map[Upstream]time.Time
+	starts             map[string]start
+	// ranSince holds the features of silent losses, and whether a request with them has
+	// run since, or shortly before.
+	ranSince map[Fingerprint]bool
 	// runs holds when requests with a feature have run, since runsSince; earlierRuns
 	// holds those of the runRetention before.
 	runs, earlierRuns map[Fingerprint]time.Time
@@ -61,10 +80,29 @@
 	isProven bool
 }
 
-// loss is a request whose connection broke before its response was complete.
+// start is a start of an upstream.
+type start struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// loss is a request whose connection broke before its response was complete, or that has
+// ended without one.
 type loss struct {
 	observation
 	at time.Time
+	// isSilent means that no connection broke, and last is the latest request that was
+	// sent by then.
+	isSilent bool
+	last     ExecutionID
+}
+
+// retention returns how long the request can become a suspect.
+func (l loss) retention() time.Duration {
+	if l.isSilent {
+		return silentLossRetention
+	}
+	return lossRetention
 }
 
 // suspects returns the features of a lost request. Those of a proven one are unlikely
@@ -88,7 +126,10 @@
 	if retention <= 0 {
 		retention = defaultRetention
 	}
-	return &Observer{retention: retention, inFlight: map[ExecutionID]observation{}, losses: map[Upstream][]loss{}, crashedAt: map[Upstream]time.Time{}, runs: map[Fingerprint]time.Time{}}
+	return &Observer{
+		retention: retention, inFlight: map[ExecutionID]observation{}, losses: map[Upstream][]loss{}, crashedAt: map[Upstream]time.Time{}, runs: map[Fingerprint]time.Time{},
+		removedAt: map[Upstream]time.Time{}, leaving: map[Upstream]time.Time{}, starts: map[string]start{}, ranSince: map[Fingerprint]bool{},
+	}
 }
 
 // Start records that a request with some features is sent to an upstream.
@@ -102,7 +143,11 @@
 // request is proven, and when its first output arrived.
 func (o *Observer) RecordOutput(now time.Time, id ExecutionID) (first time.Time, isProven bool) {
 	x, ok := o.inFlight[id]
-	if !ok || x.isProven {
+	if !ok {
+		return time.Time{}, false
+	}
+	o.observeAlive(now, id, x.upstream)
+	if x.isProven {
 		return time.Time{}, false
 	}
 	if x.outputAt.IsZero() {
@@ -128,11 +173,8 @@
 		return CrashRecord{}, false
 	}
 	delete(o.inFlight, id)
-	o.losses[x.upstream] = append(o.losses[x.upstream], loss{x, now})
-	if _, ok := o.crashedAt[x.upstream]; ok {
-		return o.record(now, x.upstream)
-	}
-	return CrashRecord{}, false
+	o.losses[x.upstream] = append(o.losses[x.upstream], loss{observation: x, at: now, last: o.last})
+	return o.recordLoss(now, x.upstream)
 }
 
 // Upstream returns the upstream of a request in flight.
@@ -188,6 +230,11 @@
 
 // RecordRun records that a request with some features has run without a crash.
 func (o *Observer) RecordRun(now time.Time, features []Fingerprint) {
+	for _, f := range features {
+		if _, ok := o.ranSince[f]; ok {
+			o.ranSince[f] = true
+		}
+	}
 	if now.Sub(o.runsSince) >= runRetention {
 		o.runs, o.earlierRuns, o.runsSince = map[Fingerprint]time.Time{}, o.runs, now
 	}
@@ -226,18 +273,38 @@
 // of the requests that were lost there, and false if there were none so far.
 func (o *Observer) Crash(now time.Time, u Upstream) (CrashRecord, bool) {
 	o.crashedAt[u] = now
+	delete(o.removedAt, u)
 	return o.record(now, u)
 }
 
+// crashSilently is Crash for an upstream whose requests in flight are lost too, although
+// their connections have not broken.
+func (o *Observer) crashSilently(now time.Time, u Upstream) (CrashRecord, bool) {
+	for _, x := range o.inFlight {
+		if x.upstream == u && x.outputAt.IsZero() {
+			o.losses[u] = append(o.losses[u], loss{observation: x, at: now, isSilent: true, last: o.last})
+		}
+	}
+	return o.Crash(now, u)
+}
+
 // Restart records that an upstream has started anew. It returns the records of the
-// requests that were lost at earlier starts.
+// requests that were lost, or are in flight, at earlier starts.
 func (o *Observer) Restart(now time.Time, u Upstream) []CrashRecord {
+	o.starts[u.ID] = start{u.Incarnation, now}
+	earlier := map[Upstream]bool{}
+	for l := range o.losses {
+		earlier[l] = true
+	}
+	for _, x := range o.inFlight {
+		earlier[x.upstream] = true
+	}
 	var l []CrashRecord
-	for earlier := range o.losses {
-		if earlier.ID != u.ID || earlier.Incarnation >= u.Incarnation {
+	for e := range earlier {
+		if e.ID != u.ID || e.Incarnation >= u.Incarnation {
 			continue
 		}
-		if r, ok := o.Crash(now, earlier); ok {
+		if r, ok := o.crashSilently(now, e); ok {
 			l = append(l, r)
 		}
 	}
@@ -248,12 +315,11 @@
 // crashed.
 func (o *Observer) record(now time.Time, u Upstream) (CrashRecord, bool) {
 	var s []Suspect
+	isSilent := true
 	for _, l := range o.losses[u] {
-		if now.Sub(l.at) < lossRetention {
-			for _, p := range l.suspects() {
-				p.HasRun = p.HasRun || o.hasRunBefore(now, p.Fingerprint)
-				s = append(s, p)
-			}
+		isSilent = isSilent && l.isSilent
+		if now.Sub(l.at) < l.retention() {
+			s = append(s, o.suspects(now, l)...)
 		}
 	}
 	delete(o.losses, u)
@@ -266,7 +332,7 @@
 		slices.SortStableFunc(s, func(a, b Suspect) int { return compareBool(a.HasRun, b.HasRun) })
 		s = mergeSuspects(s[:defaultMaxSuspects])
 	}
-	return CrashRecord{Crash: CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1}, Expiry: now.Add(o.retention), Suspects: s}, true
+	return CrashRecord{Crash: CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1}, Expiry: now.Add(o.retention), Suspects: s, IsSilent: isSilent}, true
 }
 
 // compareBool orders false before true.
@@ -281,8 +347,26 @@
 	}
 }
 
+// suspects returns the features of a lost request that may have caused the crash of its
+// upstream. A request at a silent one is no suspect by a feature that has run since.
+func (o *Observer) suspects(now time.Time, l loss) []Suspect {
+	var s []Suspect
+	for _, p := range l.suspects() {
+		p.HasRun = p.HasRun || o.hasRunBefore(now, p.Fingerprint)
+		if !l.isSilent || !p.HasRun && !o.ranSince[p.Fingerprint] {
+			s = append(s, p)
+		}
+	}
+	return s
+}
+
 // Expire removes losses and crashes that are too old to matter.
 func (o *Observer) Expire(now time.Time) {
-	maps.DeleteFunc(o.crashedAt, func(_ Upstream, at time.Time) bool { return now.Sub(at) > crashRetention })
-	maps.DeleteFunc(o.losses, func(_ Upstream, l []loss) bool { return now.Sub(l[len(l)-1].at) > lossRetention })
+	isOld := func(_ Upstream, at time.Time) bool { return now.Sub(at) > crashRetention }
+	maps.DeleteFunc(o.crashedAt, isOld)
+	maps.DeleteFunc(o.removedAt, isOld)
+	maps.DeleteFunc(o.leaving, isOld)
+	maps.DeleteFunc(o.starts, func(_ string, s start) bool { return now.Sub(s.at) > crashRetention })
+	maps.DeleteFunc(o.losses, func(_ Upstream, l []loss) bool { return now.Sub(l[len(l)-1].at) > l[len(l)-1].retention() })
+	o.forgetRuns()
 }
--- a/comfreyquarantine/table.go
+++ b/comfreyquarantine/table.go
@@ -227,6 +227,20 @@
 	return true
 }
 
+// Retract clears all suspects of a crash that has not happened, and reports whether there
+// were any.
+func (t *Table) Retract(c CrashID) bool {
+	r, ok := t.records[c]
+	if !ok || r.isSettled() {
+		return false
+	}
+	for _, s := range r.Suspects {
+		r = r.withCleared(s.Fingerprint)
+	}
+	t.records[c], t.causeCounts, t.pushCounts[c] = r, nil, 0
+	return true
+}
+
 // RecordCrash records a crash of the upstream, that is an end for which there
 // is no known cause such as a planned stop. It returns the record of the
 // requests in flight, and false if there were none.
--- a/comfreyquarantine/trial.go
+++ b/comfreyquarantine/trial.go
@@ -154,13 +154,15 @@
 // each further trial of that kind, since no request without another suspect comes.
 // The alike are the features that explain all of the crashes.
 //
+// A silent crash happened some time before its record, so it counts also during a hold.
+//
 // It is built for this load: every request with one part also has one of two others.
 // Each trial of that part then crashes an upstream.
 func (t *Table) hold(cause Fingerprint, crashes []CrashRecord, alike []Fingerprint) (holds int, until time.Time) {
 	contested := 0
 	for _, r := range crashes {
 		at := r.at(t.config.Retention)
-		if at.Before(until) {
+		if at.Before(until) && !r.IsSilent {
 			continue
 		}
 		if holds < 2 || !t.isContested(r, alike) {
--- a/comfreyrpc/crash.go
+++ b/comfreyrpc/crash.go
@@ -20,6 +20,7 @@
 			Incarnation:   r.Crash.Incarnation,
 			Number:        r.Crash.Number,
 			ExpiresMillis: Millis(r.Expiry.Sub(now)),
+			Silent:        r.IsSilent,
 		}
 		for _, x := range r.Suspects {
 			m.Suspects = append(m.Suspects, &comfreyproto.CrashSuspect{Fingerprint: x.Fingerprint[:], Confirmed: x.IsConfirmed, Cleared: x.IsCleared, Ran: x.HasRun})
@@ -36,7 +37,7 @@
 	for _, m := range s {
 		r := comfreyquarantine.CrashRecord{
 			Crash:  comfreyquarantine.CrashID{Host: m.Host, Incarnation: m.Incarnation, Number: m.Number},
-			Expiry: now.Add(Duration(m.ExpiresMillis)),
+			Expiry: now.Add(Duration(m.ExpiresMillis)), IsSilent: m.Silent,
 		}
 		for _, x := range m.Suspects {
 			if f, ok := FingerprintOf(x.Fingerprint); ok {
