Do not stop a generation again that has returned to its source

Callers would have lost a stream that goes on at its source: a call that stops it and fails late is made again, although the destination has refused the generation and the source runs it once more. The call is made again only while no later execution runs at the replica.

--- a/comfreyforward/stop.go
+++ b/comfreyforward/stop.go
@@ -198,13 +198,22 @@
 		case <-ctx.Done():
 			return s
 		}
-		if !g.mayRetryStop(ctx, u, s) || !comfreygroup.Sleep(ctx, delay) {
+		if !g.mayRetryStop(ctx, u, s) || !comfreygroup.Sleep(ctx, delay) || g.hasReturned(u) {
 			return s
 		}
 		s = g.stopGeneration(ctx, u.generation, u.replica, u.copy)
 	}
 }
 
+// hasReturned reports whether a generation is executed again by the replica of an earlier
+// execution.
+func (g *Gateway) hasReturned(u run) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := u.generation
+	return n.replica.ID == u.replica.ID && !n.placedAt.Equal(u.began)
+}
+
 // mayRetryStop reports whether a further call may tell more than one that has returned. The
 // load report of the replica explains an unclear response.
 func (g *Gateway) mayRetryStop(ctx context.Context, u run, s *stopCall) bool {
