Retract silent crashes only; a start that leaves at once is evidence too

Found by reading. A replica that refused connections has crashed, so its later registration must not clear what was in flight there (TestRetractedCrashHasNoSuspects). A later start that is registered as leaving is still evidence of the crash before it. The header of a response shows that a replica runs, but is no output of its request.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -43,12 +43,11 @@
 	g.replicas.EndWork(g.config.Now(), c.ID, failed)
 }
 
-// observeHeaderOf records that the header of the response to the current attempt of a request
-// has arrived.
-func (g *Gateway) observeHeaderOf(x *exchange) {
+// observeResponding records that the replica of the current attempt of a request responds.
+func (g *Gateway) observeResponding(x *exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.observer.RecordOutput(g.config.Now(), x.execution)
+	g.observer.RecordResponse(g.config.Now(), x.execution)
 }
 
 // upstream returns the present start of a replica. The mutex must be held.
@@ -168,9 +167,10 @@
 		g.mu.Lock()
 		g.observer.Leave(g.config.Now(), u)
 		g.mu.Unlock()
-		return
-	case !c.IsRestarted:
+	case r.State == comfreyreplica.StateReady:
 		g.retractCrash(u)
+	}
+	if !c.IsRestarted {
 		return
 	}
 	g.mu.Lock()
@@ -201,7 +201,7 @@
 // been silent since.
 func (g *Gateway) addSilentCrashes() {
 	g.mu.Lock()
-	l := g.observer.Removed(g.config.Now())
+	l := g.observer.SilentCrashes(g.config.Now())
 	g.mu.Unlock()
 	for _, r := range l {
 		g.addCrashRecord(r, "silence")
@@ -250,13 +250,6 @@
 	g.config.TriggerGossip()
 }
 
-// Suspicion returns the suspicion against a feature of requests.
-func (g *Gateway) Suspicion(f comfreyquarantine.Fingerprint) comfreyquarantine.Suspicion {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantine.Suspicion(g.config.Now(), f)
-}
-
 // CrashRecords returns the crash records to send to the other gateways now.
 func (g *Gateway) CrashRecords() []comfreyquarantine.CrashRecord {
 	g.mu.Lock()
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -255,7 +255,7 @@
 		return nil, r, &attemptError{reason: comfreyverdict.ReasonEngineRefused, isNotRun: true}
 	}
 	x.sent++
-	g.observeHeaderOf(x)
+	g.observeResponding(x)
 	g.recordOutcome(c.ID, a.Status >= http.StatusInternalServerError)
 	if a.Status < 300 && !r.IsSigned {
 		a.Close()
--- a/comfreyquarantine/silence.go
+++ b/comfreyquarantine/silence.go
@@ -54,13 +54,14 @@
 }
 
 // Remove records that an upstream at which requests are in flight was removed without notice.
-// It has crashed if these end without output; see Removed.
+// It has crashed if these end without output; see SilentCrashes.
 func (o *Observer) Remove(now time.Time, u Upstream) {
 	o.removedAt[u] = now
 }
 
-// Removed returns the records of the upstreams that were removed and have been silent since.
-func (o *Observer) Removed(now time.Time) []CrashRecord {
+// SilentCrashes returns the records of the upstreams that were removed and have been silent
+// since, with requests in flight.
+func (o *Observer) SilentCrashes(now time.Time) []CrashRecord {
 	var l []CrashRecord
 	for u, at := range o.removedAt {
 		if now.Sub(at) < silentEndPeriod || !o.HasInFlight(u) {
@@ -89,6 +90,13 @@
 	return hadCrashed
 }
 
+// RecordResponse records that the header of the response to a request has arrived.
+func (o *Observer) RecordResponse(now time.Time, id ExecutionID) {
+	if x, ok := o.inFlight[id]; ok {
+		o.observeAlive(now, id, x.upstream)
+	}
+}
+
 // observeAlive records output of a request at an upstream, which has not crashed by then. A
 // request that was sent later tells nothing: an upstream may have started again under the
 // same id.
--- a/comfreyquarantine/silence_test.go
+++ b/comfreyquarantine/silence_test.go
@@ -12,7 +12,7 @@
 func TestSilentLossNeedsEvidence(t *testing.T) {
 	u := Upstream{"i-1", 7}
 	evidence := map[string]func(o *Observer, now time.Time) int{
-		"none": func(o *Observer, now time.Time) int { return len(o.Removed(now)) },
+		"none": func(o *Observer, now time.Time) int { return len(o.SilentCrashes(now)) },
 		"its registration lapses": func(o *Observer, now time.Time) int {
 			_, ok := o.Crash(now, u)
 			return map[bool]int{true: 1}[ok]
@@ -26,12 +26,12 @@
 			id := o.Start(u, testFeatures("other"))
 			o.Remove(now, u)
 			o.RecordOutput(now.Add(time.Second), id)
-			return len(o.Removed(now.Add(time.Hour)))
+			return len(o.SilentCrashes(now.Add(time.Hour)))
 		},
 		"it lapses, and others there are silent": func(o *Observer, now time.Time) int {
 			o.Start(u, testFeatures("other"))
 			o.Remove(now, u)
-			return len(o.Removed(now.Add(silentEndPeriod)))
+			return len(o.SilentCrashes(now.Add(silentEndPeriod)))
 		},
 		"it lapses, and another ends there": func(o *Observer, now time.Time) int {
 			id := o.Start(u, testFeatures("other"))
@@ -147,7 +147,13 @@
 	table := NewTable(Config{})
 	r := testCrash("i-1", testStart, "a", "b")
 	table.Merge(testStart, []CrashRecord{r})
-	if !table.Retract(r.Crash) || table.Retract(r.Crash) || table.Suspicion(testStart, testFingerprint("a")).Crashes != 0 {
+	if table.Retract(r.Crash) {
+		t.Error("a crash in which a connection broke was retracted")
+	}
+	r = testCrash("i-2", testStart, "c")
+	r.IsSilent = true
+	table.Merge(testStart, []CrashRecord{r})
+	if !table.Retract(r.Crash) || table.Retract(r.Crash) || table.Suspicion(testStart, testFingerprint("c")).Crashes != 0 {
 		t.Error("got suspects of a crash that has not happened")
 	}
 }
--- a/comfreyquarantine/table.go
+++ b/comfreyquarantine/table.go
@@ -227,11 +227,11 @@
 	return true
 }
 
-// Retract clears all suspects of a crash that has not happened, and reports whether there
-// were any.
+// Retract clears all suspects of a silent crash that has not happened, and reports whether
+// there were any.
 func (t *Table) Retract(c CrashID) bool {
 	r, ok := t.records[c]
-	if !ok || r.isSettled() {
+	if !ok || !r.IsSilent || r.isSettled() {
 		return false
 	}
 	for _, s := range r.Suspects {
