--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -189,7 +189,7 @@
 // with the same start: it was only cut off for a time.
 func (g *Gateway) retractCrash(u comfreyquarantine.Upstream) {
 	g.mu.Lock()
-	isRetracted := g.observer.Revive(u) && g.quarantine.Retract(comfreyquarantine.CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1})
+	isRetracted := g.observer.RecordRegistered(u) && g.quarantine.Retract(comfreyquarantine.CrashID{Host: u.ID, Incarnation: u.Incarnation, Number: 1})
 	g.mu.Unlock()
 	if isRetracted {
 		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonAccepted, map[string]any{"replica": u.ID, "born": u.Incarnation, "state": "not-crashed"})
--- a/comfreyforward/resume.go
+++ b/comfreyforward/resume.go
@@ -15,16 +15,16 @@
 // was no copy that can be used.
 func (g *Gateway) resume(ctx context.Context, x *exchange, n *generation) (a *comfreyconnection.Response, e *attemptError, ok bool) {
 	var tried *continuation
-	run := comfreyplacement.RunPossible
+	state := comfreyplacement.RunPossible
 	for {
-		s := comfreyplacement.ResumeState{HasCopy: g.awaitFirstCopy(ctx, n), WasTried: tried != nil, Run: run}
+		s := comfreyplacement.ResumeState{HasCopy: g.awaitFirstCopy(ctx, n), WasTried: tried != nil, Run: state}
 		if e != nil {
 			s.MayRun, s.IsHeld = e.isLost || e.reason == comfreyverdict.ReasonUnsealedAnswer, e.isSuspect()
 			s.MayBeStopped = !s.MayRun && g.awaitStopCall(ctx, tried.stop)
 		}
 		switch s.Next() {
 		case comfreyplacement.ResumeAfterStop:
-			run = g.endRun(ctx, n)
+			state = g.endRun(ctx, n)
 			continue
 		case comfreyplacement.ResumeAtCopy:
 			tried = g.takeContinuation(n)
@@ -36,7 +36,7 @@
 		if tried == nil || ctx.Err() != nil {
 			return nil, e, ok
 		}
-		ok, run = true, comfreyplacement.RunPossible
+		ok, state = true, comfreyplacement.RunPossible
 		if a, e = g.resumeAt(ctx, x, n, tried); e == nil {
 			return a, nil, true
 		}
--- a/comfreyforward/stop.go
+++ b/comfreyforward/stop.go
@@ -37,8 +37,7 @@
 type stopCall struct {
 	// returned is closed when the call has returned.
 	returned chan struct{}
-	// explainsEnd means that the call was written before the stream ended, which it has
-	// caused unless the replica refuses the call.
+	// explainsEnd is that of comfreyplacement.StopTiming.
 	explainsEnd bool
 	// mayHaveStopped is false if neither this call nor an earlier one at the same
 	// replica can have stopped the generation.
@@ -80,12 +79,12 @@
 	return s
 }
 
-// observeWritten records that a call that stops a generation is about to be written. A
-// replica that makes a copy refuses it.
+// observeWritten records that a call that stops a generation is about to be written.
 func (g *Gateway) observeWritten(n *generation, s *stopCall) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.explainsEnd = !n.isInterrupted && !n.mayBeCopying && n.stop == s
+	t := comfreyplacement.StopTiming{HasStreamEnded: n.isInterrupted, MayBeCopying: n.mayBeCopying}
+	s.explainsEnd = n.stop == s && t.ExplainsEnd()
 }
 
 // mayHaveStopped reports whether a generation may have been stopped by a call, given
@@ -121,8 +120,8 @@
 	// replica has executed it since began.
 	replica comfreyreplica.Replica
 	began   time.Time
-	// copy is the one from which the generation is resumed.
-	copy *continuation
+	// resumption is how the generation is resumed.
+	resumption *continuation
 	// stop is the latest call that stops it; nil if there was none.
 	stop *stopCall
 }
@@ -133,7 +132,7 @@
 	defer g.mu.Unlock()
 	r, _ := g.replicas.Get(n.replica.ID)
 	r.ID, r.Address = n.replica.ID, n.replica.Address
-	return run{generation: n, replica: r, began: n.placedAt, copy: n.continuation, stop: n.stop}
+	return run{generation: n, replica: r, began: n.placedAt, resumption: n.continuation, stop: n.stop}
 }
 
 // endRun makes sure that the replica of a generation whose stream has ended early does not
@@ -141,13 +140,13 @@
 func (g *Gateway) endRun(ctx context.Context, n *generation) comfreyplacement.RunState {
 	u := g.latestRun(n)
 	switch {
-	case u.copy == nil:
+	case u.resumption == nil:
 		return comfreyplacement.RunUnclear
 	case g.isBeingStopped(ctx, u.stop):
 		// The call returns only once the rest of the KV cache has been copied.
 		g.config.Group.Go("stop", func(ctx context.Context) error {
-			if s := g.stopUntilEnded(ctx, u); s != u.stop && s.handle != "" && s.handle != u.copy.Handle {
-				unused := *u.copy
+			if s := g.stopUntilEnded(ctx, u); s != u.stop && s.handle != "" && s.handle != u.resumption.Handle {
+				unused := *u.resumption
 				unused.Handle = s.handle
 				g.releaseCopy(&unused)
 			}
@@ -190,7 +189,7 @@
 	defer cancel()
 	s := u.stop
 	if s == nil {
-		s = g.stopGeneration(ctx, u.generation, u.replica, u.copy)
+		s = g.stopGeneration(ctx, u.generation, u.replica, u.resumption)
 	}
 	for delay := stopRetryDelay; ; delay = min(2*delay, maxStopRetryDelay) {
 		select {
@@ -201,7 +200,7 @@
 		if !g.mayRetryStop(ctx, u, s) || !comfreygroup.Sleep(ctx, delay) || g.hasReturned(u) {
 			return s
 		}
-		s = g.stopGeneration(ctx, u.generation, u.replica, u.copy)
+		s = g.stopGeneration(ctx, u.generation, u.replica, u.resumption)
 	}
 }
 
--- a/comfreyplacement/resumption.go
+++ b/comfreyplacement/resumption.go
@@ -84,6 +84,24 @@
 	StopUnreachable
 )
 
+// StopTiming is when a call that stops a generation is written.
+type StopTiming struct {
+	// HasStreamEnded means that the stream of the generation has ended before.
+	HasStreamEnded bool
+	// MayBeCopying means that the replica may still make an earlier copy, and refuse the
+	// call.
+	MayBeCopying bool
+}
+
+// ExplainsEnd reports whether the call ends the stream, so that its end shows that the
+// generation was stopped unless the call is refused.
+//
+// It is built for this load: a replica that leaves has a queue of copies on its link, and
+// responds to such a call only once the rest of the KV cache has been transferred.
+func (t StopTiming) ExplainsEnd() bool {
+	return !t.HasStreamEnded && !t.MayBeCopying
+}
+
 // RunState returns the state of the execution.
 func (r StopResult) RunState() RunState {
 	if r == StopEnded || r == StopUnreachable {
--- a/comfreyplacement/resumption_test.go
+++ b/comfreyplacement/resumption_test.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// ExampleStopTiming shows when the end of a stream is known to be that of its generation.
+func ExampleStopTiming() {
+	fmt.Println(comfreyplacement.StopTiming{}.ExplainsEnd())
+	fmt.Println(comfreyplacement.StopTiming{HasStreamEnded: true}.ExplainsEnd())
+	fmt.Println(comfreyplacement.StopTiming{MayBeCopying: true}.ExplainsEnd())
+	// Output:
+	// true
+	// false
+	// false
+}
+
 // ExampleStopResult_RunState shows after which responses to a stop a generation may be
 // resumed at another replica.
 func ExampleStopResult_RunState() {
--- a/comfreyquarantine/observer.go
+++ b/comfreyquarantine/observer.go
@@ -47,7 +47,7 @@
 //
 // It is built for this load: a replica crashes with dozens of requests of several
 // gateways, one of which is the cause and is sent again at once, through other
-// gateways. Some hosts go dark as they crash: no connection breaks, and their requests end
+// gateways. Some hosts stop responding as they crash: no connection breaks, and their requests end
 // by their timeouts, or because their callers leave.
 type Observer struct {
 	retention time.Duration
@@ -317,8 +317,8 @@
 	var s []Suspect
 	isSilent := true
 	for _, l := range o.losses[u] {
-		isSilent = isSilent && l.isSilent
 		if now.Sub(l.at) < l.retention() {
+			isSilent = isSilent && l.isSilent
 			s = append(s, o.suspects(now, l)...)
 		}
 	}
--- a/comfreyquarantine/silence.go
+++ b/comfreyquarantine/silence.go
@@ -81,9 +81,9 @@
 	o.keepLosses(u, func(l loss) bool { return !l.isSilent })
 }
 
-// Revive records that an upstream is registered. It reports whether it counted as crashed,
+// RecordRegistered records that an upstream is registered. It reports whether it counted as crashed,
 // which was wrong then.
-func (o *Observer) Revive(u Upstream) bool {
+func (o *Observer) RecordRegistered(u Upstream) bool {
 	_, hadCrashed := o.crashedAt[u]
 	delete(o.crashedAt, u)
 	delete(o.removedAt, u)
--- a/comfreyquarantine/silence_test.go
+++ b/comfreyquarantine/silence_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// TestSilentLossNeedsEvidence replays a host that goes dark with a request, which ends without
+// TestSilentLossNeedsEvidence replays a host that stops responding with a request, which ends without
 // a response. It guards against a request that is forgotten before the crash is known, and
 // against one that counts as a cause although its upstream has not crashed.
 func TestSilentLossNeedsEvidence(t *testing.T) {
@@ -125,7 +125,7 @@
 	}
 }
 
-// TestSilentCrashesDuringHoldCount replays replicas that went dark in turn, whose crashes are
+// TestSilentCrashesDuringHoldCount replays replicas that stopped responding in turn, whose crashes are
 // known while the request is held back after the second one.
 func TestSilentCrashesDuringHoldCount(t *testing.T) {
 	for isSilent, want := range map[bool]int{false: 2, true: 3} {
