Probe an absent upstream in each round while its service has one candidate left

Callers saw: no-upstream for all requests of a service with two upstreams during a rolling restart that followed readiness: the second upstream left about a second after the first was ready again.

Cause: a gateway finds a new process on a host that left by its own probe alone, every 2 s, and after failed probes by a back-off of up to 10 s. The sidecar is ready meanwhile, and so is the gateway, by the other upstream. A probe that found a sidecar ready also waited up to one round until the router had it.

Change: while at most one upstream of a service gets requests, its other live upstreams are probed in each round of 250 ms, with one probe a host in flight and half of the report workers in all, in turn. Their failures do not extend the back-off, nor does the response of a sidecar that is not ready yet. A suspected host that responds is a candidate at once.

It works because the probes are frequent only where the next departure would leave callers without an upstream, which bounds them by the services, and their number in flight by the workers.

--- a/comfreygateway/fleet.go
+++ b/comfreygateway/fleet.go
@@ -23,6 +23,7 @@
 	lastSuspicion time.Time
 	// lastReturnProbe is when leaving hosts were last probed for a new process.
 	lastReturnProbe time.Time
+	scarceProbes    comfreyfleet.ProbeTurns
 }
 
 // suspicionPeriod is how long after the last suspicion hosts may still wait to
@@ -89,13 +90,13 @@
 		// An unready sidecar refuses new requests without leaving, for example until
 		// it has a configuration. Leaving is final for an incarnation, so the host is
 		// only suspected.
-		f.suspect(host, comfreyfleet.EvidenceProbeSilent)
+		f.suspectOnce(host, comfreyfleet.EvidenceProbeSilent)
 		return
 	}
 	now := f.now()
 	w := comfreyfleet.Status{Incarnation: comfreyfleet.Incarnation(l.Incarnation), Accepting: l.Accepting}
 	f.mu.Lock()
-	changed := f.tracker.Leaving(host) != !l.Accepting
+	changed := f.tracker.Leaving(host) != !l.Accepting || f.tracker.Suspicion(host) == comfreyfleet.SuspicionUpstream
 	f.tracker.Observe(now, host, w)
 	if changed {
 		f.updateRouter()
@@ -126,6 +127,20 @@
 	f.updateRouter()
 }
 
+// suspectOnce records evidence against a host that is not suspected yet. It does not extend the
+// back-off of one that is: the evidence comes from a probe that did not wait for it, or from a
+// sidecar that responds and will be ready soon.
+func (f *fleet) suspectOnce(host string, e comfreyfleet.Evidence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.tracker.Suspicion(host) == comfreyfleet.SuspicionUpstream {
+		return
+	}
+	f.lastSuspicion = f.now()
+	f.tracker.Suspect(f.lastSuspicion, host, e)
+	f.updateRouter()
+}
+
 // find returns the member of the host list with the given host name.
 func (f *fleet) find(host string) (comfreyfleet.Member, bool) {
 	f.mu.Lock()
--- a/comfreygateway/probe.go
+++ b/comfreygateway/probe.go
@@ -33,3 +33,22 @@
 	}
 	return s
 }
+
+// maxScarceProbes bounds the probes of hosts of scarce services in flight at once.
+// It leaves report workers to other reports while these hosts do not respond.
+const maxScarceProbes = reportWorkers / 2
+
+// startScarceProbes returns the hosts of scarce services whose probes start now. Each is followed
+// by endScarceProbe.
+func (f *fleet) startScarceProbes() []comfreyfleet.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.scarceProbes.Start(f.tracker.Scarce(), maxScarceProbes)
+}
+
+// endScarceProbe records that the probe of a host has ended or was not sent.
+func (f *fleet) endScarceProbe(host string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.scarceProbes.End(host)
+}
--- a/comfreygateway/report.go
+++ b/comfreygateway/report.go
@@ -55,6 +55,11 @@
 		for _, m := range append(g.fleet.router.Probes(now), g.fleet.hostsToProbe()...) {
 			enqueueReport(queue, report{member: m})
 		}
+		for _, m := range g.fleet.startScarceProbes() {
+			if !enqueueReport(queue, report{member: m, scarce: true}) {
+				g.fleet.endScarceProbe(m.Host)
+			}
+		}
 		if now.Sub(renewed) < g.config.ReportInterval {
 			continue
 		}
@@ -65,10 +70,13 @@
 	}
 }
 
-func enqueueReport(queue chan<- report, r report) {
+// enqueueReport reports whether r was queued.
+func enqueueReport(queue chan<- report, r report) bool {
 	select {
 	case queue <- r:
+		return true
 	default:
+		return false
 	}
 }
 
@@ -78,6 +86,9 @@
 		select {
 		case r := <-queue:
 			g.sendReport(ctx, r)
+			if r.scarce {
+				g.fleet.endScarceProbe(r.member.Host)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -106,7 +117,11 @@
 	})
 	if err != nil {
 		g.metrics.reportFailures.Inc()
-		g.fleet.suspect(r.member.Host, comfreyfleet.EvidenceProbeSilent)
+		if r.scarce {
+			g.fleet.suspectOnce(r.member.Host, comfreyfleet.EvidenceProbeSilent)
+		} else {
+			g.fleet.suspect(r.member.Host, comfreyfleet.EvidenceProbeSilent)
+		}
 		return
 	}
 	g.fleet.observe(r.member.Host, reply.Load)
--- a/comfreygateway/sessions.go
+++ b/comfreygateway/sessions.go
@@ -48,6 +48,8 @@
 	member      comfreyfleet.Member
 	incarnation uint64
 	renewals    []*comfreyproto.Renewal
+	// scarce marks a probe of startScarceProbes.
+	scarce bool
 }
 
 // leaseReports returns one report for each sidecar process that executes a
