Read once more: name the evidence of crashes, share the split into datagrams

Comments on stops and bounds say what they mean. No behaviour changes; the tests of comfreygossip, comfreyplacement and comfreyforward pass.

--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -80,7 +80,7 @@
 	}
 	g.mu.Unlock()
 	if isKnown {
-		g.addCrashRecord(r, "earlier")
+		g.addCrashRecord(r, evidenceEarlier)
 	}
 	if mustCheck {
 		g.config.Group.Go("crash check", func(ctx context.Context) error {
@@ -90,12 +90,26 @@
 	}
 }
 
+// The evidence of a crash, as the log names it.
+const (
+	// evidenceDial means that the replica refuses connections.
+	evidenceDial = "dial"
+	// evidenceRegistration means that its registration was removed without notice.
+	evidenceRegistration = "registration"
+	// evidenceRestart means that it has started again.
+	evidenceRestart = "restart"
+	// evidenceSilence means that it has been silent since its registration was removed.
+	evidenceSilence = "silence"
+	// evidenceEarlier means that the crash was known before the loss of a request there.
+	evidenceEarlier = "earlier"
+)
+
 // checkCrashed dials a replica that has broken a connection. One that refuses it,
 // and has no other request of this gateway in flight, has ended. While there are
 // others, which break a little later, it is dialed again.
 func (g *Gateway) checkCrashed(ctx context.Context, u comfreyquarantine.Upstream, c comfreyplacement.Candidate) {
 	for delay := crashCheckDelay; delay <= maxCrashCheckDelay; delay *= 2 {
-		if !comfreygroup.Sleep(ctx, delay) || !g.refusesDial(ctx, c.Address) || g.observeEnd(u, "dial") {
+		if !comfreygroup.Sleep(ctx, delay) || !g.refusesDial(ctx, c.Address) || g.observeEnd(u, evidenceDial) {
 			return
 		}
 	}
@@ -121,7 +135,7 @@
 	hasLosses := g.observer.HasLosses(u)
 	g.mu.Unlock()
 	if hasLosses {
-		g.observeEnd(u, "dial")
+		g.observeEnd(u, evidenceDial)
 	}
 }
 
@@ -178,13 +192,10 @@
 	l := g.observer.Restart(g.config.Now(), u)
 	g.mu.Unlock()
 	for _, e := range l {
-		g.addCrashRecord(e, "restart")
+		g.addCrashRecord(e, evidenceRestart)
 	}
 }
 
-// evidenceRegistration means that the registration of a replica was removed without notice.
-const evidenceRegistration = "registration"
-
 // retractCrash clears what was in flight at a replica that counts as crashed and is registered
 // with the same start: it was only cut off for a time.
 func (g *Gateway) retractCrash(u comfreyquarantine.Upstream) {
@@ -204,7 +215,7 @@
 	l := g.observer.SilentCrashes(g.config.Now())
 	g.mu.Unlock()
 	for _, r := range l {
-		g.addCrashRecord(r, "silence")
+		g.addCrashRecord(r, evidenceSilence)
 	}
 }
 
@@ -225,7 +236,7 @@
 	crashes := g.observer.MergeSilent(g.config.Now(), l)
 	g.mu.Unlock()
 	for _, r := range crashes {
-		g.addCrashRecord(r, "earlier")
+		g.addCrashRecord(r, evidenceEarlier)
 	}
 }
 
--- a/comfreyforward/stop.go
+++ b/comfreyforward/stop.go
@@ -37,7 +37,8 @@
 type stopCall struct {
 	// returned is closed when the call has returned.
 	returned chan struct{}
-	// explainsEnd is that of comfreyplacement.StopTiming.
+	// explainsEnd means that an end of the stream is the effect of this call, unless it is
+	// refused; see comfreyplacement.StopTiming.
 	explainsEnd bool
 	// mayHaveStopped is false if neither this call nor an earlier one at the same
 	// replica can have stopped the generation.
@@ -161,7 +162,8 @@
 }
 
 // isBeingStopped reports whether a call, which may be nil, has ended the stream of its
-// generation and is not refused at once.
+// generation and is not refused at once. Its response, which would confirm the stop, comes only after
+// a transfer; endRun goes on calling meanwhile.
 func (g *Gateway) isBeingStopped(ctx context.Context, s *stopCall) bool {
 	if s == nil {
 		return false
--- a/comfreyforward/suspect.go
+++ b/comfreyforward/suspect.go
@@ -107,7 +107,7 @@
 	delete(g.cancels, x.execution)
 	g.mu.Unlock()
 	if isKnown {
-		g.addCrashRecord(r, "silence")
+		g.addCrashRecord(r, evidenceSilence)
 	}
 }
 
--- a/comfreygossip/crash.go
+++ b/comfreygossip/crash.go
@@ -1,6 +1,7 @@
 package comfreygossip
 
 import (
+	"iter"
 	"net"
 	"slices"
 
@@ -21,11 +22,21 @@
 		return
 	}
 	to := g.crashReceivers()
-	for _, r := range l {
-		for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
-			r.Suspects = s
-			d := &comfreyproto.PlacementDatagram{Crashes: comfreyrpc.EncodeCrashRecords([]comfreyquarantine.CrashRecord{r}, g.config.Now())}
-			g.send(kindCrashes, d, to...)
+	for r := range datagramRecords(l) {
+		g.send(kindCrashes, &comfreyproto.PlacementDatagram{Crashes: comfreyrpc.EncodeCrashRecords(r, g.config.Now())}, to...)
+	}
+}
+
+// datagramRecords yields crash records that fit into one datagram each.
+func datagramRecords(l []comfreyquarantine.CrashRecord) iter.Seq[[]comfreyquarantine.CrashRecord] {
+	return func(yield func([]comfreyquarantine.CrashRecord) bool) {
+		for _, r := range l {
+			for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
+				r.Suspects = s
+				if !yield([]comfreyquarantine.CrashRecord{r}) {
+					return
+				}
+			}
 		}
 	}
 }
@@ -47,12 +58,8 @@
 func (g *Gossip) ShareSilentLosses(l []comfreyquarantine.CrashRecord) {
 	to := g.crashReceivers()
 	for range 2 {
-		for _, r := range l {
-			for s := range slices.Chunk(r.Suspects, maxSuspectsPerDatagram) {
-				r.Suspects = s
-				d := &comfreyproto.PlacementDatagram{SilentLosses: comfreyrpc.EncodeCrashRecords([]comfreyquarantine.CrashRecord{r}, g.config.Now())}
-				g.send(kindCrashes, d, to...)
-			}
+		for r := range datagramRecords(l) {
+			g.send(kindCrashes, &comfreyproto.PlacementDatagram{SilentLosses: comfreyrpc.EncodeCrashRecords(r, g.config.Now())}, to...)
 		}
 	}
 }
--- a/comfreyplacement/generation_times.go
+++ b/comfreyplacement/generation_times.go
@@ -20,7 +20,8 @@
 	// longestDecay is the part of its distance to the mean by which the longest time
 	// falls with each observation.
 	longestDecay = 1.0 / 256
-	// boundFactor is how much longer than ever before a generation may take in a bound.
+	// boundFactor is how much longer a generation may take in a bound than the longest
+	// of late.
 	boundFactor = 2
 	// unbounded is a time that nothing exceeds.
 	unbounded = time.Duration(math.MaxInt64)
