--- a/review/kit-3/main_test.go
+++ b/review/kit-3/main_test.go
@@ -32,7 +32,6 @@
 	"restart":  runRestart,
 	"channels": runChannels,
 	"storm":    runStorm,
-	"foreign":  runForeign,
 }
 
 // environment is what all cases need.
--- a/review/kit-3/memory_test.go
+++ b/review/kit-3/memory_test.go
@@ -17,7 +17,7 @@
 	memoryLength    = 30 * time.Second
 	// troubleAt is when gateways are lost, and downTime for how long.
 	troubleAt = 10 * time.Second
-	downTime  = 10 * time.Second
+	downTime  = 15 * time.Second
 	// restartDelay is how long after its end a gateway is started again.
 	restartDelay = 500 * time.Millisecond
 	// draftBytes is the size of the body of a draft; maxBodyBytes is 4,194,304.
