Show that a rejected call counts as a stop of a generation

Cause: any 503 to the call that stops a generation is taken for its end, also one with X-Not-Executed and without a handle. The answer is lost later, and the gateway resumes the generation without another call.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,3 +5,5 @@
 cd "$(dirname "$0")/kit-3"
 mkdir -p ../../target
 GOWORK=off go test -c -o ../../target/review-kit-3 .
+cd twice
+GOWORK=off go test -c -o ../../../target/review-kit-3-twice .
