Refuse a response that is reset while its request is being written

Callers got a part of an answer as a complete one. A replica answered a long upload at once without a length, sent a part and reset the connection, or closed it with the upload unread.

Cause: Linux reports a reset once, to the first call on the socket. If that is the write of the request, the read that follows returns the end of the file, as after a proper close, and a body that ends with its connection is complete there. The error of the write was dropped. net/http's transport does the same, so that the sidecar's upstreams, engines, the platform, calls between processes and callers were concerned.

Change: checkedConn remembers the error of a write and returns it in place of the end. While the request is still being written, the end waits for the write for 0.2 s, since a peer that has closed both directions resets the connection as soon as it gets more of the request; after that the write is ended. The pool uses it, and the new Transport gives it to all that use net/http. The lines of retries and resumptions tell the error.

Why it works: the kernel gives the error either to the read, which returned it before already, or to the write, which is known to have returned before the end is believed.

--- a/comfreycaller/caller.go
+++ b/comfreycaller/caller.go
@@ -14,14 +14,23 @@
 	"strings"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
 )
 
+// idleConnTimeout bounds how long a connection of the default client stays unused.
+const idleConnTimeout = 90 * time.Second
+
 // maxLineBytes bounds a line of an event stream.
 const maxLineBytes = 1 << 20
 
+// defaultClient differs from http.DefaultClient in that it refuses broken responses.
+var defaultClient = &http.Client{Transport: comfreyconnection.NewTransport(&http.Transport{
+	Proxy: http.ProxyFromEnvironment, ForceAttemptHTTP2: true, IdleConnTimeout: idleConnTimeout,
+})}
+
 // Caller calls gateways with one customer's key. The zero value of HTTP selects
-// http.DefaultClient. It is safe for concurrent use if its client is.
+// a client that refuses broken responses. It is safe for concurrent use if its client is.
 type Caller struct {
 	// Key is the customer's bearer key.
 	Key string
@@ -121,7 +130,7 @@
 	r.Header.Set("Authorization", "Bearer "+c.Key)
 	h := c.HTTP
 	if h == nil {
-		h = http.DefaultClient
+		h = defaultClient
 	}
 	return h.Do(r)
 }
--- /dev/null
+++ b/comfreyconnection/broken_response_test.go
@@ -0,0 +1,159 @@
+package comfreyconnection_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconnection"
+	"comfreyridge.example/comfreyridge/comfreyfakeserver"
+)
+
+// largeBody is larger than what the kernel buffers of a connection that is not read.
+var largeBody = bytes.Repeat([]byte("x"), 16<<20)
+
+// rawServer is a server with a response and an end of its connections.
+type rawServer struct {
+	response string
+	end      func(c *net.TCPConn)
+}
+
+// listen starts the server, which ends with the test, and returns its address.
+func (s rawServer) listen(t *testing.T) string {
+	address, err := comfreyfakeserver.Raw{Respond: func(*http.Request) string { return s.response }, End: s.end}.Listen(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+// resetWhileWriting resets a connection whose client waits to write.
+func resetWhileWriting(c *net.TCPConn) {
+	time.Sleep(50 * time.Millisecond)
+	comfreyfakeserver.Reset(c)
+}
+
+// closeUnread closes a connection of which a part was not read, which resets it.
+func closeUnread(*net.TCPConn) {
+	time.Sleep(50 * time.Millisecond)
+}
+
+// result is what a client has received.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// isComplete reports whether a client would take the response for a complete one.
+func (r result) isComplete() bool {
+	return r.err == nil
+}
+
+// clients are the ways to send a request. Each reads the body after a delay.
+func clients(t *testing.T) map[string]func(address string, body []byte, delay time.Duration) result {
+	p := newPool(t, comfreyconnection.Config{})
+	x := comfreyconnection.NewTransport(&http.Transport{DisableCompression: true})
+	t.Cleanup(x.CloseIdleConnections)
+	return map[string]func(address string, body []byte, delay time.Duration) result{
+		"pool": func(address string, body []byte, delay time.Duration) result {
+			a, err := p.Do(t.Context(), address, comfreyconnection.Request{Method: http.MethodPost, Target: "/", Host: address, Body: body})
+			if err != nil {
+				return result{err: err}
+			}
+			defer a.Close()
+			time.Sleep(delay)
+			b, err := io.ReadAll(a.Body)
+			return result{a.Status, a.Header, string(b), err}
+		},
+		"transport": func(address string, body []byte, delay time.Duration) result {
+			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", bytes.NewReader(body))
+			if err != nil {
+				return result{err: err}
+			}
+			a, err := x.RoundTrip(q)
+			if err != nil {
+				return result{err: err}
+			}
+			defer func() { _ = a.Body.Close() }()
+			time.Sleep(delay)
+			b, err := io.ReadAll(a.Body)
+			return result{a.StatusCode, a.Header, string(b), err}
+		},
+	}
+}
+
+// TestResetDuringUploadIsNotTheEnd guards against a response without a length that breaks
+// off while the request is being written, and that looks complete because the write has
+// taken the error of the connection.
+func TestResetDuringUploadIsNotTheEnd(t *testing.T) {
+	for name, s := range map[string]rawServer{
+		"reset":                   {"HTTP/1.1 200 OK\r\n\r\npart", resetWhileWriting},
+		"closed unread":           {"HTTP/1.1 200 OK\r\n\r\npart", closeUnread},
+		"closed unread, at once":  {"HTTP/1.1 200 OK\r\n\r\npart", nil},
+		"closed after a part":     {"HTTP/1.1 200 OK\r\n\r\npart", func(c *net.TCPConn) { _, _ = io.CopyN(io.Discard, c, 1<<20) }},
+		"reset, connection close": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", resetWhileWriting},
+		"reset, HTTP/1.0":         {"HTTP/1.0 200 OK\r\n\r\npart", resetWhileWriting},
+		"reset, status 404":       {"HTTP/1.1 404 Not Found\r\n\r\npart", resetWhileWriting},
+		"reset, empty part":       {"HTTP/1.1 200 OK\r\n\r\n", resetWhileWriting},
+		"reset, 200 KB":           {"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("part", 50<<10), resetWhileWriting},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := s.listen(t)
+			for client, do := range clients(t) {
+				for _, delay := range []time.Duration{0, 100 * time.Millisecond} {
+					complete := 0
+					for range 6 {
+						if do(address, largeBody, delay).isComplete() {
+							complete++
+						}
+					}
+					if complete > 0 {
+						t.Errorf("%s, read after %v: %d of 6 responses look complete", client, delay, complete)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestResponseDuringUploadIsWhole checks that responses which are complete before their
+// request are not refused.
+func TestResponseDuringUploadIsWhole(t *testing.T) {
+	for name, s := range map[string]rawServer{
+		"the request is read to its end": {"HTTP/1.1 200 OK\r\n\r\nwhole", comfreyfakeserver.ReadToEnd},
+		"the request is read slowly": {"HTTP/1.1 200 OK\r\n\r\nwhole", func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			for {
+				if _, err := io.CopyN(io.Discard, c, 4<<20); err != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}},
+		"the request is not read": {"HTTP/1.1 413 Too Large\r\n\r\nwhole", func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(500 * time.Millisecond)
+		}},
+		"a length":   {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", resetWhileWriting},
+		"chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", resetWhileWriting},
+		"HTTP/1.0":   {"HTTP/1.0 200 OK\r\n\r\nwhole", comfreyfakeserver.ReadToEnd},
+		"empty body": {"HTTP/1.1 204 No Content\r\n\r\n", comfreyfakeserver.ReadToEnd},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := s.listen(t)
+			for client, do := range clients(t) {
+				if a := do(address, largeBody, 0); !a.isComplete() || a.body != "whole" && a.status != http.StatusNoContent {
+					t.Errorf("%s: got %+v", client, a)
+				}
+			}
+		})
+	}
+}
--- a/comfreyconnection/connection.go
+++ b/comfreyconnection/connection.go
@@ -21,7 +21,7 @@
 // connection is one HTTP/1.1 connection to a replica.
 type connection struct {
 	address string
-	net     net.Conn
+	net     *checkedConn
 	reader  *bufio.Reader
 	// limiter is the source of the reader.
 	limiter *headLimiter
@@ -37,8 +37,9 @@
 }
 
 func newConnection(address string, n net.Conn) *connection {
-	l := &headLimiter{reader: n}
-	return &connection{address: address, net: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+	k := &checkedConn{Conn: n}
+	l := &headLimiter{reader: k}
+	return &connection{address: address, net: k, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
 // errHeadTooLarge means that a connection has delivered too many bytes before the end
@@ -86,7 +87,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.net.(syscall.Conn)
+	s, ok := c.net.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -156,7 +156,7 @@
 			if _, err := c.net.Write(append(head, r.Body...)); err == nil {
 				written.Store(true)
 			}
-			return nil // Reading the response reports why the connection failed.
+			return nil // Reading the response reports the error; see checkedConn.
 		})
 	}
 	c.limiter.begin()
--- a/comfreyengine/client.go
+++ b/comfreyengine/client.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 )
 
 // Defaults of Config.
@@ -50,9 +52,9 @@
 	// streamTransport opens a new connection for each stream, because a pooled
 	// connection may have stopped delivering data. Without reuse, net/http also
 	// never resends a request by itself.
-	streamTransport *http.Transport
+	streamTransport *comfreyconnection.Transport
 	// pooledTransport reuses its connections for all other calls.
-	pooledTransport *http.Transport
+	pooledTransport *comfreyconnection.Transport
 }
 
 // New returns a client. It opens no connection.
@@ -83,7 +85,7 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		DisableCompression:  true,
 	}
-	return &Client{config: c, streamTransport: s, pooledTransport: r}
+	return &Client{config: c, streamTransport: comfreyconnection.NewTransport(s), pooledTransport: comfreyconnection.NewTransport(r)}
 }
 
 // Close closes the idle connections.
@@ -153,7 +155,7 @@
 
 // call is one HTTP request to the engine.
 type call struct {
-	transport *http.Transport
+	transport *comfreyconnection.Transport
 	method    string
 	path      string
 	header    http.Header
--- a/comfreyengine/writeguard.go
+++ b/comfreyengine/writeguard.go
@@ -75,7 +75,11 @@
 func withWriteGuard(ctx context.Context, g *writeGuard) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			if c, ok := i.Conn.(*guardedConn); ok {
+			n := i.Conn
+			if k, ok := n.(interface{ NetConn() net.Conn }); ok {
+				n = k.NetConn()
+			}
+			if c, ok := n.(*guardedConn); ok {
 				c.guard.Store(g)
 			}
 		},
--- a/comfreyforward/resume.go
+++ b/comfreyforward/resume.go
@@ -12,8 +12,8 @@
 
 // resume resumes a generation after its stream has ended early, once its replica does not
 // execute it any more: from its copy, or at its source if that fails. ok is false if there
-// was no copy that can be used.
-func (g *Gateway) resume(ctx context.Context, x *exchange, n *generation) (a *comfreyconnection.Response, e *attemptError, ok bool) {
+// was no copy that can be used. cause is how the stream has ended.
+func (g *Gateway) resume(ctx context.Context, x *exchange, n *generation, cause error) (a *comfreyconnection.Response, e *attemptError, ok bool) {
 	var tried *continuation
 	state := comfreyplacement.RunPossible
 	for {
@@ -37,20 +37,20 @@
 			return nil, e, ok
 		}
 		ok, state = true, comfreyplacement.RunPossible
-		if a, e = g.resumeAt(ctx, x, n, tried); e == nil {
+		if a, e = g.resumeAt(ctx, x, n, tried, cause); e == nil {
 			return a, nil, true
 		}
 	}
 }
 
-// resumeAt asks a replica to resume a generation.
-func (g *Gateway) resumeAt(ctx context.Context, x *exchange, n *generation, next *continuation) (*comfreyconnection.Response, *attemptError) {
+// resumeAt asks a replica to resume a generation whose stream has ended for a cause.
+func (g *Gateway) resumeAt(ctx context.Context, x *exchange, n *generation, next *continuation, cause error) (*comfreyconnection.Response, *attemptError) {
 	a, _, e := g.send(ctx, x, next.destination, newAttempt(next.destination, next))
 	if e == nil && a.Status >= 300 {
 		a.Close()
 		e = &attemptError{reason: comfreyverdict.ReasonEngineRefused}
 	}
-	f := map[string]any{"replica": next.destination.ID, "from": next.Source, "handle": next.Handle, "last-event": next.LastEvent, "copy-age-ms": g.config.Now().Sub(next.completedAt).Milliseconds()}
+	f := map[string]any{"replica": next.destination.ID, "from": next.Source, "handle": next.Handle, "last-event": next.LastEvent, "copy-age-ms": g.config.Now().Sub(next.completedAt).Milliseconds(), "cause": cause.Error()}
 	if e != nil {
 		f["error"] = e.Error()
 		g.record(n.request, comfreydecision.KindResume, e.reason, f)
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -88,7 +88,7 @@
 		}
 		if e.isLost && ctx.Err() == nil {
 			// A move may have stopped the generation before it sent anything.
-			if a, e, ok := g.resume(ctx, x, n); ok {
+			if a, e, ok := g.resume(ctx, x, n, e); ok {
 				return a, e
 			}
 		}
@@ -143,7 +143,7 @@
 		}
 		var e *attemptError
 		var ok bool
-		a, e, ok = g.resume(ctx, x, n)
+		a, e, ok = g.resume(ctx, x, n, err)
 		switch {
 		case !ok:
 			g.loseAttempt(x, n.replica)
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -144,6 +144,9 @@
 	isAllowed := g.retryBudget(x.service.Name).TryRetry(g.config.Now(), e.reason)
 	f := x.logFields(g.config.Now())
 	f["allowed"] = isAllowed
+	if e.cause != nil {
+		f["error"] = e.cause.Error()
+	}
 	g.record(x.call.ID, comfreydecision.KindRetry, e.reason, f)
 	return isAllowed
 }
--- a/comfreygossip/gossip.go
+++ b/comfreygossip/gossip.go
@@ -265,9 +265,9 @@
 		codec:       newCodec(),
 		sentBytes:   sent, roundSeconds: newRoundSeconds(),
 		cellChanged: make(chan struct{}, 1),
-		http: &http.Client{Transport: &exchangeTransport{&http.Transport{
+		http: &http.Client{Transport: &exchangeTransport{comfreyconnection.NewTransport(&http.Transport{
 			DialContext: c.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * exchangeInterval * maxPeersPerMessage,
-		}, sent.WithLabelValues(kindExchange)}},
+		}), sent.WithLabelValues(kindExchange)}},
 		peers:  map[string]*peer{},
 		relays: map[string]relay{},
 		sizes:  map[string]reportedSize{},
--- a/comfreygossip/transport.go
+++ b/comfreygossip/transport.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 )
 
 // receivedKey is the context key of the counter that countReceived adds.
@@ -22,7 +24,7 @@
 // exchangeTransport limits exchanges by their progress, and counts the bytes of
 // bodies; see countReceived.
 type exchangeTransport struct {
-	*http.Transport
+	*comfreyconnection.Transport
 	sent prometheus.Counter
 }
 
--- a/comfreyload/load.go
+++ b/comfreyload/load.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"comfreyridge.example/comfreyridge/comfreycaller"
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreygroup"
 )
 
@@ -69,7 +70,7 @@
 		options:   o,
 		began:     time.Now(),
 		transport: t,
-		caller:    comfreycaller.Caller{Key: o.Key, HTTP: &http.Client{Transport: t}},
+		caller:    comfreycaller.Caller{Key: o.Key, HTTP: &http.Client{Transport: comfreyconnection.NewTransport(t)}},
 		collector: newCollector(),
 	}
 }
--- a/comfreyplatform/client.go
+++ b/comfreyplatform/client.go
@@ -56,7 +56,7 @@
 		c.Timeout = defaultTimeout
 	}
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2}}
+		c.HTTP = &http.Client{Transport: comfreyconnection.NewTransport(&http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2})}
 	}
 	if c.Now == nil {
 		c.Now = time.Now
--- a/comfreyrpc/client.go
+++ b/comfreyrpc/client.go
@@ -35,8 +35,8 @@
 type Client struct {
 	key      Key
 	now      func() time.Time
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *comfreyconnection.Transport
+	unpooled *comfreyconnection.Transport
 }
 
 // NewClient returns a client that signs with k; a nil clock selects time.Now.
@@ -47,15 +47,15 @@
 	return &Client{key: k, now: now, pooled: newTransport(false), unpooled: newTransport(true)}
 }
 
-func newTransport(unpooled bool) *http.Transport {
+func newTransport(unpooled bool) *comfreyconnection.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return comfreyconnection.NewTransport(&http.Transport{
 		DialContext:         d.DialContext,
 		DisableKeepAlives:   unpooled,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleConnTimeout,
-	}
+	})
 }
 
 // Close closes the idle connections.
@@ -82,7 +82,7 @@
 	return resp, nil
 }
 
-func (c *Client) send(t *http.Transport, r *http.Request, body []byte) (*http.Response, error) {
+func (c *Client) send(t *comfreyconnection.Transport, r *http.Request, body []byte) (*http.Response, error) {
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	r.ContentLength = int64(len(body))
 	r.GetBody = func() (io.ReadCloser, error) {
@@ -146,7 +146,7 @@
 	return c.open(ctx, c.unpooled, address, PathResume, r)
 }
 
-func (c *Client) open(ctx context.Context, t *http.Transport, address, path string, m proto.Message) (*Stream, error) {
+func (c *Client) open(ctx context.Context, t *comfreyconnection.Transport, address, path string, m proto.Message) (*Stream, error) {
 	body, err := proto.Marshal(m)
 	if err != nil {
 		return nil, comfreyverdict.NotRun(comfreyverdict.ReasonInternal, err.Error())
--- a/comfreysidecar/orders.go
+++ b/comfreysidecar/orders.go
@@ -164,6 +164,7 @@
 	})
 	if err != nil {
 		e := comfreyverdict.From(err)
+		s.recorder.Record(r.RequestId, comfreydecision.KindOrder, e.Reason, map[string]any{"verdict": e.Verdict, "detail": e.Detail, "customer": r.Customer, "order": orderID(t)})
 		return comfreyorder.Outcome{Verdict: e.Verdict, Reason: e.Reason}
 	}
 	return comfreyorder.Outcome{
--- a/comfreysidecar/upstream.go
+++ b/comfreysidecar/upstream.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"comfreyridge.example/comfreyridge/comfreyconnection"
 	"comfreyridge.example/comfreyridge/comfreyproto"
 	"comfreyridge.example/comfreyridge/comfreyrpc"
 	"comfreyridge.example/comfreyridge/comfreyverdict"
@@ -29,7 +30,7 @@
 // use.
 type upstreamClient struct {
 	base      string
-	transport *http.Transport
+	transport *comfreyconnection.Transport
 	inFlight  atomic.Int64
 }
 
@@ -37,7 +38,7 @@
 	d := &net.Dialer{Timeout: upstreamDialTimeout}
 	// A new connection for each request prevents the transport from retrying a
 	// request on its own, as it may do after a reused connection fails.
-	t := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	t := comfreyconnection.NewTransport(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true})
 	return &upstreamClient{base: strings.TrimRight(base, "/"), transport: t}
 }
 
--- /dev/null
+++ b/comfreysidecar/upstream_test.go
@@ -0,0 +1,41 @@
+package comfreysidecar
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"comfreyridge.example/comfreyridge/comfreyfakeserver"
+	"comfreyridge.example/comfreyridge/comfreyverdict"
+)
+
+// callRaw sends a request to a plain service that is served by a raw server.
+func callRaw(t *testing.T, response string, end func(c *net.TCPConn), body []byte) (upstreamResponse, error) {
+	t.Helper()
+	address, err := comfreyfakeserver.Raw{Respond: func(*http.Request) string { return response }, End: end}.Listen(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newUpstreamClient("http://"+address).do(t.Context(), upstreamCall{requestID: "r", method: http.MethodPost, path: "/orders", body: body})
+}
+
+// TestAnswerCutDuringUploadMayHaveRun guards against a part of an answer that is taken for
+// the whole one because its connection is reset while the request is being written.
+func TestAnswerCutDuringUploadMayHaveRun(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 16<<20)
+	for range 20 {
+		a, err := callRaw(t, "HTTP/1.1 200 OK\r\n\r\npart", func(c *net.TCPConn) {
+			time.Sleep(10 * time.Millisecond)
+			comfreyfakeserver.Reset(c)
+		}, body)
+		if e := comfreyverdict.From(err); err == nil || e.Verdict != comfreyverdict.VerdictMayHaveRun || e.Reason != comfreyverdict.ReasonConnectionLost {
+			t.Fatalf("got %d %q, %v, want a request that may have run", a.status, a.body, err)
+		}
+	}
+	a, err := callRaw(t, "HTTP/1.1 200 OK\r\n\r\nwhole", comfreyfakeserver.ReadToEnd, body)
+	if err != nil || string(a.body) != "whole" {
+		t.Errorf("an early answer: got %d %q, %v", a.status, a.body, err)
+	}
+}
