Wait for the whole request at the end of a response, not for one write

Cause: net/http writes a request in parts of 32 KB. A peer that closes both directions ends the response in order first, and resets the connection as it gets the next part. If the end is read between two writes, no write is in progress, and none has failed yet.

Change: the end waits for the request, which the pool and the Transport announce. A write that goes on after it, such as that of net/http's buffer, is ended.

--- a/comfreyconnection/checked_conn.go
+++ b/comfreyconnection/checked_conn.go
@@ -21,11 +21,13 @@
 // Write are allowed at a time.
 type checkedConn struct {
 	net.Conn
+	// writing is held during a write.
+	writing sync.Mutex
 
-	mu        sync.Mutex
-	isWriting bool
-	// returned, if not nil, is closed when the write in progress returns.
-	returned chan struct{}
+	mu sync.Mutex
+	// written is closed when the request in progress has been written, or cannot be; nil
+	// if there is none.
+	written chan struct{}
 	// writeError is the error of the first write that has failed.
 	writeError error
 }
@@ -35,22 +37,41 @@
 	return c.Conn
 }
 
+// beginRequest is called before a request is written, and endRequest afterwards.
+func (c *checkedConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written = make(chan struct{})
+}
+
+func (c *checkedConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeWritten()
+}
+
+// closeWritten ends the request in progress, if any. The mutex must be held.
+func (c *checkedConn) closeWritten() {
+	if c.written != nil {
+		close(c.written)
+		c.written = nil
+	}
+}
+
 // Write implements net.Conn.
 func (c *checkedConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.isWriting = true
-	c.mu.Unlock()
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
+	if err == nil {
+		return n, nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isWriting = false
 	if c.writeError == nil {
 		c.writeError = err
 	}
-	if c.returned != nil {
-		close(c.returned)
-		c.returned = nil
-	}
+	c.closeWritten()
 	return n, err
 }
 
@@ -58,36 +79,35 @@
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
-		c.awaitWrite()
+		c.awaitRequest()
 		err = c.endError()
 	}
 	return n, err
 }
 
-// awaitWrite waits for the write in progress. After resetDelay it ends the write: the peer
-// has sent all of its response, and does not read the request.
-func (c *checkedConn) awaitWrite() {
+// awaitRequest waits until the request has been written, for at most resetDelay. Then it
+// ends the write in progress: the peer has sent all of its response.
+func (c *checkedConn) awaitRequest() {
 	c.mu.Lock()
-	if !c.isWriting {
-		c.mu.Unlock()
-		return
-	}
-	returned := make(chan struct{})
-	c.returned = returned
+	written := c.written
 	c.mu.Unlock()
-	t := time.NewTimer(resetDelay)
-	defer t.Stop()
-	select {
-	case <-returned:
-		return
-	case <-t.C:
+	if written != nil {
+		t := time.NewTimer(resetDelay)
+		defer t.Stop()
+		select {
+		case <-written:
+		case <-t.C:
+		}
+	}
+	if !c.writing.TryLock() {
+		_ = c.SetWriteDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
+		c.writing.Lock()
 	}
-	_ = c.SetWriteDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
-	<-returned
+	c.writing.Unlock()
 }
 
 // endError returns the error of a read at the end of what the peer has sent. A write that
-// awaitWrite has ended has not failed.
+// awaitRequest has ended has not failed.
 func (c *checkedConn) endError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -146,14 +146,17 @@
 func (p *Pool) exchange(c *connection, r Request) (*Response, error) {
 	written := &atomic.Bool{}
 	head := encodeRequestHeader(r)
+	c.net.beginRequest()
 	if len(head)+len(r.Body) <= readBufferBytes {
 		if _, err := c.net.Write(append(head, r.Body...)); err != nil {
 			return nil, fmt.Errorf("comfreyconnection: writing a request: %w", err)
 		}
+		c.net.endRequest()
 		written.Store(true)
 	} else {
 		p.group.Go("write", func(context.Context) error {
 			if _, err := c.net.Write(append(head, r.Body...)); err == nil {
+				c.net.endRequest()
 				written.Store(true)
 			}
 			return nil // Reading the response reports the error; see checkedConn.
--- a/comfreyconnection/transport.go
+++ b/comfreyconnection/transport.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // Transport is an http.Transport whose responses without a length end only if their
@@ -36,5 +38,19 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.transport.RoundTrip(r)
+	var used atomic.Pointer[checkedConn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			if c, ok := i.Conn.(*checkedConn); ok {
+				c.beginRequest()
+				used.Store(c)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := used.Load(); c != nil {
+				c.endRequest()
+			}
+		},
+	}
+	return t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
