Refuse responses whose status is not from 100 to 599

A replica in trouble sent the status 000. net/http accepts any three characters that Atoi does not reject as negative: 000, 001, 099, +20, and 600 to 999. Callers of the gateway got no answer at all, since WriteHeader panics below 100, and no line in the log; 600 to 999 were passed on. A promise in such a head was believed: with X-Not-Executed the caller got 503, not run. The sidecar, calls between processes (status 000: not run) and callers took them too. A switch of protocols, which nobody has asked for, was skipped by the pool and taken by net/http's transport.

Change: checkHead refuses them where a head is read, for the pool and the Transport. The error is an ErrMalformedResponse, as are the heads and bodies that net/http itself rejects, unless the connection has failed; it says what was expected and what came. The reason malformed-answer replaces connection-lost for them. The request may have run: 502, sent elsewhere only if it is idempotent. Nothing that the response says is parsed.

--- a/comfreyconnection/broken_response_test.go
+++ b/comfreyconnection/broken_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -157,3 +158,86 @@
 		})
 	}
 }
+
+// TestMalformedResponseIsRefused guards against responses that net/http accepts although
+// they violate HTTP/1.1, and checks that all that do are told from a broken connection.
+func TestMalformedResponseIsRefused(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, response := range map[string]string{
+		"status 000":              "HTTP/1.1 000 OK\r\n\r\nbody",
+		"status 001":              "HTTP/1.1 001 OK\r\n\r\nbody",
+		"status 099":              "HTTP/1.1 099 OK\r\n\r\nbody",
+		"status +20":              "HTTP/1.1 +20 OK\r\n\r\nbody",
+		"status 600":              "HTTP/1.1 600 OK\r\n\r\nbody",
+		"status 999":              "HTTP/1.1 999 OK\r\n\r\nbody",
+		"status 000 after 103":    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n\r\nbody",
+		"status 101":              "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nbody",
+		"control byte in name":    ok + "X\x01: a\r\n\r\nbody",
+		"tab in name":             ok + "X\t: a\r\n\r\nbody",
+		"NUL in name":             ok + "X\x00: a\r\n\r\nbody",
+		"DEL in name":             ok + "X\x7f: a\r\n\r\nbody",
+		"separator in name":       ok + "X(1): a\r\n\r\nbody",
+		"high byte in name":       ok + "X\xe9: a\r\n\r\nbody",
+		"no name":                 ok + ": a\r\n\r\nbody",
+		"no colon":                ok + "X\r\n\r\nbody",
+		"control byte in value":   ok + "X: a\x01\r\n\r\nbody",
+		"control byte in trailer": ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: a\x01\r\n\r\n",
+		"bad chunk":               ok + "Transfer-Encoding: chunked\r\n\r\nbody\r\n0\r\n\r\n",
+		"two lengths":             ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nbody",
+		"unknown encoding":        ok + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"no HTTP":                 "hello\r\n\r\n",
+	} {
+		address := rawServer{response, comfreyfakeserver.ReadToEnd}.listen(t)
+		for client, do := range clients(t) {
+			a := do(address, []byte("order"), 0)
+			if a.isComplete() {
+				t.Errorf("%s, %s: got %+v, want an error", name, client, a)
+			}
+			if !errors.Is(a.err, comfreyconnection.ErrMalformedResponse) {
+				t.Errorf("%s, %s: got %v, want a malformed response", name, client, a.err)
+			}
+		}
+	}
+}
+
+// TestUnusualResponseIsAccepted checks that responses which HTTP/1.1 allows are not refused.
+func TestUnusualResponseIsAccepted(t *testing.T) {
+	for name, response := range map[string]string{
+		"bytes above 127 in values": "HTTP/1.1 200 OK\r\nX: \x80caf\xe9\xff\tb\r\nContent-Length: 5\r\n\r\nwhole",
+		"a folded line":             "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 5\r\n\r\nwhole",
+		"a length beside chunks":    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"a trailer":                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-Sum: a\r\n\r\n",
+		"informational responses":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"informational in HTTP/1.0": "HTTP/1.0 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.0 with a length":    "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.0 without a length": "HTTP/1.0 200 OK\r\n\r\nwhole",
+		"HTTP/1.0, long head":       "HTTP/1.0 200 OK\r\nX-A: " + strings.Repeat("a", 9<<10) + "\r\n\r\nwhole",
+		"no length":                 "HTTP/1.1 200 OK\r\n\r\nwhole",
+		"no reason phrase":          "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nwhole",
+		"a reason phrase in UTF-8":  "HTTP/1.1 200 d\u2019accord\r\nContent-Length: 5\r\n\r\nwhole",
+		"status 599":                "HTTP/1.1 599 x\r\nContent-Length: 5\r\n\r\nwhole",
+		"lines that end with LF":    "HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole",
+	} {
+		address := rawServer{response, comfreyfakeserver.ReadToEnd}.listen(t)
+		for client, do := range clients(t) {
+			if a := do(address, []byte("order"), 0); !a.isComplete() || a.body != "whole" {
+				t.Errorf("%s, %s: got %+v", name, client, a)
+			}
+		}
+	}
+}
+
+// TestBrokenConnectionIsNoMalformedResponse checks that a response whose head has not
+// arrived is not called malformed.
+func TestBrokenConnectionIsNoMalformedResponse(t *testing.T) {
+	for _, s := range []rawServer{
+		{"", comfreyfakeserver.Reset}, {"HTTP/1.1 200 OK\r\nX-", comfreyfakeserver.ReadToEnd}, {"HTTP", comfreyfakeserver.ReadToEnd}, {"", comfreyfakeserver.ReadToEnd},
+	} {
+		address := s.listen(t)
+		for client, do := range clients(t) {
+			if a := do(address, []byte("order"), 0); a.isComplete() || errors.Is(a.err, comfreyconnection.ErrMalformedResponse) {
+				t.Errorf("%q, %s: got %v, want the error of a broken connection", s.response, client, a.err)
+			}
+		}
+	}
+}
--- a/comfreyconnection/checked_conn.go
+++ b/comfreyconnection/checked_conn.go
@@ -1,6 +1,7 @@
 package comfreyconnection
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -28,8 +29,9 @@
 	// written is closed when the request in progress has been written, or cannot be; nil
 	// if there is none.
 	written chan struct{}
-	// writeError is the error of the first write that has failed.
-	writeError error
+	// writeError is the error of the first write that has failed, and readError that of the
+	// first read.
+	writeError, readError error
 }
 
 // NetConn returns the connection that is checked.
@@ -82,6 +84,11 @@
 		c.awaitRequest()
 		err = c.endError()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readError == nil {
+		c.readError = err
+	}
 	return n, err
 }
 
@@ -116,3 +123,18 @@
 	}
 	return fmt.Errorf("comfreyconnection: expected a connection that is closed in order, got one that failed while the request was written: %w", c.writeError)
 }
+
+// explain returns the error of reading a response, which is an ErrMalformedResponse if
+// neither a read nor a write has failed. The connection is closed when ctx ends. It may be
+// nil, which means that it is not known.
+func (c *checkedConn) explain(ctx context.Context, err error) error {
+	if c == nil || ctx.Err() != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readError != nil || c.writeError != nil || errors.Is(err, ErrMalformedResponse) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrMalformedResponse, err)
+}
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -127,7 +127,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	a, err := p.exchange(c, r)
+	a, err := p.exchange(ctx, c, r)
 	if err != nil {
 		stop()
 		c.close()
@@ -143,7 +143,7 @@
 // exchange writes a request and reads the response headers. The replica may
 // respond before it has read the complete request, so a request that exceeds
 // one buffer is written in its own goroutine.
-func (p *Pool) exchange(c *connection, r Request) (*Response, error) {
+func (p *Pool) exchange(ctx context.Context, c *connection, r Request) (*Response, error) {
 	written := &atomic.Bool{}
 	head := encodeRequestHeader(r)
 	c.net.beginRequest()
@@ -163,7 +163,7 @@
 		})
 	}
 	c.limiter.begin()
-	h, mayReuse, err := readResponseHeader(c, r)
+	h, mayReuse, err := readResponseHeader(ctx, c, r)
 	c.limiter.end()
 	if err != nil {
 		return nil, err
@@ -173,7 +173,7 @@
 	a.EndsWithConnection = h.ContentLength < 0 && len(h.TransferEncoding) == 0
 	a.isReusable = !h.Close && mayReuse
 	c.keepAlive = keepAliveTime(h.Header)
-	a.Body = &responseBody{response: a, reader: h.Body}
+	a.Body = &responseBody{response: a, head: h}
 	return a, nil
 }
 
@@ -194,15 +194,15 @@
 // informational responses and responses to other requests. mayReuse reports whether the
 // connection can be used for a later request: nothing was skipped, and the response names
 // the id of its request, so that a second copy of it would be recognized.
-func readResponseHeader(c *connection, r Request) (h *http.Response, mayReuse bool, err error) {
+func readResponseHeader(ctx context.Context, c *connection, r Request) (h *http.Response, mayReuse bool, err error) {
 	request := &http.Request{Method: r.Method}
 	hasSkipped := false
 	for range maxSkippedResponses {
-		h, err := http.ReadResponse(c.reader, request)
+		h, err := c.readHead(ctx, request)
 		if err != nil {
 			return nil, false, fmt.Errorf("comfreyconnection: reading a response: %w", err)
 		}
-		if h.StatusCode >= 100 && h.StatusCode < 200 {
+		if h.StatusCode < minFinalStatus {
 			continue
 		}
 		if r.IDHeader == "" {
@@ -226,6 +226,16 @@
 	return nil, false, errMismatchedResponses
 }
 
+// readHead reads the head of a response. The error is an ErrMalformedResponse if what was
+// read is none.
+func (c *connection) readHead(ctx context.Context, r *http.Request) (*http.Response, error) {
+	h, err := http.ReadResponse(c.reader, r)
+	if err != nil {
+		return nil, c.net.explain(ctx, err)
+	}
+	return h, checkHead(h)
+}
+
 // keepAliveTime returns how long the replica keeps an idle connection open,
 // zero if the headers do not state it.
 func keepAliveTime(h http.Header) time.Duration {
@@ -245,18 +255,18 @@
 // completely.
 type responseBody struct {
 	response *Response
-	reader   io.Reader
+	head     *http.Response
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.reader.Read(p)
+	n, err := b.head.Body.Read(p)
 	b.response.progress.receive(n)
 	switch {
 	case errors.Is(err, io.EOF):
 		b.response.isComplete = true
 	case err != nil:
-		err = causeOf(b.response.context, err)
+		err = causeOf(b.response.context, b.response.connection.net.explain(b.response.context, err))
 	}
 	return n, err
 }
--- a/comfreyconnection/transport.go
+++ b/comfreyconnection/transport.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 )
 
-// Transport is an http.Transport whose responses without a length end only if their
-// connection was closed in order, as those of a Pool do. It is safe for concurrent use.
+// Transport is an http.Transport that checks responses as a Pool does. Those that violate
+// HTTP/1.1 are an ErrMalformedResponse, and those without a length end only if their
+// connection was closed in order. It is safe for concurrent use.
 type Transport struct {
 	transport *http.Transport
 }
@@ -52,5 +55,32 @@
 			}
 		},
 	}
-	return t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	a, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	c := used.Load()
+	if err != nil {
+		return nil, c.explain(r.Context(), err)
+	}
+	if err := checkHead(a); err != nil {
+		_ = a.Body.Close() // The response is refused for another reason.
+		return nil, err
+	}
+	a.Body = &checkedBody{ReadCloser: a.Body, connection: c, context: r.Context()}
+	return a, nil
+}
+
+// checkedBody is the body of a response whose errors are explained.
+type checkedBody struct {
+	io.ReadCloser
+	// connection is nil if it is encrypted.
+	connection *checkedConn
+	context    context.Context
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.connection.explain(b.context, err)
+	}
+	return n, err
 }
--- a/comfreyforward/crash.go
+++ b/comfreyforward/crash.go
@@ -60,9 +60,9 @@
 	return comfreyquarantine.Upstream{ID: replica, Incarnation: uint64(max(r.StartMillis, 0))}
 }
 
-// loseAttempt records that the connection of the current attempt broke before the
-// response was complete, and finds out whether the replica has crashed.
-func (g *Gateway) loseAttempt(x *exchange, c comfreyplacement.Candidate) {
+// loseAttempt records that the current attempt has ended with an error before the response
+// was complete, and finds out whether the replica has crashed.
+func (g *Gateway) loseAttempt(x *exchange, c comfreyplacement.Candidate, err error) {
 	g.mu.Lock()
 	now := g.config.Now()
 	u, ok := g.observer.Upstream(x.execution)
@@ -71,7 +71,7 @@
 		return
 	}
 	r, isKnown := g.observer.Lose(now, x.execution)
-	g.record(x.call.ID, comfreydecision.KindSuspect, comfreyverdict.ReasonConnectionLost, map[string]any{
+	g.record(x.call.ID, comfreydecision.KindSuspect, reasonOf(err, comfreyverdict.ReasonConnectionLost), map[string]any{
 		"features": loggedFeatures(x.features), "parts": loggedParts(x.call.PromptParts), "replica": u.ID, "crash-known": isKnown,
 	})
 	mustCheck := !isKnown && now.Sub(g.crashCheckedAt[u]) > crashCheckTimeout
--- a/comfreyforward/gateway.go
+++ b/comfreyforward/gateway.go
@@ -288,7 +288,7 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil {
-			g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConnectionLost, map[string]any{"replica": r.ID, "error": err.Error()})
+			g.record("", comfreydecision.KindUpstream, reasonOf(err, comfreyverdict.ReasonConnectionLost), map[string]any{"replica": r.ID, "error": err.Error()})
 		}
 		g.mu.Lock()
 		g.health.Record(now, r.ID, true)
--- a/comfreyforward/move.go
+++ b/comfreyforward/move.go
@@ -85,7 +85,7 @@
 	f := map[string]any{"replica": r.ID, "state": r.State.String()}
 	if err != nil {
 		f["error"] = err.Error()
-		g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConnectionLost, f)
+		g.record("", comfreydecision.KindUpstream, reasonOf(err, comfreyverdict.ReasonConnectionLost), f)
 		return
 	}
 	f["leaves-ms"], f["runs"] = p.LeavesIn.Milliseconds(), len(p.Generations)
--- a/comfreyforward/store_sync.go
+++ b/comfreyforward/store_sync.go
@@ -89,7 +89,7 @@
 			}
 			if !isUnreachable {
 				isUnreachable = true
-				g.record("", comfreydecision.KindUpstream, comfreyverdict.ReasonConnectionLost, map[string]any{"dependency": "store", "state": "lost", "error": err.Error()})
+				g.record("", comfreydecision.KindUpstream, reasonOf(err, comfreyverdict.ReasonConnectionLost), map[string]any{"dependency": "store", "state": "lost", "error": err.Error()})
 			}
 			g.markStoreUnreachable()
 			failed++
--- a/comfreyforward/stream.go
+++ b/comfreyforward/stream.go
@@ -146,7 +146,7 @@
 		a, e, ok = g.resume(ctx, x, n, err)
 		switch {
 		case !ok:
-			g.loseAttempt(x, n.replica)
+			g.loseAttempt(x, n.replica, err)
 			g.recordOutcome(n.replica.ID, true)
 			g.abortStream(ctx, x, n, o, err)
 			return false
@@ -166,7 +166,7 @@
 		g.respondToStop(x)
 		return
 	}
-	reason := comfreyverdict.ReasonAnswerCut
+	reason := reasonOf(err, comfreyverdict.ReasonAnswerCut)
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = comfreyverdict.ReasonDeadline
--- a/comfreyforward/unary.go
+++ b/comfreyforward/unary.go
@@ -40,7 +40,8 @@
 	reason comfreyverdict.Reason
 	// isNotRun means that the replica did not run the request.
 	isNotRun bool
-	// isLost means that the connection broke before the response was complete.
+	// isLost means that the connection broke, or was closed because of a malformed
+	// response, before the response was complete.
 	isLost bool
 	// isUnsent means that the attempt was not sent to the replica.
 	isUnsent bool
@@ -274,7 +275,7 @@
 	if mayHaveArrived && ctx.Err() == nil && g.canResume(x.generation) {
 		g.finishWork(c, false)
 		x.sent++
-		return &attemptError{reason: comfreyverdict.ReasonConnectionLost, isLost: true, cause: err}
+		return &attemptError{reason: reasonOf(err, comfreyverdict.ReasonConnectionLost), isLost: true, cause: err}
 	}
 	g.finishWork(c, true)
 	if errors.Is(err, errStopRefuses) {
@@ -294,7 +295,8 @@
 	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) || isHeldBack(ctx) {
 		g.recordOutcome(c.ID, true)
 	}
-	if ctx.Err() == nil {
+	reason := reasonOf(err, comfreyverdict.ReasonConnectionLost)
+	if ctx.Err() == nil && reason == comfreyverdict.ReasonConnectionLost {
 		g.mu.Lock()
 		g.replicas.ObserveConnectionLost(g.config.Now(), c.ID)
 		g.mu.Unlock()
@@ -308,9 +310,18 @@
 	}
 	x.sent++
 	if ctx.Err() == nil {
-		g.loseAttempt(x, c)
+		g.loseAttempt(x, c, err)
+	}
+	return &attemptError{reason: reason, isLost: true, cause: err}
+}
+
+// reasonOf returns why a call has failed that was sent: a malformed response, or else the
+// given reason.
+func reasonOf(err error, otherwise comfreyverdict.Reason) comfreyverdict.Reason {
+	if errors.Is(err, comfreyconnection.ErrMalformedResponse) {
+		return comfreyverdict.ReasonMalformedAnswer
 	}
-	return &attemptError{reason: comfreyverdict.ReasonConnectionLost, isLost: true, cause: err}
+	return otherwise
 }
 
 // recordOutcome records whether a request to a replica failed, for its failure
@@ -327,10 +338,10 @@
 	_, err := io.CopyN(&b, a.Body, maxBufferedBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
 		if ctx.Err() == nil {
-			g.loseAttempt(x, c)
+			g.loseAttempt(x, c, err)
 		}
 		g.recordOutcome(c.ID, true)
-		return &attemptError{reason: comfreyverdict.ReasonAnswerCut, isLost: true, cause: err}
+		return &attemptError{reason: reasonOf(err, comfreyverdict.ReasonAnswerCut), isLost: true, cause: err}
 	}
 	isComplete := errors.Is(err, io.EOF)
 	if isComplete && a.Length >= 0 && int64(b.Len()) != a.Length && x.r.Method != http.MethodHead {
@@ -348,7 +359,7 @@
 	f["status"], f["sealed"] = a.Status, r.IsSigned
 	if err != nil {
 		f["error"] = err.Error()
-		g.record(x.call.ID, comfreydecision.KindFinish, comfreyverdict.ReasonAnswerCut, f)
+		g.record(x.call.ID, comfreydecision.KindFinish, reasonOf(err, comfreyverdict.ReasonAnswerCut), f)
 		panic(http.ErrAbortHandler)
 	}
 	g.completeAttempt(x, a.Status)
--- a/comfreygateway/refusal.go
+++ b/comfreygateway/refusal.go
@@ -72,6 +72,7 @@
 	comfreyverdict.ReasonEngineFailed:       http.StatusBadGateway,
 	comfreyverdict.ReasonEngineRefused:      http.StatusBadGateway,
 	comfreyverdict.ReasonConnectionLost:     http.StatusBadGateway,
+	comfreyverdict.ReasonMalformedAnswer:    http.StatusBadGateway,
 	comfreyverdict.ReasonInternal:           http.StatusInternalServerError,
 }
 
--- a/comfreyrouter/retrier.go
+++ b/comfreyrouter/retrier.go
@@ -106,6 +106,7 @@
 		comfreyverdict.ReasonDrainLimit,
 		comfreyverdict.ReasonEngineFailed,
 		comfreyverdict.ReasonLeaving,
+		comfreyverdict.ReasonMalformedAnswer,
 		comfreyverdict.ReasonNoConfiguration,
 		comfreyverdict.ReasonUnknownGeneration,
 		comfreyverdict.ReasonUnknownService:
--- a/comfreyrpc/client.go
+++ b/comfreyrpc/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -178,5 +179,9 @@
 	if !connected {
 		return comfreyverdict.NotRun(comfreyverdict.ReasonDialFailed, err.Error()).WithCause(err)
 	}
-	return comfreyverdict.MayHaveRun(comfreyverdict.ReasonConnectionLost, err.Error()).WithCause(err)
+	reason := comfreyverdict.ReasonConnectionLost
+	if errors.Is(err, comfreyconnection.ErrMalformedResponse) {
+		reason = comfreyverdict.ReasonMalformedAnswer
+	}
+	return comfreyverdict.MayHaveRun(reason, err.Error()).WithCause(err)
 }
--- a/comfreysidecar/upstream.go
+++ b/comfreysidecar/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -103,5 +104,8 @@
 	if ctx.Err() != nil {
 		return comfreyverdict.MayHaveRun(comfreyverdict.ReasonDeadline, "the upstream did not answer in time")
 	}
+	if errors.Is(err, comfreyconnection.ErrMalformedResponse) {
+		return comfreyverdict.MayHaveRun(comfreyverdict.ReasonMalformedAnswer, err.Error())
+	}
 	return comfreyverdict.MayHaveRun(comfreyverdict.ReasonConnectionLost, err.Error())
 }
--- a/comfreysidecar/upstream_test.go
+++ b/comfreysidecar/upstream_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +40,18 @@
 		t.Errorf("an early answer: got %d %q, %v", a.status, a.body, err)
 	}
 }
+
+// TestMalformedAnswerMayHaveRun guards against answers that violate HTTP/1.1 and are passed
+// on.
+func TestMalformedAnswerMayHaveRun(t *testing.T) {
+	for problem, response := range map[string]string{
+		`"000 OK"`: "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
+		`"099 OK"`: "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody",
+		`"X\x01`:   "HTTP/1.1 200 OK\r\nX\x01: b\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		a, err := callRaw(t, response, comfreyfakeserver.ReadToEnd, []byte("order"))
+		if e := comfreyverdict.From(err); err == nil || e.Verdict != comfreyverdict.VerdictMayHaveRun || e.Reason != comfreyverdict.ReasonMalformedAnswer || !strings.Contains(e.Detail, problem) {
+			t.Errorf("%s: got %d %q, %v, want a request that may have run", problem, a.status, a.body, err)
+		}
+	}
+}
--- a/comfreyverdict/reason.go
+++ b/comfreyverdict/reason.go
@@ -36,6 +36,7 @@
 	ReasonInternal           Reason = "internal"
 	ReasonLeastLoaded        Reason = "least-loaded"
 	ReasonLeaving            Reason = "leaving"
+	ReasonMalformedAnswer    Reason = "malformed-answer"
 	ReasonNoConfiguration    Reason = "no-configuration"
 	ReasonNoHome             Reason = "no-home"
 	ReasonNoUpstream         Reason = "no-upstream"
