Refuse responses in which the name of a field is no token

A replica in trouble sent names that held a blank. net/http accepts them and leaves out what they say: of "Content-Length : 4" callers got a 200 with all that came until the end of the connection, of "Transfer-Encoding : chunked" one with the sizes of the chunks in the body, of "X Note: a" one without that line. Promises, pauses, limits and departures beside such a line were believed: a 429 or 503 said not run, the replica got no more requests, and load reports, stops of generations and host lists were taken. A control byte, a tab, NUL, DEL, a separator, a high byte or no name at all were refused before.

Change: checkHead wants tokens (httpguts of golang.org/x/net, in the version that the module graph had already), also in informational responses and trailers. Names of all bytes of tokens, values with bytes above 127 and folded lines pass as before.

--- a/comfreycaller/broken_answer_test.go
+++ b/comfreycaller/broken_answer_test.go
@@ -25,6 +25,7 @@
 		end      func(c *net.TCPConn)
 	}{
 		"cut during the upload": {"HTTP/1.1 200 OK\r\n" + ran + "\r\npart", reset},
+		"blank in a name":       {"HTTP/1.1 200 OK\r\n" + ran + "Content-Length : 4\r\n\r\nbody and more", comfreyfakeserver.ReadToEnd},
 		"status 000":            {"HTTP/1.1 000 OK\r\n" + ran + "Content-Length: 4\r\n\r\nbody", comfreyfakeserver.ReadToEnd},
 	} {
 		address, err := comfreyfakeserver.Raw{Respond: func(*http.Request) string { return s.response }, End: s.end}.Listen(t.Context())
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -262,6 +262,7 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.head.Body.Read(p)
 	b.response.progress.receive(n)
+	err = checkEnd(err, b.head)
 	switch {
 	case errors.Is(err, io.EOF):
 		b.response.isComplete = true
--- a/comfreyconnection/malformed.go
+++ b/comfreyconnection/malformed.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedResponse means that a response violates HTTP/1.1 (RFC 9112). Nothing that it
@@ -25,9 +28,32 @@
 	case h.StatusCode == http.StatusSwitchingProtocols:
 		return malformed("expected a response in HTTP, got status %q", h.Status)
 	}
+	return checkFieldNames(h.Header)
+}
+
+// checkFieldNames returns an ErrMalformedResponse for fields of a head or a trailer. net/http
+// accepts names that hold a blank, and ignores what they say of the length.
+func checkFieldNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return malformed("expected a token as the name of a field, got %q", name)
+		}
+	}
 	return nil
 }
 
+// checkEnd returns the error of a read of a body, which is an ErrMalformedResponse at the
+// end of one whose trailer violates HTTP/1.1.
+func checkEnd(err error, h *http.Response) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if e := checkFieldNames(h.Trailer); e != nil {
+		return e
+	}
+	return err
+}
+
 func malformed(format string, values ...any) error {
 	return fmt.Errorf("%w: "+format, append([]any{ErrMalformedResponse}, values...)...)
 }
--- a/comfreyconnection/transport.go
+++ b/comfreyconnection/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
@@ -54,6 +55,9 @@
 				c.endRequest()
 			}
 		},
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+			return checkFieldNames(http.Header(fields))
+		},
 	}
 	a, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	c := used.Load()
@@ -64,13 +68,15 @@
 		_ = a.Body.Close() // The response is refused for another reason.
 		return nil, err
 	}
-	a.Body = &checkedBody{ReadCloser: a.Body, connection: c, context: r.Context()}
+	a.Body = &checkedBody{ReadCloser: a.Body, head: a, connection: c, context: r.Context()}
 	return a, nil
 }
 
-// checkedBody is the body of a response whose errors are explained.
+// checkedBody is the body of a response whose errors are explained and whose trailer is
+// checked.
 type checkedBody struct {
 	io.ReadCloser
+	head *http.Response
 	// connection is nil if it is encrypted.
 	connection *checkedConn
 	context    context.Context
@@ -79,6 +85,7 @@
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	err = checkEnd(err, b.head)
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = b.connection.explain(b.context, err)
 	}
--- a/comfreyengine/malformed_test.go
+++ b/comfreyengine/malformed_test.go
@@ -14,6 +14,8 @@
 // run, or a state, in a response that violates HTTP/1.1.
 func TestMalformedRefusalIsNotBelieved(t *testing.T) {
 	for _, response := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nRetry-After : 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 404 Not Found\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		address, err := comfreyfakeserver.Raw{Respond: func(*http.Request) string { return response }, End: comfreyfakeserver.ReadToEnd}.Listen(t.Context())
--- a/comfreyrpc/malformed_test.go
+++ b/comfreyrpc/malformed_test.go
@@ -14,7 +14,9 @@
 // the status of a response that violates HTTP/1.1, and against a reply that is taken from one.
 func TestMalformedResponseMayHaveRun(t *testing.T) {
 	for _, response := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
 	} {
 		address, err := comfreyfakeserver.Raw{Respond: func(*http.Request) string { return response }, End: comfreyfakeserver.ReadToEnd}.Listen(t.Context())
 		if err != nil {
--- a/comfreysidecar/upstream_test.go
+++ b/comfreysidecar/upstream_test.go
@@ -45,9 +45,11 @@
 // on.
 func TestMalformedAnswerMayHaveRun(t *testing.T) {
 	for problem, response := range map[string]string{
-		`"000 OK"`: "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
-		`"099 OK"`: "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody",
-		`"X\x01`:   "HTTP/1.1 200 OK\r\nX\x01: b\r\nContent-Length: 4\r\n\r\nbody",
+		`"000 OK"`:          "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
+		`"099 OK"`:          "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody",
+		`"Content-Length "`: "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
+		`"X A"`:             "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 4\r\n\r\nbody",
+		`"X\x01`:            "HTTP/1.1 200 OK\r\nX\x01: b\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		a, err := callRaw(t, response, comfreyfakeserver.ReadToEnd, []byte("order"))
 		if e := comfreyverdict.From(err); err == nil || e.Verdict != comfreyverdict.VerdictMayHaveRun || e.Reason != comfreyverdict.ReasonMalformedAnswer || !strings.Contains(e.Detail, problem) {
