Refuse status lines of other versions and with control bytes

The version HTTP/2.0 or HTTP/0.9, and NUL or a carriage return in the reason phrase, reached callers as a 200. RFC 9112 allows neither on a connection of HTTP/1.1; a peer that sends them speaks something else, or sends bytes of something else.

Change: checkHead wants the major version 1 and a reason phrase without control bytes. Encrypted connections of the Transport may use HTTP/2. Phrases in UTF-8 and none at all pass as before.

--- a/comfreyconnection/malformed.go
+++ b/comfreyconnection/malformed.go
@@ -22,9 +22,19 @@
 // checkHead returns an ErrMalformedResponse for the head of a response that net/http accepts
 // although it violates HTTP/1.1.
 func checkHead(h *http.Response) error {
+	if h.ProtoMajor != 1 {
+		return malformed("expected version HTTP/1.1 or HTTP/1.0, got %q", h.Proto)
+	}
+	return checkFields(h)
+}
+
+// checkFields is the part of checkHead that holds for any version of HTTP.
+func checkFields(h *http.Response) error {
 	switch {
 	case h.StatusCode < minStatus || h.StatusCode > maxStatus:
 		return malformed("expected a status from %d to %d, got %q", minStatus, maxStatus, h.Status)
+	case !httpguts.ValidHeaderFieldValue(h.Status):
+		return malformed("expected a status line without control bytes, got %q", h.Status)
 	case h.StatusCode == http.StatusSwitchingProtocols:
 		return malformed("expected a response in HTTP, got status %q", h.Status)
 	}
--- a/comfreyconnection/transport.go
+++ b/comfreyconnection/transport.go
@@ -64,7 +64,11 @@
 	if err != nil {
 		return nil, c.explain(r.Context(), err)
 	}
-	if err := checkHead(a); err != nil {
+	check := checkHead
+	if c == nil {
+		check = checkFields // The connection is encrypted.
+	}
+	if err := check(a); err != nil {
 		_ = a.Body.Close() // The response is refused for another reason.
 		return nil, err
 	}
