Refuse responses of HTTP/1.0 with a Transfer-Encoding

Callers got the sizes of the chunks in the body, or the first bytes of them if there was a length too. RFC 9112 has such a response treated as one of faulty framing.

Cause: net/http drops the field in HTTP/1.0, and takes the chunks for the body. It does not tell that there was one.

Change: a checkedConn records what is read until the head is complete, up to the 256 KB that a pool reads of it. The fields of a head in HTTP/1.0 are read again from that record, after informational responses, for pool and Transport. Heads of HTTP/1.1 are not read twice.

--- a/comfreyconnection/checked_conn.go
+++ b/comfreyconnection/checked_conn.go
@@ -32,6 +32,9 @@
 	// writeError is the error of the first write that has failed, and readError that of the
 	// first read.
 	writeError, readError error
+	// isRecording means that what is read is added to recorded, up to maxHeadBytes.
+	isRecording bool
+	recorded    []byte
 }
 
 // NetConn returns the connection that is checked.
@@ -39,11 +42,13 @@
 	return c.Conn
 }
 
-// beginRequest is called before a request is written, and endRequest afterwards.
+// beginRequest is called before a request is written, and endRequest afterwards. What is
+// read is recorded from then on.
 func (c *checkedConn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = make(chan struct{})
+	c.isRecording, c.recorded = true, nil
 }
 
 func (c *checkedConn) endRequest() {
@@ -89,9 +94,27 @@
 	if c.readError == nil {
 		c.readError = err
 	}
+	if c.isRecording {
+		c.recorded = append(c.recorded, p[:min(n, maxHeadBytes-len(c.recorded))]...)
+	}
 	return n, err
 }
 
+// record returns what has been read since beginRequest, and endRecord ends the record.
+func (c *checkedConn) record() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recorded
+}
+
+func (c *checkedConn) endRecord() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.recorded
+	c.isRecording, c.recorded = false, nil
+	return b
+}
+
 // awaitRequest waits until the request has been written, for at most resetDelay. Then it
 // ends the write in progress: the peer has sent all of its response.
 func (c *checkedConn) awaitRequest() {
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -165,6 +165,7 @@
 	c.limiter.begin()
 	h, mayReuse, err := readResponseHeader(ctx, c, r)
 	c.limiter.end()
+	c.net.endRecord()
 	if err != nil {
 		return nil, err
 	}
@@ -229,11 +230,13 @@
 // readHead reads the head of a response. The error is an ErrMalformedResponse if what was
 // read is none.
 func (c *connection) readHead(ctx context.Context, r *http.Request) (*http.Response, error) {
+	start := len(c.net.record()) - c.reader.Buffered()
 	h, err := http.ReadResponse(c.reader, r)
 	if err != nil {
 		return nil, c.net.explain(ctx, err)
 	}
-	return h, checkHead(h)
+	raw := c.net.record()
+	return h, checkHead(h, raw[start:len(raw)-c.reader.Buffered()])
 }
 
 // keepAliveTime returns how long the replica keeps an idle connection open,
--- a/comfreyconnection/malformed.go
+++ b/comfreyconnection/malformed.go
@@ -1,10 +1,14 @@
 package comfreyconnection
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -20,12 +24,19 @@
 )
 
 // checkHead returns an ErrMalformedResponse for the head of a response that net/http accepts
-// although it violates HTTP/1.1.
-func checkHead(h *http.Response) error {
+// although it violates HTTP/1.1. raw is what was received from the start of the head on, and
+// may begin with informational responses.
+func checkHead(h *http.Response, raw []byte) error {
 	if h.ProtoMajor != 1 {
 		return malformed("expected version HTTP/1.1 or HTTP/1.0, got %q", h.Proto)
 	}
-	return checkFields(h)
+	if err := checkFields(h); err != nil {
+		return err
+	}
+	if h.ProtoMinor == 0 && h.StatusCode >= minFinalStatus {
+		return checkUnchunked(raw)
+	}
+	return nil
 }
 
 // checkFields is the part of checkHead that holds for any version of HTTP.
@@ -52,6 +63,35 @@
 	return nil
 }
 
+// checkUnchunked returns an ErrMalformedResponse if the first head of raw that is not
+// informational has a Transfer-Encoding. In HTTP/1.0 net/http drops that field, and takes
+// the chunks for the body.
+func checkUnchunked(raw []byte) error {
+	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(raw)))
+	for {
+		line, err := r.ReadLine()
+		if err != nil {
+			return malformed("expected the head of a response in HTTP/1.0, got %w", err)
+		}
+		fields, err := r.ReadMIMEHeader()
+		switch {
+		case err != nil:
+			return malformed("expected the head of a response in HTTP/1.0, got %w", err)
+		case isInformational(line):
+		case len(fields["Transfer-Encoding"]) > 0:
+			return malformed("expected no Transfer-Encoding in HTTP/1.0, got %q", fields["Transfer-Encoding"])
+		default:
+			return nil
+		}
+	}
+}
+
+// isInformational reports whether a status line is that of an informational response.
+func isInformational(line string) bool {
+	_, status, _ := strings.Cut(line, " ")
+	return strings.HasPrefix(strings.TrimLeft(status, " "), "1")
+}
+
 // checkEnd returns the error of a read of a body, which is an ErrMalformedResponse at the
 // end of one whose trailer violates HTTP/1.1.
 func checkEnd(err error, h *http.Response) error {
--- a/comfreyconnection/transport.go
+++ b/comfreyconnection/transport.go
@@ -64,11 +64,12 @@
 	if err != nil {
 		return nil, c.explain(r.Context(), err)
 	}
-	check := checkHead
-	if c == nil {
-		check = checkFields // The connection is encrypted.
+	if c != nil {
+		err = checkHead(a, c.endRecord())
+	} else {
+		err = checkFields(a) // The connection is encrypted.
 	}
-	if err := check(a); err != nil {
+	if err != nil {
 		_ = a.Body.Close() // The response is refused for another reason.
 		return nil, err
 	}
--- a/comfreyengine/malformed_test.go
+++ b/comfreyengine/malformed_test.go
@@ -17,6 +17,7 @@
 		"HTTP/1.1 503 Service Unavailable\r\nRetry-After : 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 404 Not Found\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	} {
 		address, err := comfreyfakeserver.Raw{Respond: func(*http.Request) string { return response }, End: comfreyfakeserver.ReadToEnd}.Listen(t.Context())
 		if err != nil {
--- a/comfreyplatform/malformed_test.go
+++ b/comfreyplatform/malformed_test.go
@@ -14,6 +14,7 @@
 	for _, response := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n[] and more",
 		"HTTP/1.1 304 Not Modified\r\nX A: b\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n0\r\n\r\n",
 	} {
 		address, err := comfreyfakeserver.Raw{Respond: func(*http.Request) string { return response }, End: comfreyfakeserver.ReadToEnd}.Listen(t.Context())
 		if err != nil {
--- a/comfreysidecar/upstream_test.go
+++ b/comfreysidecar/upstream_test.go
@@ -50,6 +50,7 @@
 		`"Content-Length "`: "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
 		`"X A"`:             "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 4\r\n\r\nbody",
 		`"X\x01`:            "HTTP/1.1 200 OK\r\nX\x01: b\r\nContent-Length: 4\r\n\r\nbody",
+		`in HTTP/1.0`:       "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		a, err := callRaw(t, response, comfreyfakeserver.ReadToEnd, []byte("order"))
 		if e := comfreyverdict.From(err); err == nil || e.Verdict != comfreyverdict.VerdictMayHaveRun || e.Reason != comfreyverdict.ReasonMalformedAnswer || !strings.Contains(e.Detail, problem) {
