--- a/comfreyconnection/checked_conn.go
+++ b/comfreyconnection/checked_conn.go
@@ -57,6 +57,13 @@
 	c.closeWritten()
 }
 
+// isWritten reports whether the latest request was written completely.
+func (c *checkedConn) isWritten() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written == nil && c.writeError == nil
+}
+
 // closeWritten ends the request in progress, if any. The mutex must be held.
 func (c *checkedConn) closeWritten() {
 	if c.written != nil {
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -91,7 +90,6 @@
 	connection *connection
 	context    context.Context
 	progress   *progress
-	written    *atomic.Bool
 	stop       func() bool
 	isComplete bool
 	isReusable bool
@@ -144,7 +142,6 @@
 // respond before it has read the complete request, so a request that exceeds
 // one buffer is written in its own goroutine.
 func (p *Pool) exchange(ctx context.Context, c *connection, r Request) (*Response, error) {
-	written := &atomic.Bool{}
 	head := encodeRequestHeader(r)
 	c.net.beginRequest()
 	if len(head)+len(r.Body) <= readBufferBytes {
@@ -152,12 +149,10 @@
 			return nil, fmt.Errorf("comfreyconnection: writing a request: %w", err)
 		}
 		c.net.endRequest()
-		written.Store(true)
 	} else {
 		p.group.Go("write", func(context.Context) error {
 			if _, err := c.net.Write(append(head, r.Body...)); err == nil {
 				c.net.endRequest()
-				written.Store(true)
 			}
 			return nil // Reading the response reports the error; see checkedConn.
 		})
@@ -170,7 +165,7 @@
 		return nil, err
 	}
 	c.isUsed, c.requestID = true, r.id()
-	a := &Response{Status: h.StatusCode, Header: h.Header, Length: h.ContentLength, pool: p, connection: c, written: written}
+	a := &Response{Status: h.StatusCode, Header: h.Header, Length: h.ContentLength, pool: p, connection: c}
 	a.EndsWithConnection = h.ContentLength < 0 && len(h.TransferEncoding) == 0
 	a.isReusable = !h.Close && mayReuse
 	c.keepAlive = keepAliveTime(h.Header)
@@ -286,7 +281,7 @@
 	isLive := a.stop()
 	a.progress.stop()
 	c := a.connection
-	if isLive && a.isComplete && a.isReusable && a.written.Load() && c.reader.Buffered() == 0 {
+	if isLive && a.isComplete && a.isReusable && c.net.isWritten() && c.reader.Buffered() == 0 {
 		a.pool.put(c)
 		return
 	}
