Reset the connection of an aborted response in HTTP/1.0

A caller that speaks HTTP/1.0 got a stream that its replica had broken off as a complete answer, with the seal of the replica. The responses to HTTP/1.1 have chunks or a length.

Cause: a response in HTTP/1.0 ends with its connection. If the handler aborts it, or the server closes during it, net/http closes the connection in order.

Evidence: by a scratch test of the gateway, three events and the end, without an error.

Change: such a connection is reset, through SO_LINGER before it is closed. Complete responses, and all to HTTP/1.1, are as before.

Found while looking for other ways in which a broken answer reaches a client; no client on the platform speaks HTTP/1.0.

--- a/comfreyserver/connection.go
+++ b/comfreyserver/connection.go
@@ -284,6 +284,23 @@
 	return c.handled
 }
 
+// abort is called before the connection is closed although the response to a request is not
+// complete. In HTTP/1.0 the end of a connection may be that of the response, so the
+// connection is reset.
+func (c *connection) abort(r *http.Request) {
+	k, ok := c.Conn.(syscall.Conn)
+	if !ok || r.ProtoAtLeast(1, 1) {
+		return
+	}
+	raw, err := k.SyscallConn()
+	if err != nil {
+		return // The connection is closed.
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptLinger(int(descriptor), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
+
 // hasArrived reports whether bytes, or the end, have arrived that were not read.
 func (c *connection) hasArrived() bool {
 	k, ok := c.Conn.(syscall.Conn)
--- a/comfreyserver/server.go
+++ b/comfreyserver/server.go
@@ -209,6 +209,7 @@
 			continue
 		}
 		cut++
+		c.abort(r)
 		if f := s.config.OnCut; f != nil {
 			f(r)
 		}
@@ -263,9 +264,21 @@
 }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	hasReturned := false
 	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
 		c.setHandled(r)
+		defer func() {
+			if !hasReturned {
+				c.abort(r)
+			}
+		}()
 	}
+	s.handle(w, r)
+	hasReturned = true
+}
+
+// handle calls the handler.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	if !s.config.EndsConnections {
 		s.config.Handler.ServeHTTP(w, r)
 		return
