--- a/comfreycaller/caller.go
+++ b/comfreycaller/caller.go
@@ -24,7 +24,7 @@
 // maxLineBytes bounds a line of an event stream.
 const maxLineBytes = 1 << 20
 
-// defaultClient differs from http.DefaultClient in that it refuses broken responses.
+// defaultClient is http.DefaultClient, except that it refuses broken responses.
 var defaultClient = &http.Client{Transport: comfreyconnection.NewTransport(&http.Transport{
 	Proxy: http.ProxyFromEnvironment, ForceAttemptHTTP2: true, IdleConnTimeout: idleConnTimeout,
 })}
--- a/comfreyconnection/broken_response_test.go
+++ b/comfreyconnection/broken_response_test.go
@@ -160,7 +160,7 @@
 }
 
 // TestMalformedResponseIsRefused guards against responses that net/http accepts although
-// they violate HTTP/1.1, and checks that all that do are told from a broken connection.
+// they violate HTTP/1.1, and checks that none is taken for a broken connection.
 func TestMalformedResponseIsRefused(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for name, response := range map[string]string{
--- a/comfreyconnection/checked_conn.go
+++ b/comfreyconnection/checked_conn.go
@@ -18,8 +18,8 @@
 
 // checkedConn is a client's connection that reads the end only if its peer has ended it in
 // order. The kernel reports a reset once: if a write gets that error, a read returns the
-// end, so that a response without a length looks complete. One call of Read and one of
-// Write are allowed at a time.
+// end, so that a response without a length looks complete. It also records the heads of
+// responses. One call of Read and one of Write are allowed at a time.
 type checkedConn struct {
 	net.Conn
 	// writing is held during a write.
@@ -155,8 +155,8 @@
 }
 
 // explain returns the error of reading a response, which is an ErrMalformedResponse if
-// neither a read nor a write has failed. The connection is closed when ctx ends. It may be
-// nil, which means that it is not known.
+// neither a read nor a write has failed. The connection, which may be nil, is closed when ctx
+// ends.
 func (c *checkedConn) explain(ctx context.Context, err error) error {
 	if c == nil || ctx.Err() != nil {
 		return err
--- a/comfreyconnection/pool.go
+++ b/comfreyconnection/pool.go
@@ -1,7 +1,9 @@
 // Package comfreyconnection sends HTTP/1.1 requests to replicas, one at a time
 // on each connection, and reports for each failure whether the request can have
 // reached the replica. Data that a replica sends after the end of a response,
-// or a response to an earlier request, never becomes part of another response.
+// or a response to an earlier request, never becomes part of another response. Responses
+// that violate HTTP/1.1 or break off are errors, also through the Transport, which is for
+// callers of net/http.
 package comfreyconnection
 
 import (
--- a/comfreyengine/writeguard.go
+++ b/comfreyengine/writeguard.go
@@ -75,7 +75,7 @@
 func withWriteGuard(ctx context.Context, g *writeGuard) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			n := i.Conn
+			n := i.Conn // The transport wraps the connection that was dialed.
 			if k, ok := n.(interface{ NetConn() net.Conn }); ok {
 				n = k.NetConn()
 			}
