--- a/comfreyconnection/checked_conn.go
+++ b/comfreyconnection/checked_conn.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// resetDelay is how long the end of what a peer sends waits for that of a request which is
-// still being written. A peer that has closed both directions resets the connection as soon
-// as it gets more of the request.
+// resetDelay is how long a read that has reached the end waits for a request that is still
+// being written. A peer that has closed both directions resets the connection as soon as it
+// gets more of the request.
 const resetDelay = 200 * time.Millisecond
 
 // checkedConn is a client's connection that reads the end only if its peer has ended it in
@@ -122,8 +122,9 @@
 	return b
 }
 
-// awaitRequest waits until the request has been written, for at most resetDelay. Then it
-// ends the write in progress: the peer has sent all of its response.
+// awaitRequest waits until the request has been written, for at most resetDelay. It then ends
+// a write that is still in progress, so that no error of it is missed. The peer has sent all
+// of its response by then.
 func (c *checkedConn) awaitRequest() {
 	c.mu.Lock()
 	written := c.written
--- a/comfreyconnection/exchange.go
+++ b/comfreyconnection/exchange.go
@@ -223,7 +223,7 @@
 }
 
 // readHead reads the head of a response. The error is an ErrMalformedResponse if what was
-// read is none.
+// read is no valid head.
 func (c *connection) readHead(ctx context.Context, r *http.Request) (*http.Response, error) {
 	start := len(c.net.record()) - c.reader.Buffered()
 	h, err := http.ReadResponse(c.reader, r)
